Give a node its slots although it started with an empty list of nodes

Cause: a node that starts is told of an empty list of nodes before it has caught up with the log. That list was kept as one that others might still act on, so the node's share of every minion was zero for ten seconds and twice the longest timeout; a request then waited until its deadline. Ruled out: retries and spilling (the request was never sent), admission (nothing else waited), silence of the minion (it was just heard). Change: an empty list is no former list. Node ids have 64 bits, so that a control node's address and the number of its disk fit into one; no message changes but for that.

--- a/src/bench/capacity/centre.rs
+++ b/src/bench/capacity/centre.rs
@@ -105,7 +105,7 @@
         };
         Self {
             plan,
-            paths: (1..=plan.nodes).map(path).collect(),
+            paths: (1..=NodeId::from(plan.nodes)).map(path).collect(),
             heard: Vec::new(),
             tallies: Tallies::default(),
         }
@@ -114,7 +114,7 @@
     fn go(&mut self, from: u32, to: u32) {
         for step in from..to {
             let now = STEP * step;
-            (1..=self.plan.nodes).for_each(|id| self.step(now, id, Input::Tick));
+            (1..=NodeId::from(self.plan.nodes)).for_each(|id| self.step(now, id, Input::Tick));
             let due = (0..self.plan.minions).filter(|m| m % STEPS == step % STEPS);
             due.for_each(|minion| self.announce(now, minion, step));
             if step % TELL == 0 {
@@ -134,7 +134,7 @@
             self.tallies.intake.work(begun.elapsed());
             self.heard.push(news.clone());
         }
-        self.step(now, to, Input::Announce(news));
+        self.step(now, to.into(), Input::Announce(news));
     }
 
     fn step(&mut self, now: Now, id: NodeId, input: Input) {
@@ -195,7 +195,7 @@
 }
 
 fn configuration(plan: Plan) -> Configuration {
-    let node = |n| (n + 1, fleet::centre(n / plan.nodes));
+    let node = |n: u32| (NodeId::from(n + 1), fleet::centre(n / plan.nodes));
     let nodes: Vec<(NodeId, DataCentreId)> = (0..plan.nodes * plan.centres).map(node).collect();
     Configuration {
         version: 1,
--- a/src/bench/capacity/log.rs
+++ b/src/bench/capacity/log.rs
@@ -82,13 +82,14 @@
 
 impl Cluster {
     fn new(plan: Plan) -> Self {
-        let centre = |id: NodeId| format!("centre-{:02}", (id - 1) % plan.centres);
-        let voters: Vec<NodeId> = (1..=plan.voters).collect();
+        let centre = |id: NodeId| format!("centre-{:02}", (id - 1) % u64::from(plan.centres));
+        let voters: Vec<NodeId> = (1..=NodeId::from(plan.voters)).collect();
         let member = |id: NodeId| {
             let base = Config::new(id, Pcg64::seed_from_u64(id.into()));
-            let base = (1..=plan.nodes).fold(base, |config, n| config.place(n, centre(n)));
+            let base =
+                (1..=NodeId::from(plan.nodes)).fold(base, |config, n| config.place(n, centre(n)));
             let base = slower(base, plan.pace);
-            let config = if id <= plan.voters {
+            let config = if id <= NodeId::from(plan.voters) {
                 base.bootstrap(voters.clone())
             } else {
                 base
@@ -99,7 +100,7 @@
         };
         Self {
             now: Duration::ZERO,
-            members: (1..=plan.nodes).map(member).collect(),
+            members: (1..=NodeId::from(plan.nodes)).map(member).collect(),
             wire: BTreeMap::new(),
             count: 0,
             proposed: 0,
--- a/src/bench/control/cluster.rs
+++ b/src/bench/control/cluster.rs
@@ -16,7 +16,7 @@
     types::{NodeId, Now, Version},
 };
 
-const NODES: u32 = 8;
+const NODES: NodeId = 8;
 /// When the change is committed; by then every node holds a lease.
 const CHANGE: Now = Duration::from_secs(3);
 /// When a run ends.
@@ -36,9 +36,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     /// Nodes whose messages take 400 ms more each way.
-    pub slow: u32,
+    pub slow: NodeId,
     /// Nodes that are cut from the others until the end.
-    pub cut: u32,
+    pub cut: NodeId,
     /// The leader's host dies, and this much later another leads.
     pub election: Option<Now>,
 }
@@ -85,7 +85,7 @@
 impl Cluster {
     fn new(mode: Mode, faults: Faults, seed: u64) -> Self {
         let settings = Settings::default().mode(mode);
-        let nodes = (0..NODES).map(|n| Node::new(n.into(), settings.clone()));
+        let nodes = (0..NODES).map(|n| Node::new(n, settings.clone()));
         let mut run = Self {
             leader: Some(Leader::new(Duration::ZERO, settings.clone())),
             nodes: nodes.collect(),
@@ -146,12 +146,12 @@
         shown
     }
 
-    fn reachable(&self) -> u32 {
-        NODES - self.faults.cut - u32::from(self.faults.election.is_some())
+    fn reachable(&self) -> NodeId {
+        NODES - self.faults.cut - NodeId::from(self.faults.election.is_some())
     }
 
     /// How many nodes act under each version.
-    fn acted(&self, now: Now) -> BTreeMap<Version, u32> {
+    fn acted(&self, now: Now) -> BTreeMap<Version, NodeId> {
         let mut acted = BTreeMap::new();
         for id in (0..NODES).filter(|id| !self.dead(now, *id)) {
             if let Acting::Under { version, .. } = self.nodes[id as usize].acting(now) {
@@ -181,7 +181,7 @@
             Happening::ToNode(to, message) => self.node(now, to, NodeInput::Receive { message }),
             Happening::Learn(id, version) => {
                 let age = now.saturating_sub(if version == 2 { CHANGE } else { Duration::ZERO });
-                let skew = SKEW * id;
+                let skew = SKEW * id as u32;
                 let (preset, age) = ("p".into(), age + skew);
                 let input = NodeInput::Learned {
                     version,
--- a/src/bench/control/rollout.rs
+++ b/src/bench/control/rollout.rs
@@ -5,7 +5,10 @@
 use super::cluster::{self, Faults};
 use crate::{
     bench::report::millis,
-    core::{activation::Mode, types::Now},
+    core::{
+        activation::Mode,
+        types::{NodeId, Now},
+    },
 };
 
 /// How long a change took to be in force, over many runs. Times are in milliseconds.
@@ -15,9 +18,9 @@
     /// How changes came into force.
     pub mode: String,
     /// Slow nodes of eight.
-    pub slow: u32,
+    pub slow: NodeId,
     /// Cut nodes of eight.
-    pub cut: u32,
+    pub cut: NodeId,
     /// Time until the next leader, if the leader's host died.
     pub election: Option<f64>,
     /// Runs.
--- a/src/bench/routing/centre.rs
+++ b/src/bench/routing/centre.rs
@@ -47,7 +47,9 @@
         fleet: Arc::new(fleet),
         preset: Some(PRESET.into()),
         draining: Arc::new([]),
-        nodes: (1..=nodes).map(|n| (n, Name::from(CENTRE))).collect(),
+        nodes: (1..=nodes)
+            .map(|n| (NodeId::from(n), Name::from(CENTRE)))
+            .collect(),
     }
 }
 
--- a/src/bench/routing/sim.rs
+++ b/src/bench/routing/sim.rs
@@ -264,7 +264,7 @@
             Output::Abandon(send) => {
                 self.sends.remove(&(node, send));
             }
-            Output::Mesh { to, message } => self.mesh(now, node, to - 1, message),
+            Output::Mesh { to, message } => self.mesh(now, node, to as u32 - 1, message),
             Output::Finish { request, outcome } => self.finish(now, request, outcome),
             Output::Send { .. } | Output::Claim { .. } | Output::Settle { .. } => {}
         }
@@ -277,7 +277,7 @@
             return;
         }
         let input = Input::Mesh {
-            from: from + 1,
+            from: NodeId::from(from) + 1,
             message,
         };
         self.at(now + self.plan.hop, Event::Input(to, input));
@@ -362,7 +362,7 @@
 
 impl Node {
     fn new(plan: &Plan, node: u32) -> Self {
-        let settings = centre::settings(node + 1)
+        let settings = centre::settings(NodeId::from(node) + 1)
             .with_sharing(plan.sharing)
             .with_protections(plan.protections);
         let rng = Pcg64Mcg::seed_from_u64(plan.seed * 1000 + u64::from(node));
@@ -393,7 +393,7 @@
 
 /// Names by which each node owns as many minions as the others, where minions have owners.
 fn names(plan: &Plan) -> Vec<MinionId> {
-    let nodes: Vec<NodeId> = (1..=plan.nodes).collect();
+    let nodes: Vec<NodeId> = (1..=NodeId::from(plan.nodes)).collect();
     let owned = |name: &String, minion: u32| {
         let node = nodes[(minion % plan.nodes) as usize];
         Sharing::Owner.home(plan.slots, name, node, &nodes) > 0
--- a/src/core/dispatch/membership.rs
+++ b/src/core/dispatch/membership.rs
@@ -63,7 +63,9 @@
         let mut peers: Vec<NodeId> = here.map(|(node, _)| *node).collect();
         peers.sort_unstable();
         let former = std::mem::replace(&mut self.peers, peers);
-        if self.configuration.is_some() && former != self.peers {
+        // A node starts with an empty list, from before it has caught up with the log. Nobody has a
+        // share under that, so nothing of it can still be in use.
+        if !former.is_empty() && former != self.peers {
             let longest = self
                 .services
                 .iter()
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -29,7 +29,7 @@
 /// A name chosen by an operator; cheap to clone.
 pub type Name = Arc<str>;
 /// An egretpin process on an entry host.
-pub type NodeId = u32;
+pub type NodeId = u64;
 /// A machine that belongs to a pool and runs jobs as a worker.
 pub type HostId = Name;
 /// A rack, the smallest failure domain.
--- a/src/settings/daemon/read.rs
+++ b/src/settings/daemon/read.rs
@@ -22,7 +22,7 @@
 
 pub(super) fn settings(cursor: &Cursor<'_>) -> Option<Settings> {
     let mut fields = cursor.fields()?;
-    let node = fields.need("node", "1", scalar::count_from(1));
+    let node = fields.need("node", "1", node_id);
     let data_centre = fields.need("data_centre", "west", scalar::name);
     let mesh = fields.need("mesh", "10.0.0.1:7000", placed(scalar::address));
     let callers = fields.need("callers", "10.0.0.1:8000", placed(scalar::address));
@@ -77,7 +77,7 @@
 
 fn peer(cursor: &Cursor<'_>) -> Option<Peer> {
     let mut fields = cursor.fields()?;
-    let node = fields.need("node", "2", scalar::count_from(1));
+    let node = fields.need("node", "2", node_id);
     let data_centre = fields.need("data_centre", "east", scalar::name);
     let mesh = fields.need("mesh", "10.0.0.2:7000", reachable);
     let callers = fields.need("callers", "10.0.0.2:8000", reachable);
@@ -90,6 +90,11 @@
     })
 }
 
+/// A node's id, which operators choose.
+fn node_id(cursor: &Cursor<'_>) -> Option<NodeId> {
+    scalar::count_from(1)(cursor).map(NodeId::from)
+}
+
 /// An address that can be connected to.
 fn reachable(cursor: &Cursor<'_>) -> Option<SocketAddr> {
     let address = scalar::address(cursor)?;
@@ -112,7 +117,7 @@
         );
         return None;
     }
-    let voters: Vec<_> = items.iter().map(placed(scalar::count_from(1))).collect();
+    let voters: Vec<_> = items.iter().map(placed(node_id)).collect();
     voters.into_iter().collect()
 }
 
--- a/tests/claims/differential.rs
+++ b/tests/claims/differential.rs
@@ -91,7 +91,7 @@
 }
 
 fn claim() -> impl Strategy<Value = Claim> {
-    (1..3_u32, 1..4_u64, 0..2_usize, 0..4_usize).prop_map(|(node, request, service, key)| Claim {
+    (1..3_u64, 1..4_u64, 0..2_usize, 0..4_usize).prop_map(|(node, request, service, key)| Claim {
         holder: Holder {
             node,
             boot: 1,
--- a/tests/claims/model.rs
+++ b/tests/claims/model.rs
@@ -13,7 +13,7 @@
 use egretpin::core::{
     claims::{Ask, Claim, Claimant, Command, Effect, Guards, Holder, Input, Output, Table, Terms},
     dispatch::ClaimAnswer,
-    types::Now,
+    types::{NodeId, Now},
 };
 use pathfinding::prelude::bfs_reach;
 
@@ -139,7 +139,7 @@
         self.terms().horizon() - UNIT * u32::from(self.leaders)
     }
 
-    fn claimant(&self, node: u32, boot: u64) -> Claimant {
+    fn claimant(&self, node: NodeId, boot: u64) -> Claimant {
         Claimant::new(node, boot).guards(self.guards)
     }
 
@@ -193,7 +193,7 @@
                 && state
                     .sends
                     .iter()
-                    .any(|send| send.holder.node == node as u32)
+                    .any(|send| send.holder.node == node as NodeId)
             {
                 next.push(state.but(|next| next.crash(node, self)));
             }
@@ -318,7 +318,7 @@
 
     fn arrive(&mut self, node: usize, key: u8, scope: &Scope) {
         let holder = Holder {
-            node: node as u32,
+            node: node as NodeId,
             boot: self.boots[node],
             request: self.sends.len() as u64,
         };
@@ -407,7 +407,7 @@
     fn crash(&mut self, node: usize, scope: &Scope) {
         self.crashes -= 1;
         self.boots[node] += 1;
-        self.nodes[node] = scope.claimant(node as u32, self.boots[node]);
+        self.nodes[node] = scope.claimant(node as NodeId, self.boots[node]);
         for send in &mut self.sends {
             send.ready &= send.holder.node as usize != node;
         }
--- a/tests/claims/shared.rs
+++ b/tests/claims/shared.rs
@@ -8,7 +8,7 @@
     declaration::{BudgetSpec, Declaration, PoolSpec, PresetSpec, ServiceSpec},
     dispatch::ClaimAnswer,
     state::{Command, Event, Refusal, Reply, Request, State},
-    types::Wall,
+    types::{NodeId, Wall},
 };
 
 fn declared() -> State {
@@ -32,7 +32,7 @@
     state
 }
 
-fn claim(node: u32, service: &str) -> Claim {
+fn claim(node: NodeId, service: &str) -> Claim {
     Claim {
         holder: Holder {
             node,
--- a/tests/demo/watch.rs
+++ b/tests/demo/watch.rs
@@ -5,7 +5,7 @@
 use egretpin::demo::{Sample, clashes, reversions};
 
 /// A look of a node that was asked at one millisecond and answered ten later.
-fn look(node: u32, at: u64, version: Option<u64>) -> Sample {
+fn look(node: u64, at: u64, version: Option<u64>) -> Sample {
     Sample {
         node,
         asked: Duration::from_millis(at),
--- a/tests/routing/directory.rs
+++ b/tests/routing/directory.rs
@@ -6,7 +6,7 @@
     declaration::RequestSpec,
     dispatch::{Announcement, Input, Mesh, Output, Settings},
     routing::directory::{Directory, Heard, Source},
-    types::Name,
+    types::{Name, NodeId},
 };
 
 use crate::world::{CENTRE, World, announcement, configuration, ms};
@@ -18,7 +18,7 @@
     }
 }
 
-fn passed(from: u32, news: Announcement) -> Input {
+fn passed(from: NodeId, news: Announcement) -> Input {
     let message = Mesh::Announce(news);
     Input::Mesh { from, message }
 }
@@ -179,3 +179,16 @@
     world.end(world.sent[0].send, crate::world::SOUND);
     assert_eq!(world.last().request, 9);
 }
+
+/// A node that starts is told of an empty list of nodes before it has caught up with the log.
+#[test]
+fn a_node_that_learns_the_nodes_late_may_use_its_slots_at_once() {
+    let settings = Settings::new(1, CENTRE.into());
+    let mut world = World::with(settings, &[], RequestSpec::default());
+    world.pass(ms(1000));
+    let told = configuration(&[(1, CENTRE)], RequestSpec::default());
+    world.input(Input::Configure(told));
+    let mut world = world.minions("plain", &["a"]);
+    world.arrive(1, "plain");
+    assert_eq!(world.sent.len(), 1, "it waits: {:?}", world.ended);
+}
--- a/tests/routing/spill.rs
+++ b/tests/routing/spill.rs
@@ -94,7 +94,7 @@
     let mut world = world().minions("plain", &["a"]);
     world.other.clear();
     world.pass(ms(2000));
-    let offers = |world: &World| -> Vec<u32> {
+    let offers = |world: &World| -> Vec<u64> {
         let told = |o: &Output| match o {
             Output::Mesh {
                 to,
