Acknowledge the ends that were committed

Cause: the scheduler ignored the change that says which ends of an agent were taken in, so every renewal acknowledged end 0; agents then listed all their ends at once and never let a renewal wait. Ruled out: ends that weren't committed (tasks went on to their next steps). Change: the change is taken in.

--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -327,7 +327,12 @@
                 }
             }
             Change::Vacated { placed, again } => self.vacated(now, ledger, placed, *again),
-            Change::Acked { .. } | Change::Declared | Change::Placed(_) | Change::Wave(_) => {}
+            Change::Acked { agent, through } => {
+                if let Some(agent) = self.agents.get_mut(agent) {
+                    agent.record.acked = *through;
+                }
+            }
+            Change::Declared | Change::Placed(_) | Change::Wave(_) => {}
             Change::Agent(id) => self.know(now, ledger, id),
             Change::Gone(id) => {
                 self.agents.remove(id);
