--- a/src/bench/capacity/log.rs
+++ b/src/bench/capacity/log.rs
@@ -85,7 +85,7 @@
         let centre = |id: NodeId| format!("centre-{:02}", (id - 1) % u64::from(plan.centres));
         let voters: Vec<NodeId> = (1..=NodeId::from(plan.voters)).collect();
         let member = |id: NodeId| {
-            let base = Config::new(id, Pcg64::seed_from_u64(id.into()));
+            let base = Config::new(id, Pcg64::seed_from_u64(id));
             let base =
                 (1..=NodeId::from(plan.nodes)).fold(base, |config, n| config.place(n, centre(n)));
             let base = slower(base, plan.pace);
--- a/src/bench/control/voters.rs
+++ b/src/bench/control/voters.rs
@@ -139,7 +139,7 @@
     ) -> Self {
         let folder = folder.join(format!("voter-{id}"));
         let (disk, restored) = Disk::open(&folder, id).expect("a folder for a voter");
-        let mut config = Config::new(id, Pcg64::seed_from_u64(id.into())).bootstrap(VOTERS.into());
+        let mut config = Config::new(id, Pcg64::seed_from_u64(id)).bootstrap(VOTERS.into());
         for voter in VOTERS {
             config = config.place(voter, "dc");
         }
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -29,7 +29,7 @@
 //! assert_eq!(ledger.pending("alerts"), 1);
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, btree_map::Entry};
 
 use serde::{Deserialize, Serialize};
 
@@ -467,8 +467,8 @@
     }
 
     fn wave(&mut self, wave: &WaveRecord, changes: &mut Vec<Change>) {
-        if !self.waves.contains_key(&wave.wave) {
-            self.waves.insert(wave.wave, wave.clone());
+        if let Entry::Vacant(place) = self.waves.entry(wave.wave) {
+            place.insert(wave.clone());
             changes.push(Change::Wave(wave.wave));
         }
     }
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -11,6 +11,14 @@
 /// What a lasting task says that is at work, in hundredths.
 const WHOLE: u32 = 100;
 
+/// A start that was sent.
+struct Sent<'a> {
+    order: OrderId,
+    agent: &'a MinionId,
+    task: TaskId,
+    sent: Now,
+}
+
 impl Scheduler {
     /// An order was answered.
     pub fn answered(&mut self, now: Now, order: OrderId, answer: Answer) {
@@ -26,7 +34,15 @@
             return;
         }
         match about {
-            About::Start(agent, task) => self.started(now, order, &agent, task, sent, &answer),
+            About::Start(agent, task) => {
+                let start = Sent {
+                    order,
+                    agent: &agent,
+                    task,
+                    sent,
+                };
+                self.started(now, &start, &answer);
+            }
             About::Stop(agent, task) => self.stopped(now, order, &agent, task, &answer),
             About::Sweep => {}
             About::Renew { agent, acked } => self.renewed(now, sent, &agent, acked, answer),
@@ -37,15 +53,13 @@
         }
     }
 
-    fn started(
-        &mut self,
-        now: Now,
-        order: OrderId,
-        id: &MinionId,
-        task: TaskId,
-        sent: Now,
-        answer: &Answer,
-    ) {
+    fn started(&mut self, now: Now, start: &Sent<'_>, answer: &Answer) {
+        let Sent {
+            order,
+            agent: id,
+            task,
+            sent,
+        } = *start;
         self.note_clock(now, id, answer);
         if matches!(answer, Answer::Elsewhere) {
             self.gone.insert(id.clone());
@@ -220,10 +234,8 @@
             }
             match ended.how {
                 Ending::Done => agent.succeeded(),
-                Ending::Failed => {
-                    if agent.failed(now, ended.task.step.job) {
-                        log::info!(agent:% = id; "an agent is set aside, since several jobs failed there");
-                    }
+                Ending::Failed if agent.failed(now, ended.task.step.job) => {
+                    log::info!(agent:% = id; "an agent is set aside, since several jobs failed there");
                 }
                 _ => {}
             }
--- /dev/null
+++ b/src/core/workload/scheduler/jobs.rs
@@ -0,0 +1,128 @@
+//! Jobs as they come, open their steps and end.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use super::{
+    Job, JobId, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId, StepIx, StepSpec,
+    TaskIx, Wall,
+};
+
+impl Scheduler {
+    /// Makes the tasks of a job ready that may run at once, and notes when others are due.
+    pub(super) fn take_job(&mut self, now: Now, wall: Wall, id: JobId, job: &Job) {
+        for occurrence in 0..job.spec.occurrences() {
+            if job.runs.get(&occurrence).is_some_and(Run::is_finished) {
+                continue;
+            }
+            match job.spec.due(occurrence) {
+                Some(due) if due > wall => {
+                    self.timed.insert((due, id, occurrence));
+                }
+                _ => self.open_run(now, id, occurrence, job),
+            }
+        }
+    }
+
+    pub(super) fn open_due(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
+        while let Some((due, id, occurrence)) = self.timed.first().copied() {
+            if due > wall {
+                return;
+            }
+            self.timed.pop_first();
+            if let Some(job) = ledger.job(id).filter(|job| !job.is_over()) {
+                self.open_run(now, id, occurrence, job);
+            }
+        }
+    }
+
+    pub(super) fn open_run(&mut self, now: Now, id: JobId, occurrence: Occurrence, job: &Job) {
+        for step in 0..job.spec.steps.len() {
+            let step = StepId {
+                job: id,
+                occurrence,
+                step: StepIx::try_from(step).unwrap_or(StepIx::MAX),
+            };
+            if job.is_open(step) {
+                self.open(now, step, job);
+            }
+        }
+    }
+
+    /// Makes the tasks of a step ready that aren't done or placed.
+    pub(super) fn open(&mut self, now: Now, id: StepId, job: &Job) {
+        let Some(spec) = job.spec.steps.get(usize::from(id.step)) else {
+            return;
+        };
+        let free = match job.step(id) {
+            Some(step) => {
+                let tasks = (0..).zip(&step.tasks);
+                let free = tasks.filter(|(_, t)| !t.done && t.agent.is_none());
+                free.map(|(ix, _)| ix).collect()
+            }
+            None => (0..spec.tasks).collect(),
+        };
+        let mut ready = self.describe(now, id, job, spec, free);
+        if let Some(before) = self.ready.get(id) {
+            // What is proposed and not committed isn't free either.
+            ready.free = before.free.clone();
+            ready.since = before.since;
+        }
+        self.ready.insert(id, ready);
+    }
+
+    pub(super) fn describe(
+        &self,
+        now: Now,
+        id: StepId,
+        job: &Job,
+        spec: &StepSpec,
+        free: BTreeSet<TaskIx>,
+    ) -> Ready {
+        let queue = self.catalog.queue(&job.queue);
+        let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
+        let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
+        let remaining = job.spec.remaining();
+        Ready {
+            pool: self.pool(job),
+            spec: spec.clone(),
+            free,
+            deadline: accepted + job.spec.chain().mul_f64(stretch.max(1.0)) + target,
+            left: remaining
+                .get(usize::from(id.step))
+                .copied()
+                .unwrap_or_default(),
+            priority: queue.map_or(0, |q| q.priority),
+            since: now,
+        }
+    }
+
+    /// The pool that runs a job's tasks: what the catalog says now, or said last.
+    pub(super) fn pool(&self, job: &Job) -> PoolId {
+        let queue = self.catalog.queue(&job.queue);
+        queue.map_or_else(|| job.pool.clone(), |queue| queue.pool.clone())
+    }
+
+    /// Stops what is placed of a job that is over.
+    pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
+        self.ready.forget(id);
+        self.accepted.remove(&id);
+        let Some(job) = ledger.job(id) else {
+            return;
+        };
+        for (task, agent) in job.placements(id) {
+            let done = job.task(task).is_some_and(|t| t.done);
+            if !done {
+                self.stop(now, &agent, task);
+            }
+        }
+    }
+}
+
+/// Core-milliseconds of a job's short tasks, in thousandths of a core times milliseconds.
+pub(super) fn work(job: &Job) -> f64 {
+    let steps = job.spec.steps.iter().filter(|s| !s.lasting);
+    let work = steps.map(|s| {
+        f64::from(s.tasks) * s.room().millicores as f64 * s.estimate.as_secs_f64() * 1000.0
+    });
+    work.sum()
+}
--- /dev/null
+++ b/src/core/workload/scheduler/leases.rs
@@ -0,0 +1,75 @@
+//! The leases of agents: renewed while they run something, and given up when they surely ran out.
+
+use std::time::Duration;
+
+use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, WAIT, What};
+
+impl Scheduler {
+    /// Renews the leases of agents that run something, and acknowledges ends to the others.
+    pub(super) fn renew(&mut self, now: Now) {
+        let lease = self.settings.lease;
+        let mut due = Vec::new();
+        for (id, agent) in &mut self.agents {
+            let acked = agent.record.acked;
+            let idle = agent.slots.is_empty();
+            if agent.renewal.is_some() || now < agent.next || (idle && acked == agent.told) {
+                continue;
+            }
+            let extend = !idle
+                && agent
+                    .trouble
+                    .is_none_or(|since| now.saturating_sub(since) < EXTEND);
+            let until = extend.then(|| agent.grant(now, lease)).flatten();
+            let quiet = agent.slots.values().all(|slot| {
+                matches!(
+                    slot.phase,
+                    Phase::Running | Phase::Ended | Phase::Starting(_)
+                )
+            });
+            let wait = if idle || agent.trouble.is_some() || !quiet {
+                Duration::ZERO
+            } else {
+                WAIT
+            };
+            due.push((id.clone(), agent.target(), acked, until, wait));
+        }
+        for (agent, to, acked, until, wait) in due {
+            let about = About::Renew {
+                agent: agent.clone(),
+                acked,
+            };
+            let what = What::Renew {
+                to,
+                acked,
+                until,
+                wait,
+            };
+            let order = self.order(now, about, what);
+            if let Some(agent) = self.agents.get_mut(&agent) {
+                agent.renewal = Some((order, now));
+            }
+        }
+    }
+
+    /// Frees what was at agents whose leases have surely run out.
+    pub(super) fn expire_leases(&mut self, now: Now) {
+        let stray = STRAY + self.settings.lease;
+        for (id, agent) in &mut self.agents {
+            if agent.trouble.is_none() || now < agent.lease {
+                continue;
+            }
+            for (task, slot) in &mut agent.slots {
+                let strays = slot.unanswered.is_some_and(|sent| now < sent + stray);
+                let open = !matches!(slot.phase, Phase::Proposed | Phase::Ended);
+                if open && !strays {
+                    slot.enter(now, Phase::Ended);
+                    self.freed.push(Placed {
+                        task: *task,
+                        attempt: slot.attempt,
+                        agent: id.clone(),
+                    });
+                }
+            }
+        }
+    }
+}
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -20,10 +20,15 @@
 
 mod agent;
 mod answers;
+mod balance;
 mod hosts;
+mod jobs;
+mod leases;
 mod order;
 mod place;
 mod ready;
+mod starts;
+mod waves;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -43,7 +48,7 @@
 use super::{
     catalog::{Catalog, JobId},
     command::{Command, End, Ends, Placed, Round},
-    job::{Job, StepId, TaskId},
+    job::{Job, Run, StepId, TaskId},
     ledger::{Change, Ledger},
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
@@ -329,7 +334,7 @@
             Change::Accepted(id) => {
                 if let Some(job) = ledger.job(*id) {
                     self.accepted.insert(*id, now);
-                    self.note_demand(&self.pool(job), work(job));
+                    self.note_demand(&self.pool(job), jobs::work(job));
                     self.take_job(now, wall, *id, job);
                 }
             }
@@ -372,119 +377,6 @@
         }
     }
 
-    /// Makes the tasks of a job ready that may run at once, and notes when others are due.
-    fn take_job(&mut self, now: Now, wall: Wall, id: JobId, job: &Job) {
-        for occurrence in 0..job.spec.occurrences() {
-            if job
-                .runs
-                .get(&occurrence)
-                .is_some_and(|run| run.is_finished())
-            {
-                continue;
-            }
-            match job.spec.due(occurrence) {
-                Some(due) if due > wall => {
-                    self.timed.insert((due, id, occurrence));
-                }
-                _ => self.open_run(now, id, occurrence, job),
-            }
-        }
-    }
-
-    fn open_due(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
-        while let Some((due, id, occurrence)) = self.timed.first().copied() {
-            if due > wall {
-                return;
-            }
-            self.timed.pop_first();
-            if let Some(job) = ledger.job(id).filter(|job| !job.is_over()) {
-                self.open_run(now, id, occurrence, job);
-            }
-        }
-    }
-
-    fn open_run(&mut self, now: Now, id: JobId, occurrence: Occurrence, job: &Job) {
-        for step in 0..job.spec.steps.len() {
-            let step = StepId {
-                job: id,
-                occurrence,
-                step: StepIx::try_from(step).unwrap_or(StepIx::MAX),
-            };
-            if job.is_open(step) {
-                self.open(now, step, job);
-            }
-        }
-    }
-
-    /// Makes the tasks of a step ready that aren't done or placed.
-    fn open(&mut self, now: Now, id: StepId, job: &Job) {
-        let Some(spec) = job.spec.steps.get(usize::from(id.step)) else {
-            return;
-        };
-        let free = match job.step(id) {
-            Some(step) => {
-                let tasks = (0..).zip(&step.tasks);
-                let free = tasks.filter(|(_, t)| !t.done && t.agent.is_none());
-                free.map(|(ix, _)| ix).collect()
-            }
-            None => (0..spec.tasks).collect(),
-        };
-        let mut ready = self.describe(now, id, job, spec, free);
-        if let Some(before) = self.ready.get(id) {
-            // What is proposed and not committed isn't free either.
-            ready.free = before.free.clone();
-            ready.since = before.since;
-        }
-        self.ready.insert(id, ready);
-    }
-
-    fn describe(
-        &self,
-        now: Now,
-        id: StepId,
-        job: &Job,
-        spec: &StepSpec,
-        free: BTreeSet<TaskIx>,
-    ) -> Ready {
-        let queue = self.catalog.queue(&job.queue);
-        let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
-        let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
-        let remaining = job.spec.remaining();
-        Ready {
-            pool: self.pool(job),
-            spec: spec.clone(),
-            free,
-            deadline: accepted + job.spec.chain().mul_f64(stretch.max(1.0)) + target,
-            left: remaining
-                .get(usize::from(id.step))
-                .copied()
-                .unwrap_or_default(),
-            priority: queue.map_or(0, |q| q.priority),
-            since: now,
-        }
-    }
-
-    /// The pool that runs a job's tasks: what the catalog says now, or said last.
-    fn pool(&self, job: &Job) -> PoolId {
-        let queue = self.catalog.queue(&job.queue);
-        queue.map_or_else(|| job.pool.clone(), |queue| queue.pool.clone())
-    }
-
-    /// Stops what is placed of a job that is over.
-    fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
-        self.ready.forget(id);
-        self.accepted.remove(&id);
-        let Some(job) = ledger.job(id) else {
-            return;
-        };
-        for (task, agent) in job.placements(id) {
-            let done = job.task(task).is_some_and(|t| t.done);
-            if !done {
-                self.stop(now, &agent, task);
-            }
-        }
-    }
-
     fn stop(&mut self, now: Now, agent: &MinionId, task: TaskId) {
         let Some(slot) = self.slot(agent, task) else {
             return;
@@ -559,287 +451,6 @@
             self.free(now, ledger, start.task);
         }
     }
-
-    /// What one round commits: ends and frees, and starts for what is ready.
-    fn round(&mut self, now: Now, ledger: &Ledger) -> Round {
-        let ends: Vec<_> = std::mem::take(&mut self.ends).into_values().collect();
-        let failed = self.failed(ledger, &ends);
-        let mut round = Round {
-            ends,
-            freed: std::mem::take(&mut self.freed),
-            failed,
-            starts: Vec::new(),
-        };
-        for pool in self.ready.pools() {
-            self.fill(now, ledger, &pool, &mut round.starts);
-        }
-        round
-    }
-
-    /// Jobs that these ends make fail for good.
-    fn failed(&self, ledger: &Ledger, ends: &[Ends]) -> Vec<JobId> {
-        let mut counts: BTreeMap<TaskId, u32> = BTreeMap::new();
-        let all = ends.iter().flat_map(|ends| &ends.ends);
-        for end in all.filter(|end| end.how == super::command::Ending::Failed) {
-            *counts.entry(end.task).or_default() += 1;
-        }
-        let hopeless = |(task, count): (&TaskId, &u32)| {
-            let job = ledger.job(task.step.job)?;
-            let spec = job.spec.steps.get(usize::from(task.step.step))?;
-            let step = job.step(task.step)?;
-            let before = if spec.gang {
-                step.failures()
-            } else {
-                job.task(*task)?.failures
-            };
-            let queue = self.catalog.queue(&job.queue);
-            let most = queue.map_or(ATTEMPTS, |queue| queue.attempts.max(1));
-            (!spec.lasting && before + count >= most).then_some(task.step.job)
-        };
-        let failed: BTreeSet<_> = counts.iter().filter_map(hopeless).collect();
-        failed.into_iter().collect()
-    }
-
-    /// Starts what is ready for a pool as long as its agents have room.
-    fn fill(&mut self, now: Now, ledger: &Ledger, pool: &PoolId, starts: &mut Vec<Placed>) {
-        for rank in self.ready.order(now, pool) {
-            if starts.len() >= STARTS {
-                return;
-            }
-            let Some(ready) = self.ready.get(rank.step()) else {
-                continue;
-            };
-            let spec = ready.spec.clone();
-            if spec.gang {
-                self.place_gang(now, ledger, pool, rank.step(), &spec, starts);
-                continue;
-            }
-            let tasks: Vec<_> = ready.free.iter().copied().collect();
-            for task in tasks {
-                let task = TaskId {
-                    step: rank.step(),
-                    task,
-                };
-                let able = self.able(now, pool);
-                let Some(agent) = place::choose(able, &spec, rank.step()) else {
-                    break;
-                };
-                let attempt = attempts(ledger, task) + 1;
-                self.propose(now, &spec, task, attempt, agent, starts);
-            }
-        }
-    }
-
-    fn place_gang(
-        &mut self,
-        now: Now,
-        ledger: &Ledger,
-        pool: &PoolId,
-        step: StepId,
-        spec: &StepSpec,
-        starts: &mut Vec<Placed>,
-    ) {
-        // Its members have one number, so none of an earlier attempt may be left.
-        let whole = self
-            .ready
-            .get(step)
-            .is_some_and(|ready| ready.free.len() == usize::try_from(spec.tasks).unwrap_or(0));
-        if !whole {
-            return;
-        }
-        let able = self.able(now, pool);
-        let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
-        let Some(seats) = place::choose_gang(&able, spec, step) else {
-            return;
-        };
-        let tasks = (0..spec.tasks).map(|task| TaskId { step, task });
-        let last = tasks.clone().map(|task| attempts(ledger, task)).max();
-        let attempt = last.unwrap_or_default() + 1;
-        for (task, agent) in tasks.zip(seats) {
-            self.propose(now, spec, task, attempt, agent, starts);
-        }
-    }
-
-    fn propose(
-        &mut self,
-        now: Now,
-        spec: &StepSpec,
-        task: TaskId,
-        attempt: u32,
-        agent: MinionId,
-        starts: &mut Vec<Placed>,
-    ) {
-        self.ready.take(task.step, task.task);
-        if let Some(found) = self.agents.get_mut(&agent) {
-            found.add(task, Slot::new(spec, attempt, Phase::Proposed, now));
-        }
-        starts.push(Placed {
-            task,
-            attempt,
-            agent,
-        });
-    }
-
-    /// The agents of a pool that may get something new.
-    fn able(&self, now: Now, pool: &PoolId) -> impl Iterator<Item = &Agent> {
-        let silence = self.settings.silence;
-        let pool = pool.clone();
-        self.agents.values().filter(move |agent| {
-            agent.record.pool == pool
-                && !agent.record.leaving
-                && !agent.cordoned
-                && agent.trouble.is_none()
-                && agent.aside <= now
-                && now < agent.heard + silence
-        })
-    }
-
-    fn send_starts(&mut self, now: Now, ledger: &Ledger) {
-        let lease = self.settings.lease;
-        let mut due = Vec::new();
-        for (id, agent) in &mut self.agents {
-            if agent.trouble.is_some() {
-                continue;
-            }
-            let target = agent.target();
-            let tasks = agent.slots.iter().filter(|(_, slot)| {
-                let pause = if slot.tries == 0 {
-                    Duration::ZERO
-                } else {
-                    RETRY
-                };
-                slot.phase == Phase::Due && now >= slot.since + pause
-            });
-            let tasks: Vec<_> = tasks.map(|(task, slot)| (*task, slot.attempt)).collect();
-            for (task, attempt) in tasks {
-                let Some(until) = agent.grant(now, lease) else {
-                    break;
-                };
-                due.push((id.clone(), target.clone(), task, attempt, until));
-            }
-        }
-        for (id, to, task, attempt, until) in due {
-            let Some((payload, checkpoint)) = content(ledger, task) else {
-                continue;
-            };
-            let start = StartOrder {
-                to,
-                task,
-                attempt,
-                payload,
-                until,
-                checkpoint,
-            };
-            let about = About::Start(id.clone(), task);
-            let order = self.order(now, about, What::Start(Box::new(start)));
-            if let Some(slot) = self.slot(&id, task) {
-                slot.tries += 1;
-                slot.enter(now, Phase::Starting(order));
-            }
-        }
-    }
-
-    fn send_stops(&mut self, now: Now) {
-        let mut due = Vec::new();
-        for (id, agent) in &self.agents {
-            for (task, slot) in &agent.slots {
-                let pause = if slot.tries == 0 {
-                    Duration::ZERO
-                } else {
-                    RETRY
-                };
-                if slot.phase == Phase::Stopping(None) && now >= slot.since + pause {
-                    due.push((id.clone(), agent.target(), *task, slot.attempt));
-                }
-            }
-        }
-        for (id, to, task, attempt) in due {
-            let about = About::Stop(id.clone(), task);
-            let what = What::Stop { to, task, attempt };
-            let order = self.order(now, about, what);
-            if let Some(slot) = self.slot(&id, task) {
-                slot.tries += 1;
-                slot.enter(now, Phase::Stopping(Some(order)));
-            }
-        }
-    }
-
-    /// Renews the leases of agents that run something, and acknowledges ends to the others.
-    fn renew(&mut self, now: Now) {
-        let lease = self.settings.lease;
-        let mut due = Vec::new();
-        for (id, agent) in &mut self.agents {
-            let acked = agent.record.acked;
-            let idle = agent.slots.is_empty();
-            if agent.renewal.is_some() || now < agent.next || (idle && acked == agent.told) {
-                continue;
-            }
-            let extend = !idle
-                && agent
-                    .trouble
-                    .is_none_or(|since| now.saturating_sub(since) < EXTEND);
-            let until = extend.then(|| agent.grant(now, lease)).flatten();
-            let quiet = agent.slots.values().all(|slot| {
-                matches!(
-                    slot.phase,
-                    Phase::Running | Phase::Ended | Phase::Starting(_)
-                )
-            });
-            let wait = if idle || agent.trouble.is_some() || !quiet {
-                Duration::ZERO
-            } else {
-                WAIT
-            };
-            due.push((id.clone(), agent.target(), acked, until, wait));
-        }
-        for (agent, to, acked, until, wait) in due {
-            let about = About::Renew {
-                agent: agent.clone(),
-                acked,
-            };
-            let what = What::Renew {
-                to,
-                acked,
-                until,
-                wait,
-            };
-            let order = self.order(now, about, what);
-            if let Some(agent) = self.agents.get_mut(&agent) {
-                agent.renewal = Some((order, now));
-            }
-        }
-    }
-
-    /// Frees what was at agents whose leases have surely run out.
-    fn expire_leases(&mut self, now: Now) {
-        let stray = STRAY + self.settings.lease;
-        for (id, agent) in &mut self.agents {
-            if agent.trouble.is_none() || now < agent.lease {
-                continue;
-            }
-            for (task, slot) in &mut agent.slots {
-                let strays = slot.unanswered.is_some_and(|sent| now < sent + stray);
-                let open = !matches!(slot.phase, Phase::Proposed | Phase::Ended);
-                if open && !strays {
-                    slot.enter(now, Phase::Ended);
-                    self.freed.push(Placed {
-                        task: *task,
-                        attempt: slot.attempt,
-                        agent: id.clone(),
-                    });
-                }
-            }
-        }
-    }
-}
-
-/// Core-milliseconds of a job's short tasks, in thousandths of a core times milliseconds.
-fn work(job: &Job) -> f64 {
-    let steps = job.spec.steps.iter().filter(|s| !s.lasting);
-    let work = steps.map(|s| {
-        f64::from(s.tasks) * s.room().millicores as f64 * s.estimate.as_secs_f64() * 1000.0
-    });
-    work.sum()
 }
 
 /// What a task that is placed runs, and in which attempt.
@@ -848,24 +459,3 @@
     let spec = job.spec.steps.get(usize::from(task.step.step))?;
     Some((spec, job.task(task)?.attempt))
 }
-
-/// What an agent is told to run, and from where.
-fn content(ledger: &Ledger, task: TaskId) -> Option<(Name, Option<Name>)> {
-    let job = ledger.job(task.step.job)?;
-    let spec = job.spec.steps.get(usize::from(task.step.step))?;
-    let step = job.step(task.step)?;
-    // A checkpoint of any member is one of the whole gang, and all must go on from the same one.
-    let checkpoint = if spec.gang {
-        step.tasks.iter().find_map(|task| task.checkpoint.clone())
-    } else {
-        job.task(task)?.checkpoint.clone()
-    };
-    Some((job.spec.payload.clone(), checkpoint))
-}
-
-/// How many attempts of a task were decided.
-fn attempts(ledger: &Ledger, task: TaskId) -> u32 {
-    let job = ledger.job(task.step.job);
-    let task = job.and_then(|job| job.task(task));
-    task.map_or(0, |task| task.attempt)
-}
--- /dev/null
+++ b/src/core/workload/scheduler/starts.rs
@@ -0,0 +1,247 @@
+//! What is started where, and the orders that say so.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    ATTEMPTS, About, Agent, Ends, Ledger, Name, Now, Phase, Placed, PoolId, RETRY, Round, STARTS,
+    Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, What, place,
+};
+use crate::core::workload::{catalog::JobId, command::Ending};
+
+impl Scheduler {
+    /// What one round commits: ends and frees, and starts for what is ready.
+    pub(super) fn round(&mut self, now: Now, ledger: &Ledger) -> Round {
+        let ends: Vec<_> = std::mem::take(&mut self.ends).into_values().collect();
+        let failed = self.failed(ledger, &ends);
+        let mut round = Round {
+            ends,
+            freed: std::mem::take(&mut self.freed),
+            failed,
+            starts: Vec::new(),
+        };
+        for pool in self.ready.pools() {
+            self.fill(now, ledger, &pool, &mut round.starts);
+        }
+        round
+    }
+
+    /// Jobs that these ends make fail for good.
+    pub(super) fn failed(&self, ledger: &Ledger, ends: &[Ends]) -> Vec<JobId> {
+        let mut counts: BTreeMap<TaskId, u32> = BTreeMap::new();
+        let all = ends.iter().flat_map(|ends| &ends.ends);
+        for end in all.filter(|end| end.how == Ending::Failed) {
+            *counts.entry(end.task).or_default() += 1;
+        }
+        let hopeless = |(task, count): (&TaskId, &u32)| {
+            let job = ledger.job(task.step.job)?;
+            let spec = job.spec.steps.get(usize::from(task.step.step))?;
+            let step = job.step(task.step)?;
+            let before = if spec.gang {
+                step.failures()
+            } else {
+                job.task(*task)?.failures
+            };
+            let queue = self.catalog.queue(&job.queue);
+            let most = queue.map_or(ATTEMPTS, |queue| queue.attempts.max(1));
+            (!spec.lasting && before + count >= most).then_some(task.step.job)
+        };
+        let failed: BTreeSet<_> = counts.iter().filter_map(hopeless).collect();
+        failed.into_iter().collect()
+    }
+
+    /// Starts what is ready for a pool as long as its agents have room.
+    pub(super) fn fill(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        pool: &PoolId,
+        starts: &mut Vec<Placed>,
+    ) {
+        for rank in self.ready.order(now, pool) {
+            if starts.len() >= STARTS {
+                return;
+            }
+            let Some(ready) = self.ready.get(rank.step()) else {
+                continue;
+            };
+            let spec = ready.spec.clone();
+            if spec.gang {
+                self.place_gang(now, ledger, rank.step(), &spec, starts);
+                continue;
+            }
+            let tasks: Vec<_> = ready.free.iter().copied().collect();
+            for task in tasks {
+                let task = TaskId {
+                    step: rank.step(),
+                    task,
+                };
+                let able = self.able(now, pool);
+                let Some(agent) = place::choose(able, &spec, rank.step()) else {
+                    break;
+                };
+                let placed = Placed {
+                    task,
+                    attempt: attempts(ledger, task) + 1,
+                    agent,
+                };
+                self.propose(now, &spec, placed, starts);
+            }
+        }
+    }
+
+    pub(super) fn place_gang(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        step: StepId,
+        spec: &StepSpec,
+        starts: &mut Vec<Placed>,
+    ) {
+        let Some(ready) = self.ready.get(step) else {
+            return;
+        };
+        // Its members have one number, so none of an earlier attempt may be left.
+        if ready.free.len() != usize::try_from(spec.tasks).unwrap_or(0) {
+            return;
+        }
+        let able = self.able(now, &ready.pool);
+        let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
+        let Some(seats) = place::choose_gang(&able, spec, step) else {
+            return;
+        };
+        let tasks = (0..spec.tasks).map(|task| TaskId { step, task });
+        let last = tasks.clone().map(|task| attempts(ledger, task)).max();
+        let attempt = last.unwrap_or_default() + 1;
+        for (task, agent) in tasks.zip(seats) {
+            let placed = Placed {
+                task,
+                attempt,
+                agent,
+            };
+            self.propose(now, spec, placed, starts);
+        }
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        now: Now,
+        spec: &StepSpec,
+        placed: Placed,
+        starts: &mut Vec<Placed>,
+    ) {
+        let task = placed.task;
+        self.ready.take(task.step, task.task);
+        if let Some(agent) = self.agents.get_mut(&placed.agent) {
+            agent.add(task, Slot::new(spec, placed.attempt, Phase::Proposed, now));
+        }
+        starts.push(placed);
+    }
+
+    /// The agents of a pool that may get something new.
+    pub(super) fn able(&self, now: Now, pool: &PoolId) -> impl Iterator<Item = &Agent> {
+        let silence = self.settings.silence;
+        let pool = pool.clone();
+        self.agents.values().filter(move |agent| {
+            agent.record.pool == pool
+                && !agent.record.leaving
+                && !agent.cordoned
+                && agent.trouble.is_none()
+                && agent.aside <= now
+                && now < agent.heard + silence
+        })
+    }
+
+    pub(super) fn send_starts(&mut self, now: Now, ledger: &Ledger) {
+        let lease = self.settings.lease;
+        let mut due = Vec::new();
+        for (id, agent) in &mut self.agents {
+            if agent.trouble.is_some() {
+                continue;
+            }
+            let target = agent.target();
+            let tasks = agent.slots.iter().filter(|(_, slot)| {
+                let pause = if slot.tries == 0 {
+                    Duration::ZERO
+                } else {
+                    RETRY
+                };
+                slot.phase == Phase::Due && now >= slot.since + pause
+            });
+            let tasks: Vec<_> = tasks.map(|(task, slot)| (*task, slot.attempt)).collect();
+            for (task, attempt) in tasks {
+                let Some(until) = agent.grant(now, lease) else {
+                    break;
+                };
+                due.push((id.clone(), target.clone(), task, attempt, until));
+            }
+        }
+        for (id, to, task, attempt, until) in due {
+            let Some((payload, checkpoint)) = content(ledger, task) else {
+                continue;
+            };
+            let start = StartOrder {
+                to,
+                task,
+                attempt,
+                payload,
+                until,
+                checkpoint,
+            };
+            let about = About::Start(id.clone(), task);
+            let order = self.order(now, about, What::Start(Box::new(start)));
+            if let Some(slot) = self.slot(&id, task) {
+                slot.tries += 1;
+                slot.enter(now, Phase::Starting(order));
+            }
+        }
+    }
+
+    pub(super) fn send_stops(&mut self, now: Now) {
+        let mut due = Vec::new();
+        for (id, agent) in &self.agents {
+            for (task, slot) in &agent.slots {
+                let pause = if slot.tries == 0 {
+                    Duration::ZERO
+                } else {
+                    RETRY
+                };
+                if slot.phase == Phase::Stopping(None) && now >= slot.since + pause {
+                    due.push((id.clone(), agent.target(), *task, slot.attempt));
+                }
+            }
+        }
+        for (id, to, task, attempt) in due {
+            let about = About::Stop(id.clone(), task);
+            let what = What::Stop { to, task, attempt };
+            let order = self.order(now, about, what);
+            if let Some(slot) = self.slot(&id, task) {
+                slot.tries += 1;
+                slot.enter(now, Phase::Stopping(Some(order)));
+            }
+        }
+    }
+}
+
+/// What an agent is told to run, and from where.
+fn content(ledger: &Ledger, task: TaskId) -> Option<(Name, Option<Name>)> {
+    let job = ledger.job(task.step.job)?;
+    let spec = job.spec.steps.get(usize::from(task.step.step))?;
+    let step = job.step(task.step)?;
+    // A checkpoint of any member is one of the whole gang, and all must go on from the same one.
+    let checkpoint = if spec.gang {
+        step.tasks.iter().find_map(|task| task.checkpoint.clone())
+    } else {
+        job.task(task)?.checkpoint.clone()
+    };
+    Some((job.spec.payload.clone(), checkpoint))
+}
+
+/// How many attempts of a task were decided.
+fn attempts(ledger: &Ledger, task: TaskId) -> u32 {
+    let job = ledger.job(task.step.job);
+    let task = job.and_then(|job| job.task(task));
+    task.map_or(0, |task| task.attempt)
+}
--- /dev/null
+++ b/src/core/workload/scheduler/waves.rs
@@ -0,0 +1,189 @@
+//! Waves of maintenance: which hosts are emptied, and when each may go down.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use super::{
+    Agent, HostState, Now, Phase, Scheduler, TaskId, Wall,
+    hosts::{Duty, Purpose, Stage},
+};
+use crate::core::{
+    types::{HostId, WaveId},
+    workload::{
+        command::{Command, WaveRecord},
+        ledger::Ledger,
+    },
+};
+
+/// What maintaining a host takes, with what it takes to notice; counts in how soon a wave ends.
+const TURN: Duration = Duration::from_millis(3200);
+
+impl Scheduler {
+    /// Has hosts of a wave emptied, as many as may be maintained at once and as many again.
+    pub(super) fn tend_wave(
+        &mut self,
+        now: Now,
+        wall: Wall,
+        ledger: &Ledger,
+        wave: &WaveRecord,
+        commands: &mut Vec<Command>,
+    ) {
+        let cap = usize::try_from(wave.cap).unwrap_or(usize::MAX);
+        let gone = wave.left.iter().filter(|host| {
+            let view = self.hosts.views.get(*host);
+            view.is_none() && !self.hosts.duties.contains_key(*host)
+        });
+        let gone: Vec<_> = gone.cloned().collect();
+        if !gone.is_empty() {
+            log::info!(wave = wave.wave, hosts:? = gone; "hosts of a wave aren't there any more");
+            commands.push(Command::Maintained {
+                wave: wave.wave,
+                hosts: gone,
+            });
+        }
+        let mine = |duty: &&Duty| duty.what == Purpose::Maintain(wave.wave);
+        let under = self.hosts.duties.values().filter(mine).count();
+        let room = cap.saturating_mul(2).saturating_sub(under);
+        let mut candidates: Vec<_> = wave
+            .left
+            .iter()
+            .filter(|host| !self.hosts.duties.contains_key(*host))
+            .filter_map(|host| Some((self.burden(host)?, host.clone())))
+            .collect();
+        candidates.sort_unstable();
+        for (_, host) in candidates.into_iter().take(room) {
+            self.begin_duty(now, &host, Purpose::Maintain(wave.wave));
+        }
+        let turns = wave.left.len().div_ceil(cap.max(1));
+        let needed = TURN * u32::try_from(turns).unwrap_or(u32::MAX);
+        let late = wall + needed >= wave.until;
+        let away = self.away(wave.wave);
+        self.admit(now, ledger, wave.wave, cap.saturating_sub(away), late);
+    }
+
+    /// How much stands against emptying a host now; nothing if it isn't up.
+    pub(super) fn burden(&self, host: &HostId) -> Option<(usize, usize)> {
+        let view = self.hosts.views.get(host)?;
+        if view.state != HostState::Up {
+            return None;
+        }
+        let Some(agent) = view.agent.as_ref().and_then(|id| self.agents.get(id)) else {
+            return Some((0, 0));
+        };
+        if agent.record.leaving {
+            return None;
+        }
+        let lasting = agent.slots.values().filter(|s| s.lasting).count();
+        Some((lasting, agent.slots.len()))
+    }
+
+    /// Hosts that are down for a wave, or may be.
+    pub(super) fn away(&self, wave: WaveId) -> usize {
+        let duties = self.hosts.duties.iter();
+        let own = duties.filter(|(_, duty)| {
+            duty.what == Purpose::Maintain(wave)
+                && matches!(duty.stage, Stage::Ordered(_) | Stage::Away | Stage::Due)
+        });
+        let own: BTreeSet<_> = own.map(|(host, _)| host).collect();
+        // An earlier leader may have ordered others.
+        let others = self
+            .hosts
+            .views
+            .values()
+            .filter(|view| view.state == HostState::Maintained && !own.contains(&view.host));
+        own.len() + others.count()
+    }
+
+    /// Lets hosts be maintained that are empty, or all but empty if the wave would be late.
+    pub(super) fn admit(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        wave: WaveId,
+        room: usize,
+        late: bool,
+    ) {
+        let duties = self.hosts.duties.iter();
+        let emptying = duties.filter(|(_, duty)| {
+            duty.what == Purpose::Maintain(wave) && duty.stage == Stage::Emptying
+        });
+        let emptying: Vec<_> = emptying
+            .map(|(host, duty)| (host.clone(), duty.agent.clone()))
+            .collect();
+        let mut room = room;
+        for (host, id) in emptying {
+            let agent = id.as_ref().and_then(|id| self.agents.get(id));
+            let ready = agent.is_none_or(|agent| {
+                agent.slots.is_empty() || (late && self.may_end(ledger, agent))
+            });
+            if room == 0 || !ready {
+                continue;
+            }
+            room -= 1;
+            if let Some(agent) = id.and_then(|id| self.agents.get_mut(&id)) {
+                // What it runs counts as away from here on.
+                agent.ending = true;
+            }
+            if let Some(duty) = self.hosts.duties.get_mut(&host) {
+                duty.stage = Stage::Due;
+                duty.since = now;
+            }
+        }
+    }
+
+    /// Whether all that an agent runs may be ended, at the price of the work done.
+    pub(super) fn may_end(&self, ledger: &Ledger, agent: &Agent) -> bool {
+        let lasting = agent.slots.iter().filter(|(_, slot)| slot.lasting);
+        let mut steps = BTreeSet::new();
+        lasting.into_iter().all(|(task, _)| {
+            // Two of one step at once would count against each other.
+            steps.insert(task.step) && self.may_stop(ledger, *task)
+        })
+    }
+
+    /// Whether the budget of its step lets a lasting task be stopped.
+    pub(super) fn may_stop(&self, ledger: &Ledger, task: TaskId) -> bool {
+        let Some(job) = ledger.job(task.step.job) else {
+            return true;
+        };
+        let (Some(spec), Some(step)) = (
+            job.spec.steps.get(usize::from(task.step.step)),
+            job.step(task.step),
+        ) else {
+            return true;
+        };
+        let others = (0..).zip(&step.tasks).filter(|(ix, _)| *ix != task.task);
+        let away = others.filter(|(ix, other)| {
+            let id = TaskId {
+                step: task.step,
+                task: *ix,
+            };
+            let agent = other.agent.as_ref().and_then(|id| self.agents.get(id));
+            let agent = agent.filter(|agent| !agent.ending);
+            let slot = agent.and_then(|agent| agent.slots.get(&id));
+            !slot.is_some_and(|slot| slot.phase == Phase::Running && slot.at_work)
+        });
+        // A step without a budget is treated like one with the smallest.
+        away.count() < usize::try_from(spec.budget.max(1)).unwrap_or(usize::MAX)
+    }
+
+    /// Stops what lasts on cordoned agents, as far as its budgets allow.
+    pub(super) fn empty(&mut self, now: Now, ledger: &Ledger) {
+        let emptying = self.hosts.duties.values();
+        let emptying = emptying.filter(|duty| duty.stage == Stage::Emptying);
+        let agents: Vec<_> = emptying.filter_map(|duty| duty.agent.clone()).collect();
+        for id in agents {
+            let Some(agent) = self.agents.get(&id) else {
+                continue;
+            };
+            let lasting = agent.slots.iter();
+            let lasting = lasting.filter(|(_, slot)| slot.lasting && slot.phase == Phase::Running);
+            let lasting: Vec<_> = lasting.map(|(task, _)| *task).collect();
+            for task in lasting {
+                if self.may_stop(ledger, task) {
+                    log::info!(agent:% = id, task:%; "a lasting task is stopped to empty its host");
+                    self.stop(now, &id, task);
+                }
+            }
+        }
+    }
+}
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -166,7 +166,7 @@
         let client = minions::Client::new(prefix, limits).source(settings.callers.ip());
         let dispatch = Dispatch::new(
             dispatch::Settings::new(settings.node, settings.data_centre.clone()),
-            Pcg64Mcg::seed_from_u64(boot ^ u64::from(settings.node)),
+            Pcg64Mcg::seed_from_u64(boot ^ settings.node),
         );
         let ports = requests::Ports {
             mesh: Arc::clone(&mesh),
@@ -305,7 +305,7 @@
 }
 
 fn consensus_config(settings: &Settings, options: Options, boot: u64) -> consensus::Config {
-    let rng = Pcg64::seed_from_u64(boot.rotate_left(16) ^ u64::from(settings.node));
+    let rng = Pcg64::seed_from_u64(boot.rotate_left(16) ^ settings.node);
     let mut config = consensus::Config::new(settings.node, rng).disk(settings.data.is_some());
     for (node, data_centre) in nodes(settings).iter() {
         config = config.place(*node, data_centre.clone());
--- a/tests/consensus/elections.rs
+++ b/tests/consensus/elections.rs
@@ -89,7 +89,7 @@
     let mut times = Vec::new();
     for seed in 0..100 {
         let voters = [1, 2, 3];
-        let fresh = |id: NodeId| Config::new(id, Pcg64::seed_from_u64(seed * 10 + u64::from(id)));
+        let fresh = |id: NodeId| Config::new(id, Pcg64::seed_from_u64(seed * 10 + id));
         let configs = voters.map(|id| fresh(id).bootstrap(voters.to_vec()));
         let mut world = World::new(configs.to_vec());
         let leader = world.elect();
--- a/tests/consensus/world.rs
+++ b/tests/consensus/world.rs
@@ -70,7 +70,7 @@
 }
 
 pub(crate) fn config(id: NodeId, voters: &[NodeId]) -> Config {
-    let config = Config::new(id, Pcg64::seed_from_u64(u64::from(id)));
+    let config = Config::new(id, Pcg64::seed_from_u64(id));
     if voters.contains(&id) {
         config.bootstrap(voters.to_vec())
     } else {
