Test the ledger and the scheduler against agents that keep to their protocol

Ruled out: testing its parts alone: what must hold are statements about agents, orders under way and the log together. Change: a world in logical time (log with its delay, agents with fences, leases, slow clocks and lists of ends, a provider with moves and maintenance; answers lost, orders carried out late, crashes, cuts, takeovers) whose agents check each start; 24 seeds for each of four mixes of trouble; tests of ledger, catalog and job specs.

--- /dev/null
+++ b/tests/workload/catalog.rs
@@ -0,0 +1,88 @@
+//! Queues and pools as operators declare them.
+
+use std::time::Duration;
+
+use egretpin::core::workload::catalog::{Catalog, CatalogError, Place, PoolSpec, QueueSpec};
+
+fn queue(name: &str, host: &str, prefix: &str) -> QueueSpec {
+    QueueSpec {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        timeout: Duration::from_secs(1),
+        pool: "pool".into(),
+        ..QueueSpec::default()
+    }
+}
+
+fn catalog(queues: Vec<QueueSpec>) -> Catalog {
+    let pool = PoolSpec {
+        name: "pool".into(),
+        ..PoolSpec::default()
+    };
+    Catalog::new(1, queues, vec![pool])
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let catalog = catalog(vec![
+        queue("short", "a.example", "/x/"),
+        queue("long", "a.example", "/x/y/"),
+        queue("other", "b.example", "/x/y/"),
+    ]);
+    let name = |host, path| {
+        catalog
+            .find(host, path)
+            .map(|(queue, _)| queue.name.to_string())
+    };
+    assert_eq!(name("a.example", "/x/y/1").as_deref(), Some("long"));
+    assert_eq!(name("a.example", "/x/z").as_deref(), Some("short"));
+    assert_eq!(name("b.example", "/x/y/").as_deref(), Some("other"));
+    assert_eq!(name("b.example", "/x/"), None);
+    assert_eq!(name("c.example", "/x/y/"), None);
+}
+
+#[test]
+fn a_job_is_sixteen_hexadecimal_digits() {
+    let catalog = catalog(vec![queue("q", "a", "/q/")]);
+    let place = |path| catalog.find("a", path).map(|(_, place)| place);
+    assert_eq!(place("/q/00000000000000ff"), Some(Place::Job(255)));
+    assert_eq!(place("/q/"), Some(Place::Queue));
+    for path in [
+        "/q/ff",
+        "/q/00000000000000fg",
+        "/q/+0000000000000ff",
+        "/q/0/0",
+    ] {
+        assert_eq!(place(path), Some(Place::Nothing), "{path}");
+    }
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let check = |queues| catalog(queues).check();
+    let same = vec![queue("a", "h", "/p/"), queue("b", "h", "/p/")];
+    assert_eq!(
+        check(same).map_err(|e| e.to_string()),
+        Err("queues a and b share host h and prefix /p/".to_owned())
+    );
+    let mut lost = queue("a", "h", "/p/");
+    lost.pool = "nowhere".into();
+    assert_eq!(
+        check(vec![lost]),
+        Err(CatalogError::UnknownPool {
+            queue: "a".into(),
+            pool: "nowhere".into()
+        })
+    );
+    let mut hasty = queue("a", "h", "/p/");
+    hasty.timeout = Duration::ZERO;
+    assert_eq!(
+        check(vec![hasty]),
+        Err(CatalogError::NoTimeout { queue: "a".into() })
+    );
+    assert_eq!(
+        check(vec![queue("a", "h", "/p/"), queue("b", "g", "/p/")]),
+        Ok(())
+    );
+}
--- /dev/null
+++ b/tests/workload/faults.rs
@@ -0,0 +1,102 @@
+//! What holds whatever fails: the agents of the world check it at every start.
+
+use egretpin::core::workload::{job::JobState, spec::JobSpec};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::world::{Faults, POOL, World, lasting, ms, step};
+
+/// Seeds that are played. Each plays a minute of trouble and one of calm.
+const SEEDS: u64 = 24;
+
+fn job(rng: &mut Pcg64Mcg) -> JobSpec {
+    let count = rng.random_range(1..4_u16);
+    let steps = (0..count).map(|ix| {
+        let mut step = step(
+            rng.random_range(1..6),
+            rng.random_range(1..5),
+            rng.random_range(100..2000),
+        );
+        step.after = (0..ix).filter(|_| rng.random_bool(0.5)).collect();
+        step
+    });
+    JobSpec::new("x", steps.collect())
+}
+
+/// Trouble of every kind at once, drawn by the seed.
+fn play(seed: u64, faults: Faults, takeovers: bool) -> World {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
+    let mut world = World::new(6, seed);
+    world.submit(1000, JobSpec::new("x", vec![lasting(3, 1)]));
+    world.pass(ms(200));
+    world.faults = faults;
+    for job_id in 1..=30 {
+        world.submit(job_id, job(&mut rng));
+        world.pass(ms(rng.random_range(0..2500)));
+        let agents: Vec<_> = world.agents.keys().cloned().collect();
+        match rng.random_range(0..8) {
+            0 if takeovers => {
+                world.depose();
+                world.pass(ms(rng.random_range(0..3000)));
+                world.lead();
+            }
+            1 if agents.len() > 3 => {
+                world.crash(&agents[rng.random_range(0..agents.len())]);
+                let host = format!("h{}", 100 + job_id);
+                world.host(&host, POOL);
+            }
+            2 if !agents.is_empty() => {
+                let agent = &agents[rng.random_range(0..agents.len())];
+                world.cut(agent, ms(rng.random_range(500..9000)));
+            }
+            _ => {}
+        }
+    }
+    world.faults = Faults::default();
+    // Whatever was proposed at a takeover and lost was never acknowledged to its caller.
+    world.until("all accepted jobs are through", ms(90_000), |world| {
+        world.ledger.jobs().all(|(id, job)| {
+            id == 1000 || matches!(job.state, JobState::Completed | JobState::Failed)
+        })
+    });
+    world
+}
+
+#[test]
+fn lost_answers_start_nothing_twice() {
+    let faults = Faults {
+        lost: 0.1,
+        ..Faults::default()
+    };
+    (0..SEEDS).for_each(|seed| drop(play(seed, faults, false)));
+}
+
+#[test]
+fn orders_that_are_carried_out_late_start_nothing_twice() {
+    let faults = Faults {
+        late: 0.05,
+        failing: 0.05,
+        ..Faults::default()
+    };
+    (0..SEEDS).for_each(|seed| drop(play(seed, faults, false)));
+}
+
+#[test]
+fn a_takeover_starts_nothing_twice_and_loses_nothing() {
+    (0..SEEDS).for_each(|seed| drop(play(seed, Faults::default(), true)));
+}
+
+#[test]
+fn all_of_it_at_once_starts_nothing_twice_and_loses_nothing() {
+    let faults = Faults {
+        lost: 0.05,
+        late: 0.03,
+        failing: 0.03,
+    };
+    (0..SEEDS).for_each(|seed| {
+        let mut world = play(seed, faults, true);
+        world.until("what lasts runs", ms(30_000), |world| {
+            world.state(1000).is_none() || world.runs(1000).len() == 3
+        });
+    });
+}
--- /dev/null
+++ b/tests/workload/hosts.rs
@@ -0,0 +1,95 @@
+//! Waves of maintenance and moves between pools.
+
+use egretpin::core::workload::spec::JobSpec;
+
+use crate::world::{OTHER, POOL, SPARE, World, lasting, ms, step};
+
+#[test]
+fn a_wave_maintains_every_host_within_its_cap() {
+    let mut world = World::new(6, 1);
+    world.wave(1, &["h0", "h1", "h2", "h3", "h4", "h5"], 2, ms(30_000));
+    world.until("the wave is through", ms(30_000), |world| {
+        world
+            .ledger
+            .wave_record(1)
+            .is_some_and(|wave| wave.left.is_empty())
+    });
+    assert_eq!(world.peak, 2, "as many at once as may be");
+}
+
+#[test]
+fn a_wave_ends_no_more_tasks_of_a_step_than_may_be_away() {
+    let mut world = World::new(8, 2);
+    world.submit(1, JobSpec::new("x", vec![lasting(5, 2)]));
+    world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
+    world.wave(
+        1,
+        &["h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"],
+        2,
+        ms(60_000),
+    );
+    world.until("the wave is through", ms(60_000), |world| {
+        assert!(
+            world.runs(1).len() >= 4,
+            "at most one is away: {:?}",
+            world.runs(1)
+        );
+        world
+            .ledger
+            .wave_record(1)
+            .is_some_and(|wave| wave.left.is_empty())
+    });
+}
+
+#[test]
+fn a_host_of_a_wave_that_is_gone_is_not_waited_for() {
+    let mut world = World::new(2, 3);
+    world.wave(1, &["h0", "nowhere"], 1, ms(30_000));
+    world.until("the wave is through", ms(10_000), |world| {
+        world
+            .ledger
+            .wave_record(1)
+            .is_some_and(|wave| wave.left.is_empty())
+    });
+}
+
+#[test]
+fn a_pool_that_has_too_much_work_gets_hosts_of_others() {
+    let mut world = World::new(2, 4);
+    for host in ["h10", "h11", "h12", "h13"] {
+        world.host(host, OTHER);
+    }
+    world.pass(ms(1500));
+    for job in 1..=10 {
+        world.submit(job, JobSpec::new("x", vec![step(4, 4, 2000)]));
+    }
+    let pool = |world: &World| {
+        let hosts = world.hosts.values();
+        hosts.filter(|host| &*host.pool == POOL).count()
+    };
+    world.until("hosts have moved", ms(3000), |world| pool(world) >= 4);
+    assert!(
+        world.hosts.values().any(|host| &*host.pool == OTHER),
+        "a pool is never given up"
+    );
+}
+
+#[test]
+fn idle_hosts_go_to_the_spares_and_come_back() {
+    let mut world = World::new(5, 5);
+    let spares = |world: &World| {
+        let hosts = world.hosts.values();
+        hosts.filter(|host| &*host.pool == SPARE).count()
+    };
+    // One stays in the pool with another beside it, and one goes to the pool that has none.
+    world.until("idle hosts are switched off", ms(10_000), |world| {
+        spares(world) == 2
+    });
+    let moves = world.moves;
+    world.pass(ms(20_000));
+    assert_eq!(world.moves, moves, "and none is moved to and fro");
+    for job in 1..=10 {
+        world.submit(job, JobSpec::new("x", vec![step(4, 4, 2000)]));
+    }
+    world.until("they are back", ms(5000), |world| spares(world) == 0);
+}
--- /dev/null
+++ b/tests/workload/ledger.rs
@@ -0,0 +1,259 @@
+//! What the replicated state machine keeps, whatever comes in which order.
+
+use std::time::Duration;
+
+use egretpin::core::{
+    types::Resources,
+    workload::{
+        command::{AgentRecord, Command, Document, End, Ending, Ends, Placed, Round, Submission},
+        job::{JobState, StepId, TaskId},
+        ledger::{Change, Ledger},
+        spec::{JobSpec, StepSpec},
+    },
+};
+
+const JOB: u64 = 7;
+
+struct World {
+    ledger: Ledger,
+    index: u64,
+}
+
+impl World {
+    /// A job of two tasks and then one, and two agents.
+    fn new() -> Self {
+        let mut last = StepSpec::new(1, Duration::from_secs(1));
+        last.after = vec![0];
+        let steps = vec![StepSpec::new(2, Duration::from_secs(1)), last];
+        Self::with(JobSpec::new("x", steps))
+    }
+
+    fn with(spec: JobSpec) -> Self {
+        let ledger = Ledger::default();
+        let mut world = Self { ledger, index: 0 };
+        for agent in ["a", "b"] {
+            world.apply(&Command::Agent(Box::new(AgentRecord {
+                id: agent.into(),
+                pool: "pool".into(),
+                address: "127.0.0.1:1".parse().unwrap(),
+                data_centre: "west".into(),
+                labels: Vec::new(),
+                room: Resources::default(),
+                leaving: false,
+                acked: 0,
+            })));
+        }
+        world.apply(&Command::Submit(Box::new(Submission {
+            job: JOB,
+            queue: "queue".into(),
+            pool: "pool".into(),
+            spec,
+            accepted: Duration::ZERO,
+        })));
+        world
+    }
+
+    fn apply(&mut self, command: &Command) -> Vec<Change> {
+        self.index += 1;
+        self.ledger.apply(self.index, command)
+    }
+
+    fn start(&mut self, task: TaskId, attempt: u32, agent: &str) -> Vec<Change> {
+        let starts = vec![placed(task, attempt, agent)];
+        self.apply(&Command::Round(Round {
+            starts,
+            ..Round::default()
+        }))
+    }
+
+    fn end(
+        &mut self,
+        agent: &str,
+        through: u64,
+        task: TaskId,
+        attempt: u32,
+        how: Ending,
+    ) -> Vec<Change> {
+        let end = End {
+            task,
+            attempt,
+            how,
+            checkpoint: None,
+        };
+        let ends = Ends {
+            agent: agent.into(),
+            through,
+            ends: vec![end],
+        };
+        self.apply(&Command::Round(Round {
+            ends: vec![ends],
+            ..Round::default()
+        }))
+    }
+
+    fn state(&self) -> JobState {
+        self.ledger.job(JOB).unwrap().state
+    }
+}
+
+fn task(step: u16, task: u32) -> TaskId {
+    let step = StepId {
+        job: JOB,
+        occurrence: 0,
+        step,
+    };
+    TaskId { step, task }
+}
+
+fn placed(task: TaskId, attempt: u32, agent: &str) -> Placed {
+    Placed {
+        task,
+        attempt,
+        agent: agent.into(),
+    }
+}
+
+#[test]
+fn a_job_runs_through_its_steps_to_its_end() {
+    let mut world = World::new();
+    assert_eq!(world.ledger.pending("queue"), 1);
+    world.start(task(0, 0), 1, "a");
+    assert_eq!(
+        (world.state(), world.ledger.pending("queue")),
+        (JobState::Running, 0)
+    );
+    world.start(task(0, 1), 1, "b");
+    world.end("a", 1, task(0, 0), 1, Ending::Done);
+    let changes = world.end("b", 1, task(0, 1), 1, Ending::Done);
+    assert!(
+        changes.contains(&Change::Opened(task(1, 0).step)),
+        "{changes:?}"
+    );
+    world.start(task(1, 0), 1, "a");
+    let changes = world.end("a", 2, task(1, 0), 1, Ending::Done);
+    assert!(changes.contains(&Change::Over(JOB)), "{changes:?}");
+    assert_eq!(world.state(), JobState::Completed);
+}
+
+#[test]
+fn an_end_that_was_taken_in_counts_once() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    world.end("a", 1, task(0, 0), 1, Ending::Failed);
+    assert!(world.end("a", 1, task(0, 0), 1, Ending::Failed).is_empty());
+    let job = world.ledger.job(JOB).unwrap();
+    assert_eq!(job.task(task(0, 0)).unwrap().failures, 1);
+}
+
+#[test]
+fn the_end_of_a_superseded_attempt_frees_nothing() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    world.start(task(0, 0), 2, "b");
+    world.end("a", 1, task(0, 0), 1, Ending::Stopped);
+    let job = world.ledger.job(JOB).unwrap();
+    assert_eq!(job.task(task(0, 0)).unwrap().agent.as_deref(), Some("b"));
+}
+
+#[test]
+fn a_task_that_is_done_is_never_placed_again() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    world.end("a", 1, task(0, 0), 1, Ending::Done);
+    assert!(world.start(task(0, 0), 2, "b").is_empty());
+    assert!(
+        world
+            .start(task(0, 1), 1, "b")
+            .contains(&Change::Placed(placed(task(0, 1), 1, "b")))
+    );
+    assert!(
+        world.start(task(0, 1), 1, "a").is_empty(),
+        "nor is an old number used again"
+    );
+}
+
+#[test]
+fn what_an_agent_ran_is_free_when_it_is_over() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    let changes = world.apply(&Command::Gone("a".into()));
+    let vacated = Change::Vacated {
+        placed: placed(task(0, 0), 1, "a"),
+        again: true,
+    };
+    assert_eq!(changes, [vacated, Change::Gone("a".into())]);
+    assert!(world.end("a", 1, task(0, 0), 1, Ending::Done).is_empty());
+}
+
+#[test]
+fn nothing_of_a_cancelled_job_is_placed_or_free() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    assert_eq!(world.apply(&Command::Cancel(JOB)), [Change::Over(JOB)]);
+    assert!(world.start(task(0, 1), 1, "b").is_empty());
+    let changes = world.end("a", 1, task(0, 0), 1, Ending::Stopped);
+    assert!(
+        changes.contains(&Change::Vacated {
+            placed: placed(task(0, 0), 1, "a"),
+            again: false
+        }),
+        "{changes:?}"
+    );
+    assert_eq!(world.state(), JobState::Cancelled);
+}
+
+#[test]
+fn what_lasts_is_never_done() {
+    let mut step = StepSpec::new(1, Duration::from_secs(1));
+    step.lasting = true;
+    let mut world = World::with(JobSpec::new("x", vec![step]));
+    world.start(task(0, 0), 1, "a");
+    let changes = world.end("a", 1, task(0, 0), 1, Ending::Done);
+    assert!(
+        changes.contains(&Change::Vacated {
+            placed: placed(task(0, 0), 1, "a"),
+            again: true
+        }),
+        "{changes:?}"
+    );
+    assert_eq!(world.state(), JobState::Running);
+}
+
+#[test]
+fn one_member_done_is_the_whole_gang() {
+    let mut step = StepSpec::new(3, Duration::from_secs(1));
+    step.gang = true;
+    let mut world = World::with(JobSpec::new("x", vec![step]));
+    for (ix, agent) in [(0, "a"), (1, "b"), (2, "a")] {
+        world.start(task(0, ix), 1, agent);
+    }
+    world.end("b", 1, task(0, 1), 1, Ending::Done);
+    assert_eq!(world.state(), JobState::Completed);
+}
+
+#[test]
+fn the_highest_catalog_stays() {
+    let mut world = World::new();
+    let document = |version, text: &'static [u8]| {
+        Command::Declare(Document {
+            version,
+            text: text.into(),
+        })
+    };
+    assert_eq!(world.apply(&document(5, b"five")), [Change::Declared]);
+    assert!(world.apply(&document(5, b"other")).is_empty());
+    assert!(world.apply(&document(4, b"four")).is_empty());
+    assert_eq!(world.ledger.document().unwrap().text, "five");
+}
+
+#[test]
+fn an_image_holds_everything() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    world.end("a", 1, task(0, 0), 1, Ending::Failed);
+    world.start(task(0, 0), 2, "b");
+    let copy = Ledger::from_image(&world.ledger.image()).unwrap();
+    assert_eq!(copy.placed(&"b".into()).collect::<Vec<_>>(), [task(0, 0)]);
+    assert_eq!(copy.job(JOB), world.ledger.job(JOB));
+    assert_eq!(copy.applied(), world.ledger.applied());
+}
--- /dev/null
+++ b/tests/workload/main.rs
@@ -0,0 +1,9 @@
+//! Jobs, their ledger and the leader's scheduler, on logical time.
+
+mod catalog;
+mod faults;
+mod hosts;
+mod ledger;
+mod promises;
+mod spec;
+mod world;
--- /dev/null
+++ b/tests/workload/promises.rs
@@ -0,0 +1,158 @@
+//! What the scheduler does when all is well.
+
+use std::collections::BTreeSet;
+
+use egretpin::core::workload::{command::Command, job::JobState, spec::JobSpec};
+
+use crate::world::{World, lasting, ms, step};
+
+fn chain(steps: usize) -> JobSpec {
+    let step = |ix: usize| {
+        let mut step = step(4, 2, 600);
+        step.after = (ix > 0)
+            .then(|| u16::try_from(ix - 1).unwrap())
+            .into_iter()
+            .collect();
+        step
+    };
+    JobSpec::new("x", (0..steps).map(step).collect())
+}
+
+#[test]
+fn a_chain_of_steps_runs_in_order_and_with_little_delay() {
+    let mut world = World::new(4, 1);
+    world.submit(1, chain(3));
+    // Three times 1.3 times the estimate, and what commits, orders and looks take in between.
+    world.until("the job is through", ms(2340 + 3 * 150), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    assert_eq!(world.starts.values().sum::<u32>(), 12);
+}
+
+#[test]
+fn more_work_than_room_waits_and_is_done() {
+    let mut world = World::new(2, 2);
+    for job in 1..=20 {
+        world.submit(job, chain(2));
+    }
+    world.until("all jobs are through", ms(60_000), |world| {
+        (1..=20).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+}
+
+#[test]
+fn ends_are_acknowledged_although_nothing_runs_any_more() {
+    let mut world = World::new(1, 3);
+    world.submit(1, chain(1));
+    world.until("the job is through", ms(5000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    let looks = world.sent["renew"];
+    world.pass(ms(4000));
+    assert_eq!(
+        world.sent["renew"],
+        looks + 1,
+        "one more look, and none without need"
+    );
+}
+
+#[test]
+fn a_job_whose_task_fails_too_often_fails() {
+    let mut world = World::new(4, 4);
+    world.faults.failing = 1.0;
+    world.submit(1, JobSpec::new("x", vec![step(1, 1, 200)]));
+    world.until("the job fails", ms(5000), |world| {
+        world.state(1) == Some(JobState::Failed)
+    });
+    assert_eq!(world.starts.values().copied().collect::<Vec<_>>(), [3]);
+    world.pass(ms(5000));
+    assert_eq!(
+        world.starts.values().sum::<u32>(),
+        3,
+        "and nothing more of it starts"
+    );
+}
+
+#[test]
+fn what_lasts_is_started_again_however_often_its_agent_dies() {
+    let mut world = World::new(3, 5);
+    world.submit(1, JobSpec::new("x", vec![lasting(1, 1)]));
+    for _ in 0..5 {
+        // A look that waits for an end has to fail first, and then the provider to be asked.
+        world.until("it runs", ms(6000), |world| world.runs(1).len() == 1);
+        let (agent, _) = world.runs(1)[0].clone();
+        world.crash(&agent);
+        let host = format!("n{}", world.hosts.len());
+        world.host(&host, crate::world::POOL);
+    }
+    world.until("it runs", ms(6000), |world| world.runs(1).len() == 1);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_at_once() {
+    let mut world = World::new(3, 6);
+    world.submit(1, JobSpec::new("x", vec![lasting(3, 2)]));
+    world.until("it runs", ms(2000), |world| world.runs(1).len() == 3);
+    world.propose(Command::Cancel(1));
+    world.until("nothing of it runs", ms(700), |world| {
+        world.runs(1).is_empty()
+    });
+    world.pass(ms(3000));
+    assert!(world.runs(1).is_empty());
+}
+
+#[test]
+fn tasks_of_a_step_stay_apart_where_it_asks_for_that() {
+    let mut world = World::new(5, 7);
+    world.submit(1, JobSpec::new("x", vec![lasting(5, 1)]));
+    world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
+    let agents: BTreeSet<_> = world.runs(1).into_iter().map(|(agent, _)| agent).collect();
+    assert_eq!(agents.len(), 5);
+}
+
+#[test]
+fn a_gang_starts_together_on_one_rack() {
+    let mut world = World::new(6, 8);
+    let mut gang = step(4, 4, 800);
+    gang.gang = true;
+    gang.one_rack = true;
+    world.submit(1, JobSpec::new("x", vec![gang]));
+    world.until("it runs", ms(1000), |world| world.runs(1).len() == 4);
+    let racks: BTreeSet<_> = world
+        .runs(1)
+        .iter()
+        .map(|(agent, _)| world.agents[agent].record.labels[1].clone())
+        .collect();
+    assert_eq!(racks.len(), 1, "two hosts of one rack have the room");
+}
+
+#[test]
+fn an_agent_that_is_to_end_gets_nothing_new() {
+    let mut world = World::new(2, 9);
+    let agents: Vec<_> = world.agents.keys().cloned().collect();
+    world.drain(&agents[0]);
+    world.pass(ms(100));
+    for job in 1..=5 {
+        world.submit(job, chain(1));
+    }
+    world.until("all jobs are through", ms(20_000), |world| {
+        assert!((1..=5).all(|job| world.runs(job).iter().all(|(agent, _)| *agent != agents[0])));
+        (1..=5).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+}
+
+#[test]
+fn best_effort_work_keeps_away_from_what_serves() {
+    let mut world = World::new(4, 10);
+    let mut serving = lasting(2, 2);
+    serving.tail = Some(ms(50));
+    let mut filling = lasting(2, 2);
+    filling.best_effort = true;
+    world.submit(1, JobSpec::new("x", vec![serving]));
+    world.until("it serves", ms(1000), |world| world.runs(1).len() == 2);
+    world.submit(2, JobSpec::new("x", vec![filling]));
+    world.until("it fills", ms(1000), |world| world.runs(2).len() == 2);
+    let serving: BTreeSet<_> = world.runs(1).into_iter().map(|(agent, _)| agent).collect();
+    let filling: BTreeSet<_> = world.runs(2).into_iter().map(|(agent, _)| agent).collect();
+    assert!(serving.is_disjoint(&filling));
+}
--- /dev/null
+++ b/tests/workload/world.rs
@@ -0,0 +1,807 @@
+//! A leader with its log, and agents that keep to their protocol, in logical time.
+//!
+//! The agents check what they are told: whoever starts a task twice at once, before the steps
+//! before it, without a committed attempt or beyond the room fails the test.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use egretpin::core::{
+    types::{HostId, MinionId, Now, Resources, WaveId},
+    workload::{
+        catalog::{Catalog, PoolSpec, QueueSpec},
+        command::{AgentRecord, Command, Ending, Submission, WaveRecord},
+        job::{JobState, TaskId},
+        ledger::Ledger,
+        scheduler::{
+            AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Refusal, Report,
+            Running, Scheduler, Settings, StartOrder, What,
+        },
+        spec::{JobSpec, StepSpec},
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub(crate) const POOL: &str = "pool";
+pub(crate) const OTHER: &str = "other";
+pub(crate) const SPARE: &str = "spare";
+pub(crate) const QUEUE: &str = "queue";
+/// One step of time.
+const STEP: Duration = Duration::from_millis(5);
+/// From a proposal to its commit.
+const COMMIT: Duration = Duration::from_millis(8);
+/// One way between leader and agent.
+const HOP: Duration = Duration::from_millis(1);
+/// How long the leader waits for an answer beyond what it asked to wait.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// A stop takes so long.
+const STOP: Duration = Duration::from_millis(300);
+/// How long a host is away for its maintenance or a move.
+const AWAY: Duration = Duration::from_millis(1800);
+const BEAT: Duration = Duration::from_millis(1500);
+
+pub(crate) const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What goes wrong, and how often.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    /// Answers of agents that are lost.
+    pub(crate) lost: f64,
+    /// Orders to agents that get no answer and are carried out two to twelve seconds later.
+    pub(crate) late: f64,
+    /// Attempts that fail.
+    pub(crate) failing: f64,
+}
+
+struct Run {
+    attempt: u32,
+    room: Resources,
+    ends: Now,
+    how: Ending,
+    stopping: bool,
+    percent: u32,
+}
+
+pub(crate) struct Agent {
+    pub(crate) record: AgentRecord,
+    host: HostId,
+    boot: Now,
+    /// How fast its clock runs.
+    rate: f64,
+    token: u64,
+    lease: AgentTime,
+    running: BTreeMap<TaskId, Run>,
+    /// The last attempt of each task that was stopped or ended here.
+    over: BTreeMap<TaskId, u32>,
+    ended: Vec<Ended>,
+    number: u64,
+    /// Until when nothing gets through.
+    cut: Now,
+}
+
+impl Agent {
+    fn clock(&self, now: Now) -> AgentTime {
+        now.saturating_sub(self.boot).mul_f64(self.rate) + ms(5000)
+    }
+
+    fn used(&self) -> Resources {
+        let rooms = self.running.values().map(|run| run.room);
+        rooms.fold(Resources::default(), |sum, room| sum.plus(&room))
+    }
+}
+
+enum Event {
+    /// An order arrives at an agent or the provider.
+    Arrive { order: Order, silent: bool },
+    /// An answer arrives at the leader of a term.
+    Answer {
+        term: u64,
+        order: OrderId,
+        answer: Answer,
+    },
+    /// A renewal has waited long enough for an end.
+    Waited { order: Order, since: u64 },
+    /// A host is back in a pool.
+    Back { host: HostId },
+}
+
+pub(crate) struct World {
+    pub(crate) now: Now,
+    pub(crate) ledger: Ledger,
+    pub(crate) scheduler: Option<Scheduler>,
+    pub(crate) agents: BTreeMap<MinionId, Agent>,
+    pub(crate) hosts: BTreeMap<HostId, HostView>,
+    pub(crate) faults: Faults,
+    /// Orders that were sent, by kind.
+    pub(crate) sent: BTreeMap<&'static str, usize>,
+    /// Hosts down for each wave now, and the most at once.
+    down: BTreeMap<WaveId, BTreeSet<HostId>>,
+    pub(crate) peak: usize,
+    pub(crate) moves: usize,
+    /// Starts of each task.
+    pub(crate) starts: BTreeMap<TaskId, u32>,
+    catalog: Arc<Catalog>,
+    term: u64,
+    index: u64,
+    log: VecDeque<(Now, Command)>,
+    events: BTreeMap<(Now, u64), Event>,
+    serial: u64,
+    boots: u32,
+    rng: Pcg64Mcg,
+    beats: Now,
+}
+
+impl World {
+    /// A pool of so many hosts with 8 cores, two a rack, and a leader.
+    pub(crate) fn new(hosts: usize, seed: u64) -> Self {
+        let queue = QueueSpec {
+            name: QUEUE.into(),
+            timeout: ms(1000),
+            target: ms(500),
+            stretch: 1.5,
+            pool: POOL.into(),
+            attempts: 3,
+            ..QueueSpec::default()
+        };
+        let pool = |name: &str, spare| PoolSpec {
+            name: name.into(),
+            spare,
+            guarded: false,
+        };
+        let pools = vec![pool(POOL, false), pool(OTHER, false), pool(SPARE, true)];
+        let mut world = Self {
+            now: ms(1000),
+            ledger: Ledger::default(),
+            scheduler: None,
+            agents: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            faults: Faults::default(),
+            sent: BTreeMap::new(),
+            down: BTreeMap::new(),
+            peak: 0,
+            moves: 0,
+            starts: BTreeMap::new(),
+            catalog: Arc::new(Catalog::new(1, vec![queue], pools)),
+            term: 0,
+            index: 0,
+            log: VecDeque::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+            boots: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            beats: Duration::ZERO,
+        };
+        for host in 0..hosts {
+            world.host(&format!("h{host}"), POOL);
+        }
+        world.lead();
+        world
+    }
+
+    /// Adds a host that is up in a pool.
+    pub(crate) fn host(&mut self, host: &str, pool: &str) {
+        let view = HostView {
+            host: host.into(),
+            pool: pool.into(),
+            state: HostState::Up,
+            data_centre: "west".into(),
+            agent: None,
+        };
+        self.hosts.insert(host.into(), view);
+        self.boot(&host.into());
+    }
+
+    /// A new incarnation of a host's agent, unless it is a spare.
+    fn boot(&mut self, host: &HostId) {
+        let rack = host[1..].parse::<usize>().unwrap_or(0) / 2;
+        let Some(view) = self.hosts.get_mut(host) else {
+            return;
+        };
+        view.state = HostState::Up;
+        if &*view.pool == SPARE {
+            return;
+        }
+        self.boots += 1;
+        let id: MinionId = format!("{host}-{}", self.boots).into();
+        view.agent = Some(id.clone());
+        let port = 1000 + u16::try_from(self.boots).unwrap();
+        let record = AgentRecord {
+            id: id.clone(),
+            pool: view.pool.clone(),
+            address: ([127, 0, 0, 1], port).into(),
+            data_centre: "west".into(),
+            labels: vec!["a".into(), format!("r{rack}").into()],
+            room: Resources {
+                millicores: 8000,
+                memory: 1 << 30,
+                accelerators: 0,
+            },
+            leaving: false,
+            acked: 0,
+        };
+        let rate = 1.0 - self.rng.random_range(0.0..0.02);
+        let agent = Agent {
+            record,
+            host: host.clone(),
+            boot: self.now,
+            rate,
+            token: 0,
+            lease: Duration::ZERO,
+            running: BTreeMap::new(),
+            over: BTreeMap::new(),
+            ended: Vec::new(),
+            number: 0,
+            cut: Duration::ZERO,
+        };
+        self.agents.insert(id.clone(), agent);
+        self.beat(&id);
+    }
+
+    /// A new leader, in a new term.
+    pub(crate) fn lead(&mut self) {
+        self.term += 1;
+        let settings = Settings {
+            lease: ms(6000),
+            silence: ms(4000),
+            holder: ms(100),
+        };
+        let catalog = Arc::clone(&self.catalog);
+        let scheduler = Scheduler::new(
+            self.now,
+            self.now,
+            self.term,
+            settings,
+            catalog,
+            &self.ledger,
+        );
+        self.scheduler = Some(scheduler);
+        let agents: Vec<_> = self.agents.keys().cloned().collect();
+        agents.iter().for_each(|id| self.beat(id));
+    }
+
+    /// The leader is gone: a part of what it proposed last is committed, in order.
+    pub(crate) fn depose(&mut self) {
+        self.scheduler = None;
+        let kept = self.rng.random_range(0..=self.log.len());
+        for (_, command) in self.log.drain(..).take(kept).collect::<Vec<_>>() {
+            self.index += 1;
+            self.ledger.apply(self.index, &command);
+        }
+    }
+
+    pub(crate) fn submit(&mut self, job: u64, spec: JobSpec) {
+        self.propose(Command::Submit(Box::new(Submission {
+            job,
+            queue: QUEUE.into(),
+            pool: POOL.into(),
+            spec,
+            accepted: self.now,
+        })));
+    }
+
+    pub(crate) fn propose(&mut self, command: Command) {
+        self.log.push_back((self.now + COMMIT, command));
+    }
+
+    pub(crate) fn wave(&mut self, wave: WaveId, hosts: &[&str], cap: u32, within: Duration) {
+        self.propose(Command::Wave(WaveRecord {
+            wave,
+            left: hosts.iter().map(|host| HostId::from(*host)).collect(),
+            cap,
+            until: self.now + within,
+        }));
+    }
+
+    pub(crate) fn state(&self, job: u64) -> Option<JobState> {
+        self.ledger.job(job).map(|job| job.state)
+    }
+
+    /// An agent dies; its provider knows.
+    pub(crate) fn crash(&mut self, id: &MinionId) {
+        let Some(agent) = self.agents.remove(id) else {
+            return;
+        };
+        if let Some(view) = self.hosts.get_mut(&agent.host) {
+            view.state = HostState::Down;
+            view.agent = None;
+        }
+    }
+
+    /// Nothing gets through to an agent for a while.
+    pub(crate) fn cut(&mut self, id: &MinionId, span: Duration) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.cut = self.now + span;
+        }
+    }
+
+    /// An agent says that it will end.
+    pub(crate) fn drain(&mut self, id: &MinionId) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.record.leaving = true;
+        }
+        self.beat(id);
+    }
+
+    /// The agents that run something of a job, and what.
+    pub(crate) fn runs(&self, job: u64) -> Vec<(MinionId, TaskId)> {
+        let agents = self.agents.iter();
+        let runs = agents.flat_map(|(id, agent)| {
+            let tasks = agent.running.keys().filter(|task| task.step.job == job);
+            tasks.map(|task| (id.clone(), *task))
+        });
+        runs.collect()
+    }
+
+    pub(crate) fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until something holds.
+    pub(crate) fn until(&mut self, what: &str, limit: Duration, holds: impl Fn(&Self) -> bool) {
+        let end = self.now + limit;
+        while !holds(self) {
+            assert!(self.now < end, "in {limit:?}: {what}");
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let event = entry.remove();
+            self.take(event);
+        }
+        self.run_agents();
+        if self.now >= self.beats + BEAT {
+            self.beats = self.now;
+            let agents: Vec<_> = self.agents.keys().cloned().collect();
+            agents.iter().for_each(|id| self.beat(id));
+        }
+        while self.log.front().is_some_and(|(at, _)| *at <= self.now) {
+            let Some((_, command)) = self.log.pop_front() else {
+                break;
+            };
+            self.index += 1;
+            let changes = self.ledger.apply(self.index, &command);
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.applied(self.now, self.now, &self.ledger, &command, &changes);
+            }
+        }
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        let plan = scheduler.plan(self.now, self.now, &self.ledger);
+        for command in plan.commands {
+            self.propose(command);
+        }
+        for order in plan.orders {
+            self.send(order);
+        }
+    }
+
+    fn at(&mut self, at: Now, event: Event) {
+        self.serial += 1;
+        self.events.insert((at, self.serial), event);
+    }
+
+    fn send(&mut self, order: Order) {
+        let kind = match &order.what {
+            What::Start(_) => "start",
+            What::Stop { .. } => "stop",
+            What::Renew { .. } => "renew",
+            What::Throttle { .. } => "throttle",
+            What::Hosts => "hosts",
+            What::Move { .. } => "move",
+            What::Maintain { .. } => "maintain",
+        };
+        *self.sent.entry(kind).or_default() += 1;
+        let wait = match &order.what {
+            What::Renew { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        let (term, id) = (order.term, order.id);
+        // If nothing else answers by then.
+        self.at(
+            self.now + wait + TIMEOUT,
+            Event::Answer {
+                term,
+                order: id,
+                answer: Answer::Silent,
+            },
+        );
+        let to_agent = !matches!(
+            order.what,
+            What::Hosts | What::Move { .. } | What::Maintain { .. }
+        );
+        let late = to_agent && self.rng.random_bool(self.faults.late);
+        let delay = if late {
+            Duration::from_secs_f64(self.rng.random_range(2.0..12.0))
+        } else {
+            HOP
+        };
+        self.at(
+            self.now + delay,
+            Event::Arrive {
+                order,
+                silent: late,
+            },
+        );
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrive { order, silent } => self.arrive(&order, silent),
+            Event::Waited { order, since } => {
+                let ends = self.target(&order).map(|agent| agent.number);
+                if ends == Some(since) {
+                    self.report(&order);
+                }
+            }
+            Event::Answer {
+                term,
+                order,
+                answer,
+            } => {
+                if term == self.term
+                    && let Some(scheduler) = &mut self.scheduler
+                {
+                    scheduler.answered(self.now, order, answer);
+                }
+            }
+            Event::Back { host } => {
+                for down in self.down.values_mut() {
+                    down.remove(&host);
+                }
+                self.boot(&host);
+            }
+        }
+    }
+
+    fn answer(&mut self, order: &Order, answer: Answer) {
+        if !self.rng.random_bool(self.faults.lost) {
+            let (term, order) = (order.term, order.id);
+            self.at(
+                self.now + HOP,
+                Event::Answer {
+                    term,
+                    order,
+                    answer,
+                },
+            );
+        }
+    }
+
+    fn target(&self, order: &Order) -> Option<&Agent> {
+        let id = match &order.what {
+            What::Start(start) => &start.to.agent,
+            What::Stop { to, .. } | What::Renew { to, .. } | What::Throttle { to, .. } => &to.agent,
+            What::Hosts | What::Move { .. } | What::Maintain { .. } => return None,
+        };
+        self.agents.get(id).filter(|agent| self.now >= agent.cut)
+    }
+
+    fn arrive(&mut self, order: &Order, silent: bool) {
+        match &order.what {
+            What::Hosts => {
+                let hosts = self.hosts.values().cloned().collect();
+                self.answer(order, Answer::Hosts(hosts));
+                return;
+            }
+            What::Move { host, pool } => {
+                self.moves += 1;
+                let answer = self.duty(host, |view| view.pool = pool.clone(), HostState::Moving);
+                self.answer(order, answer);
+                return;
+            }
+            What::Maintain { host, wave } => {
+                let record = self.ledger.wave_record(*wave).expect("the wave is known");
+                let cap = usize::try_from(record.cap).unwrap();
+                let down = self.down.entry(*wave).or_default();
+                if !down.contains(host) {
+                    assert!(down.len() < cap, "at most {cap} hosts of a wave are down");
+                    down.insert(host.clone());
+                    self.peak = self.peak.max(down.len());
+                }
+                let answer = self.duty(host, |_| (), HostState::Maintained);
+                self.answer(order, answer);
+                return;
+            }
+            _ => {}
+        }
+        let now = self.now;
+        let Some(agent) = self.target(order) else {
+            return;
+        };
+        let id = agent.record.id.clone();
+        let clock = agent.clock(now);
+        let token = agent.token;
+        if order.term < token {
+            let answer = Answer::Refused {
+                why: Refusal::Fence,
+                clock: Some(clock),
+            };
+            if !silent {
+                self.answer(order, answer);
+            }
+            return;
+        }
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.token = order.term;
+        }
+        let answer = match &order.what {
+            What::Start(start) => self.start(&id, start),
+            What::Stop { task, attempt, .. } => self.stop(&id, *task, *attempt),
+            What::Renew {
+                acked, until, wait, ..
+            } => {
+                self.renew(&id, *acked, *until);
+                let agent = &self.agents[&id];
+                if wait.is_zero() || !agent.ended.is_empty() {
+                    if !silent {
+                        self.report(order);
+                    }
+                } else if !silent {
+                    let since = agent.number;
+                    let order = order.clone();
+                    self.at(now + *wait, Event::Waited { order, since });
+                }
+                return;
+            }
+            _ => Answer::Done { clock },
+        };
+        if !silent {
+            self.answer(order, answer);
+        }
+    }
+
+    fn duty(
+        &mut self,
+        host: &HostId,
+        change: impl FnOnce(&mut HostView),
+        state: HostState,
+    ) -> Answer {
+        let clock = Duration::ZERO;
+        let Some(view) = self.hosts.get_mut(host) else {
+            let why = Refusal::Invalid;
+            return Answer::Refused { why, clock: None };
+        };
+        if view.state != HostState::Up {
+            return Answer::Done { clock };
+        }
+        change(view);
+        view.state = state;
+        if let Some(agent) = view.agent.take() {
+            self.agents.remove(&agent);
+        }
+        let host = host.clone();
+        self.at(self.now + AWAY, Event::Back { host });
+        Answer::Done { clock }
+    }
+
+    fn start(&mut self, id: &MinionId, start: &StartOrder) -> Answer {
+        let now = self.now;
+        let job = self
+            .ledger
+            .job(start.task.step.job)
+            .expect("the job is known")
+            .clone();
+        let spec = job.spec.steps[usize::from(start.task.step.step)].clone();
+        let committed = job
+            .task(start.task)
+            .is_some_and(|task| task.attempt >= start.attempt);
+        let elsewhere = self
+            .agents
+            .iter()
+            .any(|(other, agent)| other != id && agent.running.contains_key(&start.task));
+        let done = job.task(start.task).is_some_and(|task| task.done);
+        let open = job.is_open(start.task.step);
+        let (fails, slow) = (
+            self.rng.random_bool(self.faults.failing),
+            self.rng.random_range(0.8..1.3),
+        );
+        let Some(agent) = self.agents.get_mut(id) else {
+            return Answer::Silent;
+        };
+        let clock = agent.clock(now);
+        let refused = |why| Answer::Refused {
+            why,
+            clock: Some(clock),
+        };
+        if agent
+            .running
+            .get(&start.task)
+            .is_some_and(|run| run.attempt == start.attempt)
+        {
+            return Answer::Done { clock };
+        }
+        if agent
+            .over
+            .get(&start.task)
+            .is_some_and(|over| start.attempt <= *over)
+        {
+            return refused(Refusal::Old);
+        }
+        agent.lease = agent.lease.max(start.until.min(clock + ms(6000)));
+        if start.until <= clock {
+            return refused(Refusal::Late);
+        }
+        let what = format!("{} attempt {} at {id}", start.task, start.attempt);
+        assert!(committed, "committed before it is sent: {what}");
+        assert!(!elsewhere, "one attempt at a time: {what}");
+        assert!(!done, "not after it is done: {what}");
+        assert!(open, "not before the steps before it: {what}");
+        assert!(
+            !agent.running.contains_key(&start.task),
+            "not beside itself: {what}"
+        );
+        let room = spec.room();
+        let free = agent.record.room.minus(&agent.used());
+        assert!(free.fits(&room), "within the room: {what}");
+        let ends = if spec.lasting {
+            Duration::MAX
+        } else {
+            now + spec.estimate.mul_f64(slow)
+        };
+        let how = if fails { Ending::Failed } else { Ending::Done };
+        let run = Run {
+            attempt: start.attempt,
+            room,
+            ends,
+            how,
+            stopping: false,
+            percent: 0,
+        };
+        agent.running.insert(start.task, run);
+        *self.starts.entry(start.task).or_default() += 1;
+        Answer::Done { clock }
+    }
+
+    fn stop(&mut self, id: &MinionId, task: TaskId, attempt: u32) -> Answer {
+        let now = self.now;
+        let Some(agent) = self.agents.get_mut(id) else {
+            return Answer::Silent;
+        };
+        let clock = agent.clock(now);
+        if let Some(run) = agent.running.get_mut(&task)
+            && run.attempt == attempt
+        {
+            run.ends = run.ends.min(now + STOP);
+            run.stopping = true;
+        }
+        let over = agent.over.entry(task).or_default();
+        *over = (*over).max(attempt);
+        Answer::Done { clock }
+    }
+
+    fn renew(&mut self, id: &MinionId, acked: u64, until: Option<AgentTime>) {
+        let now = self.now;
+        let known = self.ledger.agent(id).map_or(0, |agent| agent.acked);
+        assert!(
+            acked <= known,
+            "no end is acknowledged before it is committed"
+        );
+        let Some(agent) = self.agents.get_mut(id) else {
+            return;
+        };
+        agent.ended.retain(|end| end.number > acked);
+        if let Some(until) = until {
+            agent.lease = agent.lease.max(until.min(agent.clock(now) + ms(6000)));
+        }
+    }
+
+    fn report(&mut self, order: &Order) {
+        let now = self.now;
+        let Some(agent) = self.target(order) else {
+            return;
+        };
+        let running = agent.running.iter().map(|(task, run)| Running {
+            task: *task,
+            attempt: run.attempt,
+            checkpoint: None,
+            percent: run.percent,
+            measure: None,
+        });
+        let report = Report {
+            clock: agent.clock(now),
+            running: running.collect(),
+            ended: agent.ended.clone(),
+        };
+        self.answer(order, Answer::Report(report));
+    }
+
+    fn run_agents(&mut self) {
+        let now = self.now;
+        let mut ended = BTreeSet::new();
+        for (id, agent) in &mut self.agents {
+            let lapsed = agent.clock(now) >= agent.lease;
+            let over: Vec<_> = agent
+                .running
+                .iter()
+                .filter(|(_, run)| lapsed || run.ends <= now)
+                .map(|(task, _)| *task)
+                .collect();
+            for run in agent.running.values_mut() {
+                run.percent = 100;
+            }
+            for task in over {
+                let Some(run) = agent.running.remove(&task) else {
+                    continue;
+                };
+                agent.number += 1;
+                let how = match (run.ends <= now, run.stopping) {
+                    (true, true) => Ending::Stopped,
+                    (true, false) => run.how,
+                    (false, _) => Ending::Lapsed,
+                };
+                agent.ended.push(Ended {
+                    number: agent.number,
+                    task,
+                    attempt: run.attempt,
+                    how,
+                    checkpoint: None,
+                });
+                let last = agent.over.entry(task).or_default();
+                *last = (*last).max(run.attempt);
+                ended.insert(id.clone());
+            }
+        }
+        // A renewal that waits is answered by an end.
+        let waiting = self.events.iter().filter(|(_, event)| match event {
+            Event::Waited { order, .. } => match &order.what {
+                What::Renew { to, .. } => ended.contains(&to.agent),
+                _ => false,
+            },
+            _ => false,
+        });
+        let waiting: Vec<_> = waiting.map(|(key, _)| *key).collect();
+        for key in waiting {
+            if let Some(Event::Waited { order, .. }) = self.events.remove(&key) {
+                self.report(&order);
+            }
+        }
+    }
+
+    fn beat(&mut self, id: &MinionId) {
+        let now = self.now;
+        let Some(agent) = self.agents.get(id).filter(|agent| now >= agent.cut) else {
+            return;
+        };
+        let (record, clock) = (agent.record.clone(), agent.clock(now));
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        scheduler.heard(now, id, clock);
+        let known = self.ledger.agent(id);
+        if known.is_none_or(|known| known.leaving != record.leaving) {
+            self.propose(Command::Agent(Box::new(record)));
+        }
+    }
+}
+
+/// Tasks of a second or so on some cores.
+pub(crate) fn step(tasks: u32, cores: u64, millis: u64) -> StepSpec {
+    let mut step = StepSpec::new(tasks, ms(millis));
+    step.need.millicores = cores * 1000;
+    step
+}
+
+/// A step that lasts, its tasks on hosts of their own.
+pub(crate) fn lasting(tasks: u32, cores: u64) -> StepSpec {
+    let mut step = step(tasks, cores, 900);
+    step.lasting = true;
+    step.per_host = Some(1);
+    step.budget = 1;
+    step
+}
