Show that the scheduler's checks can fail: a twin for each protection taken away

Cause: a check that never fails shows nothing. Ruled out: mutating the source by hand for each run. Change: test-only switches for strays, leases, inheritance and budgets, and a test for each that a promise is broken without it. The wave test has a cap of 4 instead of 2, which is stricter: with 2 the world never had two full hosts to end at once, so the twin was not noticed.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -82,7 +82,7 @@
         let Some(slot) = agent.slots.get_mut(&task) else {
             return;
         };
-        if matches!(answer, Answer::Silent) {
+        if matches!(answer, Answer::Silent) && self.settings.protections.strays {
             slot.unanswered = Some(sent);
         }
         // It may have been told to stop meanwhile.
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -55,11 +55,14 @@
     pub(super) fn expire_leases(&mut self, now: Now) {
         let stray = STRAY + self.settings.lease;
         for (id, agent) in &mut self.agents {
-            if agent.trouble.is_none() || now < agent.lease {
+            let leased = now < agent.lease && self.settings.protections.lease;
+            if agent.trouble.is_none() || leased {
                 continue;
             }
             for (task, slot) in &mut agent.slots {
-                let strays = slot.unanswered.is_some_and(|sent| now < sent + stray);
+                let strays = slot
+                    .unanswered
+                    .is_some_and(|sent| now < sent + stray && self.settings.protections.lease);
                 let open = !matches!(slot.phase, Phase::Proposed | Phase::Ended);
                 if open && !strays {
                     slot.enter(now, Phase::Ended);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -94,6 +94,8 @@
     pub silence: Duration,
     /// From the last order of one leader about a host to the first of another.
     pub holder: Duration,
+    /// Which protections are on; for tests.
+    pub protections: Protections,
 }
 
 impl Default for Settings {
@@ -102,6 +104,32 @@
             lease: Duration::from_secs(6),
             silence: Duration::from_secs(4),
             holder: Duration::from_secs(3),
+            protections: Protections::default(),
+        }
+    }
+}
+
+/// Test-only switches that each take one protection away, so that a test can show that the check
+/// of a promise would notice. Leave them all on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Protections {
+    /// A start that got no answer may still be carried out, whatever a later one was answered.
+    pub strays: bool,
+    /// What an agent that doesn't answer runs is given up only when its lease has run out.
+    pub lease: bool,
+    /// A new leader gives up what its predecessors placed only once the agent has seen its term.
+    pub inherit: bool,
+    /// A host is maintained only when it is empty, or when all that it runs may be away.
+    pub budget: bool,
+}
+
+impl Default for Protections {
+    fn default() -> Self {
+        Self {
+            strays: true,
+            lease: true,
+            inherit: true,
+            budget: true,
         }
     }
 }
@@ -321,7 +349,15 @@
             let mut slot = Slot::new(spec, attempt, Phase::Unsure, now);
             // What the earlier leader sent last may still be under way.
             slot.unanswered = Some(now);
-            agent.add(task, slot);
+            if self.settings.protections.inherit {
+                agent.add(task, slot);
+            } else {
+                self.freed.push(Placed {
+                    task,
+                    attempt,
+                    agent: id.clone(),
+                });
+            }
         }
         if !agent.slots.is_empty() {
             agent.lease = now + self.settings.lease.mul_f64(1.03) + Duration::from_millis(300);
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -113,7 +113,8 @@
         for (host, id) in emptying {
             let agent = id.as_ref().and_then(|id| self.agents.get(id));
             let ready = agent.is_none_or(|agent| {
-                agent.slots.is_empty() || (late && self.may_end(ledger, agent))
+                let may_end = late && self.may_end(ledger, agent);
+                agent.slots.is_empty() || may_end || !self.settings.protections.budget
             });
             if room == 0 || !ready {
                 continue;
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -1,6 +1,6 @@
 //! What holds whatever fails: the agents of the world check it at every start.
 
-use egretpin::core::workload::{job::JobState, spec::JobSpec};
+use egretpin::core::workload::{job::JobState, scheduler::Protections, spec::JobSpec};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -24,9 +24,8 @@
 }
 
 /// Trouble of every kind at once, drawn by the seed.
-fn play(seed: u64, faults: Faults, takeovers: bool) -> World {
+fn play(mut world: World, seed: u64, faults: Faults, takeovers: bool) -> World {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
-    let mut world = World::new(6, seed);
     world.submit(1000, JobSpec::new("x", vec![lasting(3, 1)]));
     world.pass(ms(200));
     world.faults = faults;
@@ -68,7 +67,7 @@
         lost: 0.1,
         ..Faults::default()
     };
-    (0..SEEDS).for_each(|seed| drop(play(seed, faults, false)));
+    (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, faults, false)));
 }
 
 #[test]
@@ -78,12 +77,12 @@
         failing: 0.05,
         ..Faults::default()
     };
-    (0..SEEDS).for_each(|seed| drop(play(seed, faults, false)));
+    (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, faults, false)));
 }
 
 #[test]
 fn a_takeover_starts_nothing_twice_and_loses_nothing() {
-    (0..SEEDS).for_each(|seed| drop(play(seed, Faults::default(), true)));
+    (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, Faults::default(), true)));
 }
 
 #[test]
@@ -94,9 +93,54 @@
         failing: 0.03,
     };
     (0..SEEDS).for_each(|seed| {
-        let mut world = play(seed, faults, true);
+        let mut world = play(World::new(6, seed), seed, faults, true);
         world.until("what lasts runs", ms(30_000), |world| {
             world.state(1000).is_none() || world.runs(1000).len() == 3
         });
     });
 }
+
+/// Whether any of the seeds shows a broken promise with a protection taken away.
+fn is_noticed(without: Protections, faults: Faults, takeovers: bool) -> bool {
+    let broken = |seed| {
+        let played = std::panic::catch_unwind(|| {
+            let mut world = World::new(6, seed);
+            world.protections = without;
+            world.lead();
+            play(world, seed, faults, takeovers);
+        });
+        played.is_err()
+    };
+    (0..SEEDS).any(broken)
+}
+
+#[test]
+fn without_remembering_strays_a_task_runs_twice() {
+    let without = Protections {
+        strays: false,
+        ..Protections::default()
+    };
+    let faults = Faults {
+        late: 0.2,
+        ..Faults::default()
+    };
+    assert!(is_noticed(without, faults, false));
+}
+
+#[test]
+fn without_waiting_for_the_lease_a_task_runs_twice() {
+    let without = Protections {
+        lease: false,
+        ..Protections::default()
+    };
+    assert!(is_noticed(without, Faults::default(), false));
+}
+
+#[test]
+fn without_looking_first_a_takeover_runs_a_task_twice() {
+    let without = Protections {
+        inherit: false,
+        ..Protections::default()
+    };
+    assert!(is_noticed(without, Faults::default(), true));
+}
--- a/tests/workload/hosts.rs
+++ b/tests/workload/hosts.rs
@@ -17,17 +17,9 @@
     assert_eq!(world.peak, 2, "as many at once as may be");
 }
 
-#[test]
-fn a_wave_ends_no_more_tasks_of_a_step_than_may_be_away() {
-    let mut world = World::new(8, 2);
-    world.submit(1, JobSpec::new("x", vec![lasting(5, 2)]));
-    world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
-    world.wave(
-        1,
-        &["h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"],
-        2,
-        ms(60_000),
-    );
+const HOSTS: [&str; 8] = ["h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"];
+
+fn keep_budget(world: &mut World) {
     world.until("the wave is through", ms(60_000), |world| {
         assert!(
             world.runs(1).len() >= 4,
@@ -41,6 +33,15 @@
     });
 }
 
+#[test]
+fn a_wave_ends_no_more_tasks_of_a_step_than_may_be_away() {
+    let mut world = World::new(8, 2);
+    world.submit(1, JobSpec::new("x", vec![lasting(5, 2)]));
+    world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
+    world.wave(1, &HOSTS, 4, ms(60_000));
+    keep_budget(&mut world);
+}
+
 #[test]
 fn a_host_of_a_wave_that_is_gone_is_not_waited_for() {
     let mut world = World::new(2, 3);
@@ -93,3 +94,17 @@
     }
     world.until("they are back", ms(5000), |world| spares(world) == 0);
 }
+
+#[test]
+fn without_counting_budgets_a_wave_ends_too_much() {
+    let played = std::panic::catch_unwind(|| {
+        let mut world = World::new(8, 2);
+        world.protections.budget = false;
+        world.lead();
+        world.submit(1, JobSpec::new("x", vec![lasting(5, 2)]));
+        world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
+        world.wave(1, &HOSTS, 4, ms(60_000));
+        keep_budget(&mut world);
+    });
+    assert!(played.is_err(), "two tasks of a step are away at once");
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -17,8 +17,8 @@
         job::{JobState, TaskId},
         ledger::Ledger,
         scheduler::{
-            AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Refusal, Report,
-            Running, Scheduler, Settings, StartOrder, What,
+            AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections, Refusal,
+            Report, Running, Scheduler, Settings, StartOrder, What,
         },
         spec::{JobSpec, StepSpec},
     },
@@ -135,6 +135,8 @@
     boots: u32,
     rng: Pcg64Mcg,
     beats: Now,
+    /// Which protections the next leader has.
+    pub(crate) protections: Protections,
 }
 
 impl World {
@@ -176,6 +178,7 @@
             boots: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
             beats: Duration::ZERO,
+            protections: Protections::default(),
         };
         for host in 0..hosts {
             world.host(&format!("h{host}"), POOL);
@@ -250,6 +253,7 @@
             lease: ms(6000),
             silence: ms(4000),
             holder: ms(100),
+            protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
         let scheduler = Scheduler::new(
