Stop what a cancelled job left, whoever leads next

Ruled out: a stop that was sent and lost (it is sent again until answered). Change: a new leader ends what is placed of jobs that are over.

--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -231,11 +231,14 @@
             scheduler.inherit(now, ledger, &record.id);
         }
         for (id, job) in ledger.jobs() {
-            if !job.is_over() {
-                let age = wall.saturating_sub(job.accepted);
-                scheduler.accepted.insert(id, now.saturating_sub(age));
-                scheduler.take_job(now, wall, id, job);
+            if job.is_over() {
+                // An earlier leader may not have come to stop what it left.
+                scheduler.end_job(now, ledger, id);
+                continue;
             }
+            let age = wall.saturating_sub(job.accepted);
+            scheduler.accepted.insert(id, now.saturating_sub(age));
+            scheduler.take_job(now, wall, id, job);
         }
         scheduler
     }
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -1,6 +1,8 @@
 //! What holds whatever fails: the agents of the world check it at every start.
 
-use egretpin::core::workload::{job::JobState, scheduler::Protections, spec::JobSpec};
+use egretpin::core::workload::{
+    command::Command, job::JobState, scheduler::Protections, spec::JobSpec,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -144,3 +146,20 @@
     };
     assert!(is_noticed(without, Faults::default(), true));
 }
+
+#[test]
+fn a_cancelled_job_is_stopped_by_the_next_leader_too() {
+    let mut world = World::new(3, 6);
+    world.submit(1, JobSpec::new("x", vec![lasting(3, 2)]));
+    world.until("it runs", ms(2000), |world| world.runs(1).len() == 3);
+    world.propose(Command::Cancel(1));
+    world.until("it is cancelled", ms(100), |world| {
+        world.state(1) == Some(JobState::Cancelled)
+    });
+    // The leader dies before it has ordered anything.
+    world.depose();
+    world.lead();
+    world.until("nothing of it runs", ms(1500), |world| {
+        world.runs(1).is_empty()
+    });
+}
