Learn the turns of demand, and follow its growth sooner

Ruled out: keeping idle hosts in their pools: a move takes as long from there as from the spares. Change: growth of what is at work or ready is carried on for the time of a move; turns are noted, and the next one prepared for once each pool has had one; nothing is sent to the spares before a first turn.

--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -12,10 +12,18 @@
 /// The time over which arriving work is averaged: long enough to see a trend in a few jobs, short
 /// against the seconds that demand stays.
 const TREND: Duration = Duration::from_millis(800);
+/// The time over which the growth of what is at work or ready is averaged.
+const GROWTH: Duration = Duration::from_millis(300);
+/// How far ahead growth is carried on: the time that a move takes.
+const AHEAD: Duration = Duration::from_millis(1500);
+/// At most so many times as much is expected as there is.
+const MOST: f64 = 3.0;
 /// A pool's need falls by half in this time: demand that has just gone often comes back.
 const DECLINE: Duration = Duration::from_millis(1500);
 /// What a pool gets beyond its need, since tasks don't fill hosts without gaps.
 const HEADROOM: f64 = 1.1;
+/// Hosts that a pool needs beyond what is usual for a rush.
+const RUSH_HOSTS: f64 = 1.5;
 /// A host that was empty for so long goes to the spares: by then it has cost what two moves do.
 const PARK: Duration = Duration::from_millis(2500);
 
@@ -24,6 +32,10 @@
 pub(super) struct Demand {
     /// Thousandths of a core that arriving jobs will keep busy, averaged.
     trend: f64,
+    /// What was at work or ready at the last look, in thousandths of a core.
+    used: f64,
+    /// How fast that grows, in thousandths of a core a second, averaged.
+    growth: f64,
     /// Core-milliseconds of the jobs that arrived since the last look.
     arrived: f64,
     /// The need that was seen lately, in thousandths of a core.
@@ -57,7 +69,8 @@
                 missing -= 1;
             }
         }
-        if let Some(spare) = spare {
+        // Until a first turn nothing is known of where hosts will be needed.
+        if let Some(spare) = spare.filter(|_| self.hosts.turns.any()) {
             self.park(now, &needs, &mut have, &spare);
         }
     }
@@ -81,6 +94,8 @@
         let pools: Vec<_> = self.catalog.pools.iter().filter(|p| !p.spare).collect();
         let names: Vec<_> = pools.into_iter().map(|p| p.name.clone()).collect();
         let weight = 1.0 - (-span.as_secs_f64() / TREND.as_secs_f64()).exp();
+        let quick = 1.0 - (-span.as_secs_f64() / GROWTH.as_secs_f64()).exp();
+        let expected = self.hosts.turns.expected(now);
         let decline = 0.5_f64.powf(span.as_secs_f64() / DECLINE.as_secs_f64());
         let mut needs = BTreeMap::new();
         for name in names {
@@ -89,9 +104,20 @@
             let rate = demand.arrived / span.as_secs_f64().max(0.001) / 1000.0;
             demand.arrived = 0.0;
             demand.trend += (rate - demand.trend) * weight;
-            let seen = (used as f64).max(demand.trend);
+            let used = used as f64;
+            let growth = (used - demand.used) / span.as_secs_f64().max(0.001);
+            demand.growth += (growth - demand.growth) * quick;
+            demand.used = used;
+            let ahead = used + demand.growth.max(0.0) * AHEAD.as_secs_f64();
+            let ahead = ahead.min(used * MOST);
+            let seen = used.max(demand.trend).max(ahead);
+            self.hosts
+                .turns
+                .observe(now, span, &name, seen, size * RUSH_HOSTS);
             demand.need = seen.max(demand.need * decline);
-            let hosts = (demand.need * HEADROOM / size).ceil();
+            let expected = expected.as_ref().filter(|(pool, _)| *pool == name);
+            let need = demand.need.max(expected.map_or(0.0, |(_, need)| *need));
+            let hosts = (need * HEADROOM / size).ceil();
             // A pool is never given up: its next job would wait for a move.
             let hosts = (hosts as usize).max(anchors).max(1);
             needs.insert(name, hosts);
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -8,7 +8,7 @@
 
 use super::{
     About, Answer, HostState, HostView, MinionId, Now, OrderId, PoolId, Refusal, Scheduler, Wall,
-    What, balance::Demand,
+    What, balance::Demand, forecast::Turns,
 };
 use crate::core::{
     types::{HostId, WaveId},
@@ -22,7 +22,7 @@
 /// A list that was asked for later than this after an order shows what came of it.
 const SETTLE: Duration = Duration::from_millis(300);
 /// From one look at the pools to the next.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// What is known of the hosts, and what is under way.
 #[derive(Clone, Debug, Default)]
@@ -35,6 +35,7 @@
     asking: bool,
     pub(super) duties: BTreeMap<HostId, Duty>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
+    pub(super) turns: Turns,
     pub(super) looked: Now,
 }
 
