--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -17,6 +17,7 @@
     frame::{AskId, Frame, View},
     identity::address,
     membership::Members,
+    metrics::Metrics,
     waiting::{Asker, Waiting},
 };
 use crate::{
@@ -89,6 +90,8 @@
     pub perform: Perform,
     /// Reads catalogs.
     pub decode: Decode,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
     /// Told who leads.
     pub leader: watch::Sender<Option<NodeId>>,
     /// Told why the process must stop.
@@ -483,9 +486,12 @@
             return;
         };
         let (id, epoch) = (order.id, self.epoch_of_leading);
+        let (metrics, what) = (Arc::clone(&self.ports.metrics), order.what.clone());
         let answer = (self.ports.perform)(order);
         tokio::spawn(async move {
+            let begun = Instant::now();
             let answer = answer.await;
+            metrics.ordered(&what, &answer, begun.elapsed());
             // A task that has ended needs no answer.
             let _ = inbox.send(Input::Answered(id, epoch, answer)).await;
         });
@@ -685,6 +691,23 @@
         }
     }
 
+    /// Sets the gauges.
+    fn measure(&self) {
+        let metrics = &self.ports.metrics;
+        let scheduler = self.scheduler.as_ref();
+        metrics.leading.set(i64::from(scheduler.is_some()));
+        metrics.term.set(count(self.node.term()));
+        metrics.applied.set(count(self.ledger.applied()));
+        metrics.votes.set(i64::from(self.node.is_voter()));
+        metrics.agents.set(size(self.ledger.agents().count()));
+        metrics
+            .waiting
+            .set(size(scheduler.map_or(0, Scheduler::waiting)));
+        metrics
+            .placed
+            .set(size(scheduler.map_or(0, Scheduler::placed)));
+    }
+
     fn dial(&self, node: NodeId) {
         if node != self.node.id() {
             self.ports.mesh.dial(self.address(node));
@@ -708,13 +731,15 @@
     fn tell(&mut self) {
         let now = self.now();
         let leader = self.node.leader();
+        let limits = self.catalog.as_ref().map(|catalog| catalog.limits);
         let known = self.view.as_ref().is_some_and(|v| v.leader == leader);
-        if known && now < self.viewed + VIEW {
+        let same = known && self.view.as_ref().is_some_and(|v| v.limits == limits);
+        if same && now < self.viewed + VIEW {
             return;
         }
         self.viewed = now;
+        self.measure();
         let controls = self.members.all(now);
-        let limits = self.catalog.as_ref().map(|catalog| catalog.limits);
         let view = View {
             data_centre: self.data_centre.clone(),
             term: self.node.term(),
@@ -743,6 +768,14 @@
     }
 }
 
+fn count(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn size(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
 /// Wall-clock time, for what operators and callers state in it.
 pub fn wall_now() -> Wall {
     wall()
--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -18,6 +18,7 @@
     ask::{Ask, Refused, Reply},
     frame::{AskId, Frame, View},
     identity::address,
+    metrics::Metrics,
 };
 use crate::{
     adapters::mesh::Mesh,
@@ -49,6 +50,7 @@
 pub struct Asking {
     mesh: Arc<Mesh>,
     mesh_port: u16,
+    metrics: Arc<Metrics>,
     state: Mutex<State>,
     known: watch::Sender<Known>,
 }
@@ -61,10 +63,11 @@
 
 impl Asking {
     /// An entry node whose control nodes listen on a port.
-    pub fn new(mesh: Arc<Mesh>, mesh_port: u16) -> Arc<Self> {
+    pub fn new(mesh: Arc<Mesh>, mesh_port: u16, metrics: Arc<Metrics>) -> Arc<Self> {
         Arc::new(Self {
             mesh,
             mesh_port,
+            metrics,
             state: Mutex::default(),
             known: watch::Sender::default(),
         })
@@ -92,6 +95,13 @@
 
     /// Asks the leader until it has answered or the time is over.
     pub async fn ask(&self, ask: &Ask, until: Instant) -> Reply {
+        let begun = Instant::now();
+        let reply = self.find(ask, until).await;
+        self.metrics.replied(&reply, begun.elapsed());
+        reply
+    }
+
+    async fn find(&self, ask: &Ask, until: Instant) -> Reply {
         let mut known = self.known.subscribe();
         let mut asked = false;
         let mut hint = None;
@@ -113,6 +123,7 @@
                 Tried::Unsent => {}
                 Tried::Answered(reply) => return reply,
             }
+            self.metrics.retried();
             if hint.is_none() {
                 // Something new, or a moment later the same again.
                 let end = until.min(Instant::now() + PAUSE);
--- /dev/null
+++ b/src/manager/metrics.rs
@@ -0,0 +1,241 @@
+//! What control and entry nodes count.
+//!
+//! Every reason has its counter from the start, at zero, so that a rate can be taken over the first
+//! one. Labels come from the enums that decide, never from text of their own.
+
+use std::{fmt, time::Duration};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use super::ask::{Refused, Reply, Unknown};
+use crate::core::workload::scheduler::{Answer, Refusal, What};
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Ordered {
+    order: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Kind {
+    order: &'static str,
+}
+
+/// The counters, gauges and histograms of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    replies: Family<Outcome, Counter>,
+    reply_time: Histogram,
+    retries: Counter,
+    orders: Family<Ordered, Counter>,
+    order_time: Family<Kind, Histogram>,
+    /// 1 while this node leads.
+    pub leading: Gauge,
+    /// The term of the log.
+    pub term: Gauge,
+    /// The last index applied here.
+    pub applied: Gauge,
+    /// 1 while this node votes.
+    pub votes: Gauge,
+    /// Agents that are known.
+    pub agents: Gauge,
+    /// Tasks that wait to be started; the leader's alone.
+    pub waiting: Gauge,
+    /// Attempts that are placed; the leader's alone.
+    pub placed: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("egretpin"),
+            replies: Family::default(),
+            reply_time: times(),
+            retries: Counter::default(),
+            orders: Family::default(),
+            order_time: Family::new_with_constructor(times),
+            leading: Gauge::default(),
+            term: Gauge::default(),
+            applied: Gauge::default(),
+            votes: Gauge::default(),
+            agents: Gauge::default(),
+            waiting: Gauge::default(),
+            placed: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+/// From a millisecond to eight seconds, which is longer than anything may take.
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 14))
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        for outcome in OUTCOMES {
+            drop(self.replies.get_or_create(&Outcome { outcome }));
+        }
+        let registry = &mut self.registry;
+        registry.register(
+            "replies",
+            "What was asked, by its outcome",
+            self.replies.clone(),
+        );
+        registry.register(
+            "reply_seconds",
+            "From question to reply",
+            self.reply_time.clone(),
+        );
+        registry.register(
+            "asked_again",
+            "Questions sent to a leader again",
+            self.retries.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to agents and the provider",
+            self.orders.clone(),
+        );
+        registry.register(
+            "order_seconds",
+            "From order to answer",
+            self.order_time.clone(),
+        );
+        let gauges = [
+            ("leading", "1 while this node leads", &self.leading),
+            ("term", "The term of the log", &self.term),
+            ("applied", "The last index applied here", &self.applied),
+            ("votes", "1 while this node votes", &self.votes),
+            ("agents", "Agents that are known", &self.agents),
+            (
+                "tasks_waiting",
+                "Tasks that wait to be started",
+                &self.waiting,
+            ),
+            ("tasks_placed", "Attempts that are placed", &self.placed),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Counts what was replied, and how long it took.
+    pub fn replied(&self, reply: &Reply, took: Duration) {
+        let outcome = outcome(reply);
+        self.replies.get_or_create(&Outcome { outcome }).inc();
+        self.reply_time.observe(took.as_secs_f64());
+    }
+
+    /// Counts a question that was sent again.
+    pub fn retried(&self) {
+        self.retries.inc();
+    }
+
+    /// Counts what came of an order, and how long it took.
+    pub fn ordered(&self, what: &What, answer: &Answer, took: Duration) {
+        let (order, outcome) = (order(what), answered(answer));
+        let label = Ordered { order, outcome };
+        self.orders.get_or_create(&label).inc();
+        let time = self.order_time.get_or_create(&Kind { order });
+        time.observe(took.as_secs_f64());
+    }
+
+    /// All of them as text.
+    ///
+    /// # Errors
+    ///
+    /// The text can't be written.
+    pub fn text(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+/// All outcomes that a reply can have.
+const OUTCOMES: [&str; 13] = [
+    "done",
+    "state",
+    "pending",
+    "catalog",
+    "wave",
+    "unknown_queue",
+    "unknown_job",
+    "unknown_wave",
+    "invalid",
+    "unclear",
+    "no_leader",
+    "no_catalog",
+    "overloaded",
+];
+
+/// The word for a reply in metrics and logs.
+pub fn outcome(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Done => "done",
+        Reply::State(_) => "state",
+        Reply::Pending(_) => "pending",
+        Reply::Catalog(_) => "catalog",
+        Reply::Wave { .. } => "wave",
+        Reply::Unknown(Unknown::Queue) => "unknown_queue",
+        Reply::Unknown(Unknown::Job) => "unknown_job",
+        Reply::Unknown(Unknown::Wave) => "unknown_wave",
+        Reply::Invalid(_) => "invalid",
+        Reply::Unclear => "unclear",
+        Reply::Refused(Refused::NotLeader(_)) => "not_leader",
+        Reply::Refused(why) => why.word(),
+    }
+}
+
+/// The word for an order.
+pub fn order(what: &What) -> &'static str {
+    match what {
+        What::Start(_) => "start",
+        What::Stop { .. } => "stop",
+        What::Renew { .. } => "renew",
+        What::Throttle { .. } => "throttle",
+        What::Hosts => "hosts",
+        What::Move { .. } => "move",
+        What::Maintain { .. } => "maintain",
+    }
+}
+
+/// The word for an answer.
+pub fn answered(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Done { .. } | Answer::Report(_) | Answer::Hosts(_) => "done",
+        Answer::Elsewhere => "elsewhere",
+        Answer::Silent => "silent",
+        Answer::Refused { why, .. } => match why {
+            Refusal::Fence => "fence",
+            Refusal::Old => "old",
+            Refusal::Late => "late",
+            Refusal::Room => "room",
+            Refusal::Busy => "busy",
+            Refusal::NotInWave => "not_in_wave",
+            Refusal::Unwell => "unwell",
+            Refusal::Invalid => "invalid",
+            Refusal::Throttled => "throttled",
+        },
+    }
+}
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -15,4 +15,5 @@
 pub mod frame;
 pub mod identity;
 mod membership;
+pub mod metrics;
 mod waiting;
