Answer at once where cut off, notice dead agents sooner, and try overdue tasks elsewhere

A reply of a second leader could say *not accepted* though a first one may have accepted (by reading). Ruled out: a longer lead of views for all nodes: only the leader's must come often.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -18,6 +18,22 @@
 /// How long an agent is set aside the first time; doubles up to eight times that.
 const ASIDE: Duration = Duration::from_secs(3);
 
+/// How many times as long as estimated the tasks of a slow agent take. Estimates are off by a
+/// fifth, and tasks of a step differ by a third; this is outside both, as an average.
+const SLOW: f64 = 1.7;
+/// How much of the averaged pace one task is.
+const PACE_WEIGHT: f64 = 0.6;
+/// The time after which what was seen of a pace counts a third: agents are slow for some seconds.
+const PACE_MEMORY: Duration = Duration::from_secs(8);
+/// Tasks that are estimated shorter say nothing of a pace: looks and commits take as long.
+const LEAST_ESTIMATE: Duration = Duration::from_millis(150);
+/// A task is overdue after this many times its estimate, and this much more.
+const OVERDUE: (u32, Duration) = (3, Duration::from_millis(700));
+/// How many times as long a task may take that is away from its data or its gang's rack.
+const FAR: u32 = 3;
+/// How long an agent whose task is overdue gets nothing new.
+pub(super) const LAGGING: Duration = Duration::from_secs(2);
+
 /// An agent that the leader gives orders to.
 #[derive(Clone, Debug)]
 pub(super) struct Agent {
@@ -54,6 +70,8 @@
     failed: Vec<JobId>,
     /// How often in a row it was set aside.
     lapses: u32,
+    /// How many times as long as estimated its tasks take, averaged, and when the last one ended.
+    pace: (f64, Now),
 }
 
 /// An attempt at an agent.
@@ -76,6 +94,8 @@
     pub(super) lasting: bool,
     /// Whether it was last seen to do all that it should.
     pub(super) at_work: bool,
+    /// About how long it takes at most, where it is.
+    pub(super) estimate: Duration,
 }
 
 /// Where an attempt stands.
@@ -120,6 +140,7 @@
             idle: now,
             failed: Vec::new(),
             lapses: 0,
+            pace: (1.0, now),
         }
     }
 
@@ -186,6 +207,28 @@
         self.lapses = 0;
     }
 
+    /// A task took so long here.
+    pub(super) fn note_pace(&mut self, now: Now, took: Duration, estimate: Duration) {
+        if estimate < LEAST_ESTIMATE {
+            return;
+        }
+        let ratio = took.as_secs_f64() / estimate.as_secs_f64();
+        let pace = self.pace(now);
+        self.pace = (pace + (ratio - pace) * PACE_WEIGHT, now);
+    }
+
+    /// Whether its tasks take much longer than estimated.
+    pub(super) fn is_slow(&self, now: Now) -> bool {
+        self.pace(now) > SLOW
+    }
+
+    /// What was seen of its pace counts less the longer it is ago, so that it is tried again.
+    fn pace(&self, now: Now) -> f64 {
+        let (pace, seen) = self.pace;
+        let age = now.saturating_sub(seen).as_secs_f64() / PACE_MEMORY.as_secs_f64();
+        1.0 + (pace - 1.0) * (-age).exp()
+    }
+
     /// A task of a job failed here; whether the agent is set aside for it.
     pub(super) fn failed(&mut self, now: Now, job: JobId) -> bool {
         if !self.failed.contains(&job) {
@@ -215,9 +258,25 @@
             best_effort: spec.best_effort,
             lasting: spec.lasting,
             at_work: false,
+            estimate: if spec.data_rack.is_some() || spec.one_rack {
+                spec.estimate * FAR
+            } else {
+                spec.estimate
+            },
         }
     }
 
+    /// Whether it has run so much longer than estimated that another try elsewhere will be sooner
+    /// through.
+    pub(super) fn is_overdue(&self, now: Now) -> bool {
+        let limit = self.estimate * OVERDUE.0 + OVERDUE.1;
+        self.phase == Phase::Running && !self.lasting && now >= self.since + limit
+    }
+
+    pub(super) fn lasts(&self) -> bool {
+        self.lasting
+    }
+
     pub(super) fn enter(&mut self, now: Now, phase: Phase) {
         self.phase = phase;
         self.since = now;
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::agent::LAGGING;
 use super::{
     ACK_DELAY, About, Answer, End, Ends, GAP, MinionId, Now, OrderId, Pending, Phase, Placed,
     RENEW_RETRY, Refusal, Report, Scheduler, Slot, TRIES, TaskId, UNWELL, What,
@@ -200,6 +201,18 @@
                 });
             }
         }
+        let overdue = agent.slots.iter().filter(|(_, slot)| slot.is_overdue(now));
+        let overdue: Vec<_> = overdue.map(|(task, _)| *task).collect();
+        if !overdue.is_empty() {
+            agent.aside = agent.aside.max(now + LAGGING);
+        }
+        for task in overdue {
+            log::info!(agent:% = id, task:%; "a task is overdue and is tried elsewhere");
+            if let Some(slot) = agent.slots.get_mut(&task) {
+                slot.tries = 0;
+                slot.enter(now, Phase::Stopping(None));
+            }
+        }
         let known = |task: &TaskId, attempt: u32| {
             let slot = agent.slots.get(task);
             slot.is_some_and(|slot: &Slot| slot.attempt == attempt)
@@ -229,9 +242,15 @@
             }
             agent.proposed = ended.number;
             let same = |slot: &&mut Slot| slot.attempt == ended.attempt;
+            let mut took = None;
             if let Some(slot) = agent.slots.get_mut(&ended.task).filter(same) {
+                let ran = slot.phase == Phase::Running && ended.how == Ending::Done;
+                took = ran.then(|| (now.saturating_sub(slot.since), slot.estimate));
                 slot.enter(now, Phase::Ended);
             }
+            if let Some((took, estimate)) = took {
+                agent.note_pace(now, took, estimate);
+            }
             match ended.how {
                 Ending::Done => agent.succeeded(),
                 Ending::Failed if agent.failed(now, ended.task.step.job) => {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -64,8 +64,9 @@
 const STARTS: usize = 64;
 /// From an answer to the next renewal. Ends that come together are told together.
 const GAP: Duration = Duration::from_millis(25);
-/// The longest wait of a renewal, which is the longest that agents take.
-const WAIT: Duration = Duration::from_millis(2000);
+/// How long a renewal may wait for an end, where short tasks run and where only lasting ones do.
+/// An agent that has died is noticed only after it, and each look costs.
+const WAIT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1500));
 /// How long ends may stay unacknowledged at an agent that runs nothing. Each look at it costs.
 const ACK_DELAY: Duration = Duration::from_millis(1200);
 /// From a start or stop that got no answer to the next try.
@@ -74,8 +75,8 @@
 const RENEW_RETRY: Duration = Duration::from_millis(300);
 /// How long renewals may fail before the lease is no more extended, so that it ends some time.
 const EXTEND: Duration = Duration::from_millis(1500);
-/// How long renewals must fail before the provider is asked whether the agent is still there.
-const DOUBT: Duration = Duration::from_millis(700);
+/// How long after a renewal that fails was sent the provider is asked whether the agent is there.
+const DOUBT: Duration = Duration::from_millis(300);
 /// How often a start is sent before the attempt is given up.
 const TRIES: u32 = 4;
 /// How long an agent gets nothing after it said that it isn't well.
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -7,7 +7,7 @@
 
 use super::agent::Agent;
 use crate::core::{
-    types::{MinionId, RackId},
+    types::{MinionId, Now, RackId},
     workload::{
         job::StepId,
         spec::{StepSpec, TaskIx},
@@ -17,6 +17,8 @@
 /// How well an agent suits a task; the highest is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
+    /// Its tasks take about as long as they should.
+    sound: bool,
     /// It is on the rack that the data is on.
     near: bool,
     /// It has nothing that the task would disturb or be disturbed by.
@@ -44,7 +46,7 @@
     TaskIx::try_from(tasks.count()).unwrap_or(TaskIx::MAX)
 }
 
-fn fit(agent: &Agent, spec: &StepSpec) -> Fit {
+fn fit(now: Now, agent: &Agent, spec: &StepSpec) -> Fit {
     let near = spec
         .data_rack
         .as_ref()
@@ -52,6 +54,7 @@
     let disturbs = spec.best_effort && agent.serves();
     let disturbed = spec.tail.is_some() && agent.has_best_effort();
     Fit {
+        sound: !agent.is_slow(now),
         near,
         apart: !disturbs && !disturbed,
         alike: spec.lasting && agent.slots.values().any(|slot| slot.lasting),
@@ -61,13 +64,14 @@
 
 /// The best agent for one task of a step.
 pub(super) fn choose<'a>(
+    now: Now,
     agents: impl Iterator<Item = &'a Agent>,
     spec: &StepSpec,
     step: StepId,
 ) -> Option<MinionId> {
     let able = agents.filter(|agent| may_run(agent, spec, step));
     // The last of equals by id, so that the choice is the same in every run.
-    let best = able.max_by_key(|agent| (fit(agent, spec), &agent.record.id));
+    let best = able.max_by_key(|agent| (fit(now, agent, spec), &agent.record.id));
     best.map(|agent| agent.record.id.clone())
 }
 
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -79,7 +79,7 @@
                     task,
                 };
                 let able = self.able(now, pool);
-                let Some(agent) = place::choose(able, &spec, rank.step()) else {
+                let Some(agent) = place::choose(now, able, &spec, rank.step()) else {
                     break;
                 };
                 let placed = Placed {
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -50,8 +50,9 @@
 const COMPACT: Index = 8192;
 /// Bytes of entries after which one is taken however few they are: an eighth of the smallest disk.
 const COMPACT_BYTES: usize = 16 << 20;
-/// From one view of the cluster to the next, unless something changed.
-const VIEW: Duration = Duration::from_secs(1);
+/// From one view of the cluster to the next, unless something changed: of the leader, which entry
+/// nodes must know to be there, and of the others.
+const VIEW: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(1));
 /// From one look at the voters to the next.
 const TEND: Duration = Duration::from_millis(500);
 /// Beats of an incarnation that is over are ignored for so long: some are still under way.
@@ -734,7 +735,12 @@
         let limits = self.catalog.as_ref().map(|catalog| catalog.limits);
         let known = self.view.as_ref().is_some_and(|v| v.leader == leader);
         let same = known && self.view.as_ref().is_some_and(|v| v.limits == limits);
-        if same && now < self.viewed + VIEW {
+        let pause = if self.scheduler.is_some() {
+            VIEW.0
+        } else {
+            VIEW.1
+        };
+        if same && now < self.viewed + pause {
             return;
         }
         self.viewed = now;
--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -32,6 +32,12 @@
 /// How long one node may take to answer before the question is asked again: several times what a
 /// commit takes on a slow disk.
 const TRY: Duration = Duration::from_millis(600);
+/// A leader that wasn't heard for so long isn't asked: more than two of its views.
+const SILENT: Duration = Duration::from_millis(1300);
+/// Without a word of any control node for so long this node is cut off.
+const CUT_OFF: Duration = Duration::from_millis(1700);
+/// From one look at whether the leader is heard again to the next.
+const LOOK: Duration = Duration::from_millis(100);
 /// The pause before the same node is asked again.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,6 +65,8 @@
 struct State {
     last: AskId,
     open: Map<AskId, oneshot::Sender<Reply>>,
+    /// When each control node was last heard.
+    heard: Map<NodeId, Instant>,
 }
 
 impl Asking {
@@ -80,6 +88,7 @@
 
     /// Takes in what the mesh brought.
     pub fn frame(&self, from: NodeId, frame: Frame) {
+        self.lock().heard.insert(from, Instant::now());
         match frame {
             Frame::Answer(number, reply) => {
                 if let Some(waiting) = self.lock().open.remove(&number) {
@@ -93,7 +102,21 @@
         }
     }
 
-    /// Asks the leader until it has answered or the time is over.
+    /// Whether no control node was heard for a while, so that nothing can be answered here.
+    pub fn is_cut_off(&self) -> bool {
+        let state = self.lock();
+        !state.heard.values().any(|at| at.elapsed() < CUT_OFF)
+    }
+
+    /// Who leads, if it was heard lately.
+    fn leader(&self, known: &mut watch::Receiver<Known>) -> Option<NodeId> {
+        let leader = known.borrow_and_update().leader?;
+        let heard = self.lock().heard.get(&leader).copied();
+        heard.filter(|at| at.elapsed() < SILENT).map(|_| leader)
+    }
+
+    /// Asks the leader until it has answered or the time is over. A node that is cut off answers
+    /// at once, so that the caller can turn to another.
     pub async fn ask(&self, ask: &Ask, until: Instant) -> Reply {
         let begun = Instant::now();
         let reply = self.find(ask, until).await;
@@ -106,12 +129,14 @@
         let mut asked = false;
         let mut hint = None;
         while Instant::now() < until {
-            let leader = hint.take().or_else(|| known.borrow_and_update().leader);
+            if self.is_cut_off() {
+                break;
+            }
+            let leader = hint.take().or_else(|| self.leader(&mut known));
             let Some(leader) = leader else {
-                let changed = timeout_at(until, known.changed()).await;
-                if !matches!(changed, Ok(Ok(()))) {
-                    break;
-                }
+                let end = until.min(Instant::now() + LOOK);
+                // Whatever came of it is looked at anew.
+                let _ = timeout_at(end, known.changed()).await;
                 continue;
             };
             match self.ask_node(leader, ask, until).await {
@@ -121,6 +146,8 @@
                 Tried::Answered(Reply::Refused(Refused::NoLeader)) => {}
                 Tried::Answered(Reply::Unclear) | Tried::Silent => asked = true,
                 Tried::Unsent => {}
+                // An earlier try may have been accepted all the same.
+                Tried::Answered(Reply::Refused(_)) if asked => return Reply::Unclear,
                 Tried::Answered(reply) => return reply,
             }
             self.metrics.retried();
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -79,13 +79,13 @@
     world.submit(1, JobSpec::new("x", vec![lasting(1, 1)]));
     for _ in 0..5 {
         // A look that waits for an end has to fail first, and then the provider to be asked.
-        world.until("it runs", ms(6000), |world| world.runs(1).len() == 1);
+        world.until("it runs", ms(3200), |world| world.runs(1).len() == 1);
         let (agent, _) = world.runs(1)[0].clone();
         world.crash(&agent);
         let host = format!("n{}", world.hosts.len());
         world.host(&host, crate::world::POOL);
     }
-    world.until("it runs", ms(6000), |world| world.runs(1).len() == 1);
+    world.until("it runs", ms(3200), |world| world.runs(1).len() == 1);
 }
 
 #[test]
@@ -156,3 +156,35 @@
     let filling: BTreeSet<_> = world.runs(2).into_iter().map(|(agent, _)| agent).collect();
     assert!(serving.is_disjoint(&filling));
 }
+
+#[test]
+fn a_task_that_stands_still_is_tried_elsewhere() {
+    let mut world = World::new(4, 11);
+    for agent in world.agents.values_mut().take(2) {
+        agent.slow = 1000.0;
+    }
+    for job in 1..=4 {
+        world.submit(job, chain(1));
+    }
+    // Three times the estimate and what is added, a stop, another look, and the task itself.
+    world.until("all jobs are through", ms(6000), |world| {
+        (1..=4).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+}
+
+#[test]
+fn a_slow_agent_gets_less_than_the_others() {
+    let mut world = World::new(4, 12);
+    let slow = world.agents.keys().next_back().unwrap().clone();
+    world.agents.get_mut(&slow).unwrap().slow = 2.5;
+    for job in 1..=20 {
+        world.submit(job, JobSpec::new("x", vec![step(2, 2, 400)]));
+        world.pass(ms(500));
+    }
+    world.until("all jobs are through", ms(20_000), |world| {
+        (1..=20).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+    let ends = |id| world.ledger.agent(id).map_or(0, |agent| agent.acked);
+    let most = world.agents.keys().map(ends).max().unwrap();
+    assert!(ends(&slow) * 3 <= most, "{} of {most}", ends(&slow));
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -39,7 +39,7 @@
 /// One way between leader and agent.
 const HOP: Duration = Duration::from_millis(1);
 /// How long the leader waits for an answer beyond what it asked to wait.
-const TIMEOUT: Duration = Duration::from_millis(800);
+const TIMEOUT: Duration = Duration::from_millis(500);
 /// A stop takes so long.
 const STOP: Duration = Duration::from_millis(300);
 /// How long a host is away for its maintenance or a move.
@@ -85,6 +85,8 @@
     number: u64,
     /// Until when nothing gets through.
     cut: Now,
+    /// How many times as long its tasks take; without an end if so many that it stands still.
+    pub(crate) slow: f64,
 }
 
 impl Agent {
@@ -248,6 +250,7 @@
             ended: Vec::new(),
             number: 0,
             cut: Duration::ZERO,
+            slow: 1.0,
         };
         self.agents.insert(id.clone(), agent);
         self.beat(&id);
@@ -669,7 +672,7 @@
         let ends = if spec.lasting {
             Duration::MAX
         } else {
-            now + spec.estimate.mul_f64(slow)
+            now + spec.estimate.mul_f64(slow * agent.slow)
         };
         let how = if fails { Ending::Failed } else { Ending::Done };
         let run = Run {
