Learn how long tasks take, and how good their estimates are

Ruled out: wider limits on the estimate (they would have to be ten times and more). Change: for each pool the mean, the longest time lately and how far off estimates are; where they are no use, the mean takes their place and only what runs half as long again as the longest seen is overdue; the pace of agents is judged only where estimates are of use.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -25,10 +25,6 @@
 const PACE_WEIGHT: f64 = 0.6;
 /// The time after which what was seen of a pace counts a third: agents are slow for some seconds.
 const PACE_MEMORY: Duration = Duration::from_secs(8);
-/// Tasks that are estimated shorter say nothing of a pace: looks and commits take as long.
-const LEAST_ESTIMATE: Duration = Duration::from_millis(150);
-/// A task is overdue after this many times its estimate, and this much more.
-const OVERDUE: (u32, Duration) = (3, Duration::from_millis(700));
 /// How many times as long a task may take that is away from its data or its gang's rack.
 const FAR: u32 = 3;
 /// How long an agent whose task is overdue gets nothing new.
@@ -207,12 +203,8 @@
         self.lapses = 0;
     }
 
-    /// A task took so long here.
-    pub(super) fn note_pace(&mut self, now: Now, took: Duration, estimate: Duration) {
-        if estimate < LEAST_ESTIMATE {
-            return;
-        }
-        let ratio = took.as_secs_f64() / estimate.as_secs_f64();
+    /// A task took so many times as long as estimated here.
+    pub(super) fn note_pace(&mut self, now: Now, ratio: f64) {
         let pace = self.pace(now);
         self.pace = (pace + (ratio - pace) * PACE_WEIGHT, now);
     }
@@ -266,10 +258,8 @@
         }
     }
 
-    /// Whether it has run so much longer than estimated that another try elsewhere will be sooner
-    /// through.
-    pub(super) fn is_overdue(&self, now: Now) -> bool {
-        let limit = self.estimate * OVERDUE.0 + OVERDUE.1;
+    /// Whether it has run for longer than that.
+    pub(super) fn has_run(&self, now: Now, limit: Duration) -> bool {
         self.phase == Phase::Running && !self.lasting && now >= self.since + limit
     }
 
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -201,7 +201,11 @@
                 });
             }
         }
-        let overdue = agent.slots.iter().filter(|(_, slot)| slot.is_overdue(now));
+        let learned = self.learned.get(&agent.record.pool);
+        let overdue = agent.slots.iter().filter(|(_, slot)| {
+            let limit = learned.and_then(|learned| learned.limit(slot.estimate));
+            limit.is_some_and(|limit| slot.has_run(now, limit))
+        });
         let overdue: Vec<_> = overdue.map(|(task, _)| *task).collect();
         if !overdue.is_empty() {
             agent.aside = agent.aside.max(now + LAGGING);
@@ -249,7 +253,11 @@
                 slot.enter(now, Phase::Ended);
             }
             if let Some((took, estimate)) = took {
-                agent.note_pace(now, took, estimate);
+                let learned = self.learned.entry(agent.record.pool.clone()).or_default();
+                learned.note(took, estimate);
+                if let Some(ratio) = learned.ratio(took, estimate) {
+                    agent.note_pace(now, ratio);
+                }
             }
             match ended.how {
                 Ending::Done => agent.succeeded(),
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -81,12 +81,14 @@
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
         let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
-        let remaining = job.spec.remaining();
+        let pool = self.pool(job);
+        let remaining = job.spec.remaining(|step| self.estimate(&pool, step));
+        let chain = remaining.iter().max().copied().unwrap_or_default();
         Ready {
-            pool: self.pool(job),
+            pool,
             spec: spec.clone(),
             free,
-            deadline: accepted + job.spec.chain().mul_f64(stretch.max(1.0)) + target,
+            deadline: accepted + chain.mul_f64(stretch.max(1.0)) + target,
             left: remaining
                 .get(usize::from(id.step))
                 .copied()
@@ -116,13 +118,21 @@
             }
         }
     }
-}
 
-/// Core-milliseconds of a job's short tasks, in thousandths of a core times milliseconds.
-pub(super) fn work(job: &Job) -> f64 {
-    let steps = job.spec.steps.iter().filter(|s| !s.lasting);
-    let work = steps.map(|s| {
-        f64::from(s.tasks) * s.room().millicores as f64 * s.estimate.as_secs_f64() * 1000.0
-    });
-    work.sum()
+    /// About how long the tasks of a step take, in the light of what was seen of the pool's.
+    pub(super) fn estimate(&self, pool: &PoolId, spec: &StepSpec) -> Duration {
+        let learned = self.learned.get(pool).filter(|_| !spec.lasting);
+        learned.map_or(spec.estimate, |learned| learned.estimate(spec.estimate))
+    }
+
+    /// Core-milliseconds of a job's short tasks, in thousandths of a core times milliseconds.
+    pub(super) fn work(&self, job: &Job) -> f64 {
+        let pool = self.pool(job);
+        let steps = job.spec.steps.iter().filter(|s| !s.lasting);
+        let work = steps.map(|s| {
+            let span = self.estimate(&pool, s).as_secs_f64() * 1000.0;
+            f64::from(s.tasks) * s.room().millicores as f64 * span
+        });
+        work.sum()
+    }
 }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -24,6 +24,7 @@
 mod forecast;
 mod hosts;
 mod jobs;
+mod learned;
 mod leases;
 mod order;
 mod place;
@@ -44,6 +45,7 @@
 use self::{
     agent::{Agent, Phase, Slot},
     hosts::Hosts,
+    learned::Learned,
     ready::{Queue, Ready},
 };
 use super::{
@@ -170,6 +172,8 @@
     /// Rounds that were proposed and aren't applied.
     rounds: usize,
     hosts: Hosts,
+    /// How long the tasks of each pool take.
+    learned: BTreeMap<PoolId, Learned>,
     /// Hosts whose maintenance has begun, by wave.
     maintained: Vec<(WaveId, HostId)>,
     orders: Vec<Order>,
@@ -225,6 +229,7 @@
             gone: BTreeSet::new(),
             rounds: 0,
             hosts: Hosts::default(),
+            learned: BTreeMap::new(),
             maintained: Vec::new(),
             orders: Vec::new(),
             superseded: false,
@@ -375,7 +380,7 @@
             Change::Accepted(id) => {
                 if let Some(job) = ledger.job(*id) {
                     self.accepted.insert(*id, now);
-                    self.note_demand(&self.pool(job), jobs::work(job));
+                    self.note_demand(&self.pool(job), self.work(job));
                     self.take_job(now, wall, *id, job);
                 }
             }
--- a/src/core/workload/spec.rs
+++ b/src/core/workload/spec.rs
@@ -165,17 +165,19 @@
 
     /// About how long the longest chain of steps takes.
     pub fn chain(&self) -> Duration {
-        let ends = self.ends();
-        ends.into_iter().max().unwrap_or_default()
+        let all = self.remaining(|step| step.estimate);
+        all.into_iter().max().unwrap_or_default()
     }
 
-    /// About how long it takes from the begin of each step to the end of the job.
-    pub fn remaining(&self) -> Vec<Duration> {
-        let mut left: Vec<_> = self.steps.iter().map(|s| s.estimate).collect();
-        for step in (0..self.steps.len()).rev() {
-            for &before in &self.steps[step].after {
+    /// About how long it takes from the begin of each step to the end of the job, if the tasks of a
+    /// step take as long as `estimate` says.
+    pub fn remaining(&self, estimate: impl Fn(&StepSpec) -> Duration) -> Vec<Duration> {
+        let own: Vec<_> = self.steps.iter().map(estimate).collect();
+        let mut left = own.clone();
+        for (step, spec) in self.steps.iter().enumerate().rev() {
+            for &before in &spec.after {
                 let before = usize::from(before);
-                left[before] = left[before].max(self.steps[before].estimate + left[step]);
+                left[before] = left[before].max(own[before] + left[step]);
             }
         }
         left
@@ -196,17 +198,6 @@
     pub fn is_lasting(&self) -> bool {
         self.steps.iter().any(|s| s.lasting)
     }
-
-    /// When each step ends at the earliest.
-    fn ends(&self) -> Vec<Duration> {
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for spec in &self.steps {
-            let begin = spec.after.iter().filter_map(|&b| ends.get(usize::from(b)));
-            let begin = begin.max().copied().unwrap_or_default();
-            ends.push(begin + spec.estimate);
-        }
-        ends
-    }
 }
 
 impl StepSpec {
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -93,6 +93,7 @@
         lost: 0.05,
         late: 0.03,
         failing: 0.03,
+        off: 2.0,
     };
     (0..SEEDS).for_each(|seed| {
         let mut world = play(World::new(6, seed), seed, faults, true);
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -157,9 +157,33 @@
     assert!(serving.is_disjoint(&filling));
 }
 
+/// Lets enough tasks end for estimates to be known as good or bad.
+fn learn(world: &mut World) {
+    world.submit(100, JobSpec::new("x", vec![step(24, 1, 300)]));
+    world.until("it is learnt", ms(5000), |world| {
+        world.state(100) == Some(JobState::Completed)
+    });
+}
+
+#[test]
+fn tasks_with_bad_estimates_are_left_to_run() {
+    let mut world = World::new(4, 13);
+    world.faults.off = 8.0;
+    for job in 1..=40 {
+        world.submit(job, JobSpec::new("x", vec![step(3, 1, 500)]));
+        world.pass(ms(300));
+    }
+    world.until("all jobs are through", ms(30_000), |world| {
+        (1..=40).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+    let again: u32 = world.starts.values().map(|starts| starts - 1).sum();
+    assert!(again <= 12, "{again} of 120 tasks were started again");
+}
+
 #[test]
 fn a_task_that_stands_still_is_tried_elsewhere() {
     let mut world = World::new(4, 11);
+    learn(&mut world);
     for agent in world.agents.values_mut().take(2) {
         agent.slow = 1000.0;
     }
@@ -175,6 +199,7 @@
 #[test]
 fn a_slow_agent_gets_less_than_the_others() {
     let mut world = World::new(4, 12);
+    learn(&mut world);
     let slow = world.agents.keys().next_back().unwrap().clone();
     world.agents.get_mut(&slow).unwrap().slow = 2.5;
     for job in 1..=20 {
--- a/tests/workload/spec.rs
+++ b/tests/workload/spec.rs
@@ -46,6 +46,10 @@
     ];
     let job = JobSpec::new("x", steps);
     assert_eq!(job.chain(), Duration::from_millis(750));
-    let left: Vec<_> = job.remaining().iter().map(Duration::as_millis).collect();
+    let left: Vec<_> = job
+        .remaining(|step| step.estimate)
+        .iter()
+        .map(Duration::as_millis)
+        .collect();
     assert_eq!(left, [450, 750, 350, 50]);
 }
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -59,6 +59,8 @@
     pub(crate) late: f64,
     /// Attempts that fail.
     pub(crate) failing: f64,
+    /// How far off estimates are: tasks take up to this many times as long, or that part of it.
+    pub(crate) off: f64,
 }
 
 struct Run {
@@ -631,6 +633,11 @@
             self.rng.random_bool(self.faults.failing),
             self.rng.random_range(0.8..1.3),
         );
+        let off = if self.faults.off > 1.0 {
+            self.faults.off.powf(self.rng.random_range(-1.0..1.0))
+        } else {
+            1.0
+        };
         let Some(agent) = self.agents.get_mut(id) else {
             return Answer::Silent;
         };
@@ -672,7 +679,7 @@
         let ends = if spec.lasting {
             Duration::MAX
         } else {
-            now + spec.estimate.mul_f64(slow * agent.slow)
+            now + spec.estimate.mul_f64(slow * agent.slow * off)
         };
         let how = if fails { Ending::Failed } else { Ending::Done };
         let run = Run {
