Forget jobs after a while, and log what becomes of each

Cause: jobs that are over were kept for good, and a job's way couldn't be followed in the logs. Ruled out: forgetting by wall clocks, which jump: a leader counts from when it knew that a job was over. Change: retention, the command to forget; a line when a job is accepted or over, and for each attempt that doesn't end well.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -259,6 +259,9 @@
                     agent.note_pace(now, ratio);
                 }
             }
+            if ended.how != Ending::Done {
+                log::info!(agent:% = id, task:% = ended.task, attempt = ended.attempt, how:? = ended.how; "an attempt ended");
+            }
             match ended.how {
                 Ending::Done => agent.succeeded(),
                 Ending::Failed if agent.failed(now, ended.task.step.job) => {
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Job, JobId, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId, StepIx, StepSpec,
-    TaskIx, Wall,
+    Command, Job, JobId, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId, StepIx,
+    StepSpec, TaskIx, Wall,
 };
 
 impl Scheduler {
@@ -108,6 +108,7 @@
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
         self.accepted.remove(&id);
+        self.over.push_back((now, id));
         let Some(job) = ledger.job(id) else {
             return;
         };
@@ -135,4 +136,14 @@
         });
         work.sum()
     }
+
+    /// The command to forget the jobs that have been over for long enough, if there are any.
+    pub(super) fn forget(&mut self, now: Now) -> Option<Command> {
+        let retention = self.settings.retention;
+        let due = self
+            .over
+            .partition_point(|(since, _)| now >= *since + retention);
+        let jobs: Vec<_> = self.over.drain(..due).map(|(_, id)| id).collect();
+        (!jobs.is_empty()).then_some(Command::Forget(jobs))
+    }
 }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -33,7 +33,7 @@
 mod waves;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -98,6 +98,8 @@
     pub silence: Duration,
     /// From the last order of one leader about a host to the first of another.
     pub holder: Duration,
+    /// How long a job that is over is remembered at least.
+    pub retention: Duration,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -108,6 +110,7 @@
             lease: Duration::from_secs(6),
             silence: Duration::from_secs(4),
             holder: Duration::from_secs(3),
+            retention: Duration::from_secs(180),
             protections: Protections::default(),
         }
     }
@@ -158,6 +161,8 @@
     ready: Queue,
     /// Occurrences that aren't due yet.
     timed: BTreeSet<(Wall, JobId, Occurrence)>,
+    /// Jobs that are over, and since when this leader knows, in that order.
+    over: VecDeque<(Now, JobId)>,
     /// When each job that this leader knows was accepted, by our clock.
     accepted: Map<JobId, Now>,
     /// Orders that wait for their answers.
@@ -221,6 +226,7 @@
             agents: BTreeMap::new(),
             ready: Queue::default(),
             timed: BTreeSet::new(),
+            over: VecDeque::new(),
             accepted: Map::default(),
             pending: Map::default(),
             last_order: 0,
@@ -239,7 +245,8 @@
         }
         for (id, job) in ledger.jobs() {
             if job.is_over() {
-                // An earlier leader may not have come to stop what it left.
+                // An earlier leader may not have come to stop what it left, and how long ago the
+                // job ended isn't known: wall clocks jump.
                 scheduler.end_job(now, ledger, id);
                 continue;
             }
@@ -309,6 +316,7 @@
             let hosts = vec![host];
             commands.push(Command::Maintained { wave, hosts });
         }
+        commands.extend(self.forget(now));
         self.expire_leases(now);
         self.tend_hosts(now, wall, ledger, &mut commands);
         if self.rounds < ROUNDS {
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -381,10 +381,32 @@
             }
         }
         for change in changes {
-            if let Change::Gone(agent) = change {
-                log::info!(agent:%; "an agent is over");
+            self.note(now, change);
+        }
+    }
+
+    /// Logs what a change means for callers and agents; the leader alone, as it decided it.
+    fn note(&mut self, now: Now, change: Change) {
+        let leads = self.scheduler.is_some();
+        match change {
+            Change::Gone(agent) => {
+                if leads {
+                    log::info!(agent:%; "an agent is over");
+                }
                 self.buried.insert(agent, now);
             }
+            Change::Accepted(id) if leads => {
+                if let Some(job) = self.ledger.job(id) {
+                    log::info!(job:% = format_args!("{id:016x}"), queue:% = job.queue; "a job was accepted");
+                }
+            }
+            Change::Over(id) if leads => {
+                if let Some(job) = self.ledger.job(id) {
+                    let state = job.state;
+                    log::info!(job:% = format_args!("{id:016x}"), state:?; "a job is over");
+                }
+            }
+            _ => {}
         }
     }
 
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -114,7 +114,8 @@
         });
         played.is_err()
     };
-    (0..SEEDS).any(broken)
+    // Whether a seed shows it hangs on details of the schedule; many make it sure.
+    (0..SEEDS * 4).any(broken)
 }
 
 #[test]
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -4,7 +4,7 @@
 
 use egretpin::core::workload::{command::Command, job::JobState, spec::JobSpec};
 
-use crate::world::{World, lasting, ms, step};
+use crate::world::{RETENTION, World, lasting, ms, step};
 
 fn chain(steps: usize) -> JobSpec {
     let step = |ix: usize| {
@@ -213,3 +213,17 @@
     let most = world.agents.keys().map(ends).max().unwrap();
     assert!(ends(&slow) * 3 <= most, "{} of {most}", ends(&slow));
 }
+
+#[test]
+fn a_job_that_is_over_is_known_for_a_while_and_then_forgotten() {
+    let mut world = World::new(2, 15);
+    world.submit(1, chain(1));
+    world.until("the job is through", ms(5000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    world.pass(RETENTION - ms(1000));
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    world.until("it is forgotten", ms(3000), |world| {
+        world.state(1).is_none()
+    });
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -45,6 +45,8 @@
 /// How long a host is away for its maintenance or a move.
 const AWAY: Duration = Duration::from_millis(1800);
 const BEAT: Duration = Duration::from_millis(1500);
+/// How long a job that is over is known.
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 pub(crate) const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -265,6 +267,7 @@
             lease: ms(6000),
             silence: ms(4000),
             holder: ms(100),
+            retention: RETENTION,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
