Refuse and be not ready without a leader for two seconds

Cause: an entry node that reached a minority of the control nodes alone (a data centre cut off) held each request for 2.5 s and answered 504, and said that it was ready for three seconds and more. Ruled out: less than two seconds: an election takes one, and two if it has to be repeated. Change: what counts is when a leader was last heard, not any control node.

--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -34,8 +34,9 @@
 const TRY: Duration = Duration::from_millis(600);
 /// A leader that wasn't heard for so long isn't asked: more than two of its views.
 const SILENT: Duration = Duration::from_millis(1300);
-/// Without a word of any control node for so long this node is cut off.
-const CUT_OFF: Duration = Duration::from_millis(1700);
+/// Without a word of a leader for so long this node is cut off, alone or with control nodes that
+/// can't elect one: an election takes a second, two if it has to be repeated.
+const CUT_OFF: Duration = Duration::from_millis(2000);
 /// From one look at whether the leader is heard again to the next.
 const LOOK: Duration = Duration::from_millis(100);
 /// The pause before the same node is asked again.
@@ -67,6 +68,8 @@
     open: Map<AskId, oneshot::Sender<Reply>>,
     /// When each control node was last heard.
     heard: Map<NodeId, Instant>,
+    /// When the leader of that time was last heard.
+    led: Option<Instant>,
 }
 
 impl Asking {
@@ -88,7 +91,7 @@
 
     /// Takes in what the mesh brought.
     pub fn frame(&self, from: NodeId, frame: Frame) {
-        self.lock().heard.insert(from, Instant::now());
+        self.hear(from);
         match frame {
             Frame::Answer(number, reply) => {
                 if let Some(waiting) = self.lock().open.remove(&number) {
@@ -102,10 +105,19 @@
         }
     }
 
-    /// Whether no control node was heard for a while, so that nothing can be answered here.
+    /// Whether no leader was heard for a while, so that nothing can be answered here.
     pub fn is_cut_off(&self) -> bool {
-        let state = self.lock();
-        !state.heard.values().any(|at| at.elapsed() < CUT_OFF)
+        self.lock().led.is_none_or(|at| at.elapsed() >= CUT_OFF)
+    }
+
+    fn hear(&self, from: NodeId) {
+        let leads = self.known.borrow().leader == Some(from);
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.heard.insert(from, now);
+        if leads {
+            state.led = Some(now);
+        }
     }
 
     /// Who leads, if it was heard lately.
