Give a control node's questions and peers their own modules

Cause: manager::control had grown to 810 lines, and a field's name had three words. Ruled out: splitting the task into several: an entry must be applied, told and answered in one step. Change: moved, nothing else: what is asked (questions), the other nodes (peers); epoch_of_leading is tenure. The tests' world takes the words for orders from where they stand.

--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -4,18 +4,16 @@
 //! step. Whatever came in while it was busy is taken in together and its writes go to the disk
 //! together: the busier the leader, the larger the groups.
 
-use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+use std::{pin::Pin, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, MissedTickBehavior, interval},
 };
 
 use super::{
-    ask::{Ask, Beat, Call, Refused, Reply, Unknown, Verb},
+    ask::{Ask, Refused, Reply},
     frame::{AskId, Frame, View},
-    identity::address,
     membership::Members,
     metrics::Metrics,
     waiting::{Asker, Waiting},
@@ -26,11 +24,10 @@
         consensus::{self, Content, Entry, Index, Node, Output, Restored},
         types::{DataCentreId, Map, MinionId, NodeId, Now, Wall},
         workload::{
-            catalog::{Catalog, Place, QueueSpec},
-            command::{AgentRecord, Command, Document, Submission},
+            catalog::Catalog,
+            command::Command,
             ledger::{Change, Ledger},
             scheduler::{Answer, Order, OrderId, Scheduler, Settings},
-            spec::JobSpec,
         },
     },
     node::{
@@ -52,11 +49,11 @@
 const COMPACT_BYTES: usize = 16 << 20;
 /// From one view of the cluster to the next, unless something changed: of the leader, which entry
 /// nodes must know to be there, and of the others.
-const VIEW: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(1));
+pub(super) const VIEW: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(1));
 /// From one look at the voters to the next.
-const TEND: Duration = Duration::from_millis(500);
+pub(super) const TEND: Duration = Duration::from_millis(500);
 /// Beats of an incarnation that is over are ignored for so long: some are still under way.
-const BURIED: Duration = Duration::from_secs(10);
+pub(super) const BURIED: Duration = Duration::from_secs(10);
 /// How long a stopping leader waits for another to take over.
 const HAND_OVER: Duration = Duration::from_millis(1500);
 
@@ -163,7 +160,7 @@
         catalog: None,
         scheduler: None,
         led: Duration::ZERO,
-        epoch_of_leading: 0,
+        tenure: 0,
         waiting: Waiting::default(),
         submitting: Map::default(),
         buried: Map::default(),
@@ -189,40 +186,41 @@
     Ok(Control(sender))
 }
 
-struct Task {
+/// The state of the task.
+pub(super) struct Task {
     epoch: Instant,
-    node: Node,
-    ledger: Ledger,
+    pub(super) node: Node,
+    pub(super) ledger: Ledger,
     /// The catalog in force, as far as this node had to read it.
-    catalog: Option<Arc<Catalog>>,
+    pub(super) catalog: Option<Arc<Catalog>>,
     /// Present while this node leads.
-    scheduler: Option<Scheduler>,
+    pub(super) scheduler: Option<Scheduler>,
     /// Since when this node leads.
-    led: Now,
+    pub(super) led: Now,
     /// Counts the times that this node led: answers to orders of an earlier time are void.
-    epoch_of_leading: u64,
-    waiting: Waiting,
+    tenure: u64,
+    pub(super) waiting: Waiting,
     /// Jobs that are being committed, with those who wait besides the first.
-    submitting: Map<u64, Vec<Asker>>,
+    pub(super) submitting: Map<u64, Vec<Asker>>,
     /// Incarnations that are over, and since when.
-    buried: Map<MinionId, Now>,
-    members: Members,
-    data_centre: DataCentreId,
-    mesh_port: u16,
-    voters: usize,
+    pub(super) buried: Map<MinionId, Now>,
+    pub(super) members: Members,
+    pub(super) data_centre: DataCentreId,
+    pub(super) mesh_port: u16,
+    pub(super) voters: usize,
     settings: Settings,
     writes: Vec<Write>,
     disk: std::sync::mpsc::Sender<Vec<Write>>,
-    full: bool,
+    pub(super) full: bool,
     compacted: Index,
     /// Bytes applied since the last snapshot.
     bytes: usize,
-    tended: Now,
-    viewed: Now,
-    view: Option<View>,
+    pub(super) tended: Now,
+    pub(super) viewed: Now,
+    pub(super) view: Option<View>,
     failed: bool,
     sender: mpsc::WeakSender<Input>,
-    ports: Ports,
+    pub(super) ports: Ports,
 }
 
 impl Task {
@@ -246,7 +244,7 @@
         }
     }
 
-    fn now(&self) -> Now {
+    pub(super) fn now(&self) -> Now {
         self.epoch.elapsed()
     }
 
@@ -255,7 +253,7 @@
             Input::Frame(from, frame) => self.frame(from, frame),
             Input::Disk(event) => self.disk_event(event),
             Input::Ask(ask, reply) => self.ask(Asker::Here(reply), ask),
-            Input::Answered(order, epoch, answer) => self.answered(order, epoch, answer),
+            Input::Answered(order, tenure, answer) => self.answered(order, tenure, answer),
             Input::HandOver => self.consensus(consensus::Input::HandOver { to: None }),
         }
     }
@@ -295,7 +293,7 @@
         let _ = self.ports.fatal.send(why);
     }
 
-    fn consensus(&mut self, input: consensus::Input) {
+    pub(super) fn consensus(&mut self, input: consensus::Input) {
         if self.failed {
             return;
         }
@@ -411,7 +409,7 @@
     }
 
     /// Reads the catalog in force, if that wasn't done.
-    fn read_catalog(&mut self) -> Option<Arc<Catalog>> {
+    pub(super) fn read_catalog(&mut self) -> Option<Arc<Catalog>> {
         if self.catalog.is_none() {
             let document = self.ledger.document()?;
             match (self.ports.decode)(&document.text) {
@@ -442,7 +440,7 @@
     }
 
     /// Whether no other node can lead now.
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         self.node
             .lease_until()
             .is_some_and(|until| self.now() < until)
@@ -468,7 +466,7 @@
             return;
         }
         self.led = now;
-        self.epoch_of_leading += 1;
+        self.tenure += 1;
         let catalog = self.read_catalog().unwrap_or_default();
         let term = self.node.term();
         log::info!(term, index = self.ledger.applied(); "this node leads");
@@ -508,7 +506,7 @@
         let Some(inbox) = self.sender.upgrade() else {
             return;
         };
-        let (id, epoch) = (order.id, self.epoch_of_leading);
+        let (id, tenure) = (order.id, self.tenure);
         let (metrics, what) = (Arc::clone(&self.ports.metrics), order.what.clone());
         let answer = (self.ports.perform)(order);
         tokio::spawn(async move {
@@ -516,26 +514,26 @@
             let answer = answer.await;
             metrics.ordered(&what, &answer, begun.elapsed());
             // A task that has ended needs no answer.
-            let _ = inbox.send(Input::Answered(id, epoch, answer)).await;
+            let _ = inbox.send(Input::Answered(id, tenure, answer)).await;
         });
     }
 
-    fn answered(&mut self, order: OrderId, epoch: u64, answer: Answer) {
+    fn answered(&mut self, order: OrderId, tenure: u64, answer: Answer) {
         let now = self.now();
-        if epoch == self.epoch_of_leading
+        if tenure == self.tenure
             && let Some(scheduler) = &mut self.scheduler
         {
             scheduler.answered(now, order, answer);
         }
     }
 
-    fn propose(&mut self, asker: Asker, command: &Command) {
+    pub(super) fn propose(&mut self, asker: Asker, command: &Command) {
         let proposal = self.waiting.propose(asker);
         let payload = command.encode();
         self.consensus(consensus::Input::Propose { proposal, payload });
     }
 
-    fn reply(&self, asker: Asker, reply: Reply) {
+    pub(super) fn reply(&self, asker: Asker, reply: Reply) {
         match asker {
             // Whoever asked may have stopped waiting.
             Asker::Here(sender) => drop(sender.send(reply)),
@@ -550,126 +548,6 @@
             .send(node, Frame::Answer(number, reply).encode());
     }
 
-    fn ask(&mut self, asker: Asker, ask: Ask) {
-        if self.scheduler.is_none() || !self.leads() {
-            let leader = self.node.leader().filter(|l| *l != self.node.id());
-            let why = leader.map_or(Refused::NoLeader, |l| Refused::NotLeader(Some(l)));
-            return self.reply(asker, Reply::Refused(why));
-        }
-        if self.full && !matches!(ask, Ask::ReadCatalog | Ask::WaveState(_)) {
-            return self.reply(asker, Reply::Refused(Refused::Overloaded));
-        }
-        match ask {
-            Ask::Call(call) => self.call(asker, call),
-            Ask::Declare(document) => self.declare(asker, document),
-            Ask::ReadCatalog => {
-                let text = self.ledger.document().map(|d| d.text.clone());
-                let none = Reply::Refused(Refused::NoCatalog);
-                self.reply(asker, text.map_or(none, Reply::Catalog));
-            }
-            Ask::Beat(beat) => self.beat(asker, *beat),
-            Ask::Leave(agent) => self.propose(asker, &Command::Gone(agent)),
-            Ask::BeginWave(wave) => self.propose(asker, &Command::Wave(wave)),
-            Ask::WaveState(wave) => {
-                let record = self.ledger.wave_record(wave);
-                let none = Reply::Unknown(Unknown::Wave);
-                let reply = record.map_or(none, |record| Reply::Wave {
-                    through: record.left.is_empty(),
-                });
-                self.reply(asker, reply);
-            }
-        }
-    }
-
-    fn declare(&mut self, asker: Asker, document: Document) {
-        let held = self.ledger.document().map_or(0, |d| d.version);
-        if self.ledger.document().is_some() && document.version <= held {
-            // Acknowledged and without effect.
-            return self.reply(asker, Reply::Done);
-        }
-        self.propose(asker, &Command::Declare(document));
-    }
-
-    fn call(&mut self, asker: Asker, call: Call) {
-        let Some(catalog) = self.read_catalog() else {
-            return self.reply(asker, Reply::Refused(Refused::NoCatalog));
-        };
-        let Some((queue, place)) = catalog.find(&call.host, &call.path) else {
-            return self.reply(asker, Reply::Unknown(Unknown::Queue));
-        };
-        let reply = match (place, call.verb) {
-            (Place::Job(job), Verb::Submit(spec)) => {
-                return self.submit(asker, job, queue, *spec);
-            }
-            (Place::Job(job), Verb::Cancel) => return self.cancel(asker, job),
-            (Place::Job(job), Verb::Look) => {
-                let job = self.ledger.job(job);
-                job.map_or(Reply::Unknown(Unknown::Job), |job| Reply::State(job.state))
-            }
-            (Place::Queue, Verb::Look) => Reply::Pending(self.ledger.pending(&queue.name)),
-            (Place::Nothing, Verb::Look | Verb::Cancel) => Reply::Unknown(Unknown::Job),
-            (Place::Queue | Place::Nothing, Verb::Submit(_) | Verb::Cancel) => Reply::Invalid(
-                "the path must end with the job's number, 16 hexadecimal digits".to_owned(),
-            ),
-        };
-        self.reply(asker, reply);
-    }
-
-    fn submit(&mut self, asker: Asker, job: u64, queue: &QueueSpec, spec: JobSpec) {
-        if self.ledger.job(job).is_some() {
-            return self.reply(asker, Reply::Done);
-        }
-        if let Some(waiting) = self.submitting.get_mut(&job) {
-            waiting.push(asker);
-            return;
-        }
-        self.submitting.insert(job, Vec::new());
-        let submission = Submission {
-            job,
-            queue: queue.name.clone(),
-            pool: queue.pool.clone(),
-            spec,
-            accepted: wall(),
-        };
-        self.propose(asker, &Command::Submit(Box::new(submission)));
-    }
-
-    fn cancel(&mut self, asker: Asker, job: u64) {
-        match self.ledger.job(job) {
-            None if self.submitting.contains_key(&job) => {
-                self.propose(asker, &Command::Cancel(job));
-            }
-            None => self.reply(asker, Reply::Unknown(Unknown::Job)),
-            Some(found) if found.is_over() => self.reply(asker, Reply::Done),
-            Some(_) => self.propose(asker, &Command::Cancel(job)),
-        }
-    }
-
-    fn beat(&mut self, asker: Asker, beat: Beat) {
-        let now = self.now();
-        let Beat { agent, clock, .. } = beat;
-        if let Some(since) = self.buried.get(&agent.id)
-            && now < *since + BURIED
-        {
-            return self.reply(asker, Reply::Done);
-        }
-        let same = |known: &AgentRecord| {
-            known.pool == agent.pool
-                && known.address == agent.address
-                && known.room == agent.room
-                && known.labels == agent.labels
-                && (known.leaving || !agent.leaving)
-        };
-        let known = self.ledger.agent(&agent.id).is_some_and(same);
-        if let Some(scheduler) = &mut self.scheduler {
-            scheduler.heard(now, &agent.id, clock);
-        }
-        if known {
-            return self.reply(asker, Reply::Done);
-        }
-        self.propose(asker, &Command::Agent(Box::new(agent)));
-    }
-
     fn compact(&mut self) {
         let index = self.ledger.applied();
         if index < self.compacted + COMPACT && self.bytes < COMPACT_BYTES {
@@ -687,121 +565,6 @@
             let _ = self.disk.send(std::mem::take(&mut self.writes));
         }
     }
-
-    /// Dials the control nodes that are known, and has the right ones vote.
-    fn tend(&mut self) {
-        let now = self.now();
-        if now < self.tended + TEND {
-            return;
-        }
-        self.tended = now;
-        let me = self.node.id();
-        self.members.heard(now, me, self.data_centre.clone());
-        for voter in self.node.voters().to_vec() {
-            self.dial(voter);
-        }
-        self.buried.retain(|_, since| now < *since + BURIED);
-        if self.scheduler.is_none() || !self.leads() {
-            return;
-        }
-        let wanted = self
-            .members
-            .wanted(now, self.led, self.node.voters(), self.voters);
-        if let Some(voters) = wanted {
-            log::info!(voters:? = voters, now:? = self.node.voters(); "the voters should change");
-            let proposal = self.waiting.propose(Asker::Nobody);
-            self.consensus(consensus::Input::Reconfigure { proposal, voters });
-        }
-    }
-
-    /// Sets the gauges.
-    fn measure(&self) {
-        let metrics = &self.ports.metrics;
-        let scheduler = self.scheduler.as_ref();
-        metrics.leading.set(i64::from(scheduler.is_some()));
-        metrics.term.set(count(self.node.term()));
-        metrics.applied.set(count(self.ledger.applied()));
-        metrics.votes.set(i64::from(self.node.is_voter()));
-        metrics.agents.set(size(self.ledger.agents().count()));
-        metrics
-            .waiting
-            .set(size(scheduler.map_or(0, Scheduler::waiting)));
-        metrics
-            .placed
-            .set(size(scheduler.map_or(0, Scheduler::placed)));
-    }
-
-    fn dial(&self, node: NodeId) {
-        if node != self.node.id() {
-            self.ports.mesh.dial(self.address(node));
-        }
-    }
-
-    fn address(&self, node: NodeId) -> SocketAddr {
-        address(node, self.mesh_port)
-    }
-
-    fn viewed(&mut self, from: NodeId, view: View) {
-        let now = self.now();
-        self.members.heard(now, from, view.data_centre);
-        for (node, centre) in view.controls {
-            self.members.told(node, centre);
-            self.dial(node);
-        }
-    }
-
-    /// Tells every linked node what this one knows, from time to time and when it changes.
-    fn tell(&mut self) {
-        let now = self.now();
-        let leader = self.node.leader();
-        let limits = self.catalog.as_ref().map(|catalog| catalog.limits);
-        let known = self.view.as_ref().is_some_and(|v| v.leader == leader);
-        let same = known && self.view.as_ref().is_some_and(|v| v.limits == limits);
-        let pause = if self.scheduler.is_some() {
-            VIEW.0
-        } else {
-            VIEW.1
-        };
-        if same && now < self.viewed + pause {
-            return;
-        }
-        self.viewed = now;
-        self.measure();
-        let controls = self.members.all(now);
-        let view = View {
-            data_centre: self.data_centre.clone(),
-            term: self.node.term(),
-            leader,
-            controls: controls.clone(),
-            limits,
-        };
-        if self
-            .view
-            .as_ref()
-            .is_none_or(|v| v.controls != view.controls)
-        {
-            let place = |(node, data_centre)| consensus::seam::Place { node, data_centre };
-            let places = controls.into_iter().map(place).collect();
-            self.consensus(consensus::Input::Nodes(places));
-        }
-        if !known {
-            log::info!(term = view.term, leader; "who leads has changed");
-            self.ports.leader.send_replace(leader);
-        }
-        let frame: Bytes = Frame::View(view.clone()).encode();
-        for peer in self.ports.mesh.peers() {
-            self.ports.mesh.send(peer, frame.clone());
-        }
-        self.view = Some(view);
-    }
-}
-
-fn count(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
-
-fn size(value: usize) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
 }
 
 /// Wall-clock time, for what operators and callers state in it.
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -16,4 +16,6 @@
 pub mod identity;
 mod membership;
 pub mod metrics;
+mod peers;
+mod questions;
 mod waiting;
--- /dev/null
+++ b/src/manager/peers.rs
@@ -0,0 +1,131 @@
+//! What a control node does about the others: dials them, has the right ones vote, and tells all
+//! what it knows.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use super::{
+    control::{BURIED, TEND, Task, VIEW},
+    frame::{Frame, View},
+    identity::address,
+    waiting::Asker,
+};
+use crate::core::{consensus, types::NodeId, workload::scheduler::Scheduler};
+
+impl Task {
+    /// Dials the control nodes that are known, and has the right ones vote.
+    pub(super) fn tend(&mut self) {
+        let now = self.now();
+        if now < self.tended + TEND {
+            return;
+        }
+        self.tended = now;
+        let me = self.node.id();
+        self.members.heard(now, me, self.data_centre.clone());
+        for voter in self.node.voters().to_vec() {
+            self.dial(voter);
+        }
+        self.buried.retain(|_, since| now < *since + BURIED);
+        if self.scheduler.is_none() || !self.leads() {
+            return;
+        }
+        let wanted = self
+            .members
+            .wanted(now, self.led, self.node.voters(), self.voters);
+        if let Some(voters) = wanted {
+            log::info!(voters:? = voters, now:? = self.node.voters(); "the voters should change");
+            let proposal = self.waiting.propose(Asker::Nobody);
+            self.consensus(consensus::Input::Reconfigure { proposal, voters });
+        }
+    }
+
+    /// Sets the gauges.
+    fn measure(&self) {
+        let metrics = &self.ports.metrics;
+        let scheduler = self.scheduler.as_ref();
+        metrics.leading.set(i64::from(scheduler.is_some()));
+        metrics.term.set(count(self.node.term()));
+        metrics.applied.set(count(self.ledger.applied()));
+        metrics.votes.set(i64::from(self.node.is_voter()));
+        metrics.agents.set(size(self.ledger.agents().count()));
+        metrics
+            .waiting
+            .set(size(scheduler.map_or(0, Scheduler::waiting)));
+        metrics
+            .placed
+            .set(size(scheduler.map_or(0, Scheduler::placed)));
+    }
+
+    fn dial(&self, node: NodeId) {
+        if node != self.node.id() {
+            self.ports.mesh.dial(self.address(node));
+        }
+    }
+
+    fn address(&self, node: NodeId) -> SocketAddr {
+        address(node, self.mesh_port)
+    }
+
+    pub(super) fn viewed(&mut self, from: NodeId, view: View) {
+        let now = self.now();
+        self.members.heard(now, from, view.data_centre);
+        for (node, centre) in view.controls {
+            self.members.told(node, centre);
+            self.dial(node);
+        }
+    }
+
+    /// Tells every linked node what this one knows, from time to time and when it changes.
+    pub(super) fn tell(&mut self) {
+        let now = self.now();
+        let leader = self.node.leader();
+        let limits = self.catalog.as_ref().map(|catalog| catalog.limits);
+        let known = self.view.as_ref().is_some_and(|v| v.leader == leader);
+        let same = known && self.view.as_ref().is_some_and(|v| v.limits == limits);
+        let pause = if self.scheduler.is_some() {
+            VIEW.0
+        } else {
+            VIEW.1
+        };
+        if same && now < self.viewed + pause {
+            return;
+        }
+        self.viewed = now;
+        self.measure();
+        let controls = self.members.all(now);
+        let view = View {
+            data_centre: self.data_centre.clone(),
+            term: self.node.term(),
+            leader,
+            controls: controls.clone(),
+            limits,
+        };
+        if self
+            .view
+            .as_ref()
+            .is_none_or(|v| v.controls != view.controls)
+        {
+            let place = |(node, data_centre)| consensus::seam::Place { node, data_centre };
+            let places = controls.into_iter().map(place).collect();
+            self.consensus(consensus::Input::Nodes(places));
+        }
+        if !known {
+            log::info!(term = view.term, leader; "who leads has changed");
+            self.ports.leader.send_replace(leader);
+        }
+        let frame: Bytes = Frame::View(view.clone()).encode();
+        for peer in self.ports.mesh.peers() {
+            self.ports.mesh.send(peer, frame.clone());
+        }
+        self.view = Some(view);
+    }
+}
+
+fn count(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn size(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/src/manager/questions.rs
@@ -0,0 +1,137 @@
+//! What a control node is asked: the leader answers, all others say who leads.
+
+use super::{
+    ask::{Ask, Beat, Call, Refused, Reply, Unknown, Verb},
+    control::{BURIED, Task},
+    waiting::Asker,
+};
+use crate::{
+    core::workload::{
+        catalog::{Place, QueueSpec},
+        command::{AgentRecord, Command, Document, Submission},
+        spec::JobSpec,
+    },
+    node::clock::wall,
+};
+
+impl Task {
+    pub(super) fn ask(&mut self, asker: Asker, ask: Ask) {
+        if self.scheduler.is_none() || !self.leads() {
+            let leader = self.node.leader().filter(|l| *l != self.node.id());
+            let why = leader.map_or(Refused::NoLeader, |l| Refused::NotLeader(Some(l)));
+            return self.reply(asker, Reply::Refused(why));
+        }
+        if self.full && !matches!(ask, Ask::ReadCatalog | Ask::WaveState(_)) {
+            return self.reply(asker, Reply::Refused(Refused::Overloaded));
+        }
+        match ask {
+            Ask::Call(call) => self.call(asker, call),
+            Ask::Declare(document) => self.declare(asker, document),
+            Ask::ReadCatalog => {
+                let text = self.ledger.document().map(|d| d.text.clone());
+                let none = Reply::Refused(Refused::NoCatalog);
+                self.reply(asker, text.map_or(none, Reply::Catalog));
+            }
+            Ask::Beat(beat) => self.beat(asker, *beat),
+            Ask::Leave(agent) => self.propose(asker, &Command::Gone(agent)),
+            Ask::BeginWave(wave) => self.propose(asker, &Command::Wave(wave)),
+            Ask::WaveState(wave) => {
+                let record = self.ledger.wave_record(wave);
+                let none = Reply::Unknown(Unknown::Wave);
+                let reply = record.map_or(none, |record| Reply::Wave {
+                    through: record.left.is_empty(),
+                });
+                self.reply(asker, reply);
+            }
+        }
+    }
+
+    fn declare(&mut self, asker: Asker, document: Document) {
+        let held = self.ledger.document().map_or(0, |d| d.version);
+        if self.ledger.document().is_some() && document.version <= held {
+            // Acknowledged and without effect.
+            return self.reply(asker, Reply::Done);
+        }
+        self.propose(asker, &Command::Declare(document));
+    }
+
+    fn call(&mut self, asker: Asker, call: Call) {
+        let Some(catalog) = self.read_catalog() else {
+            return self.reply(asker, Reply::Refused(Refused::NoCatalog));
+        };
+        let Some((queue, place)) = catalog.find(&call.host, &call.path) else {
+            return self.reply(asker, Reply::Unknown(Unknown::Queue));
+        };
+        let reply = match (place, call.verb) {
+            (Place::Job(job), Verb::Submit(spec)) => {
+                return self.submit(asker, job, queue, *spec);
+            }
+            (Place::Job(job), Verb::Cancel) => return self.cancel(asker, job),
+            (Place::Job(job), Verb::Look) => {
+                let job = self.ledger.job(job);
+                job.map_or(Reply::Unknown(Unknown::Job), |job| Reply::State(job.state))
+            }
+            (Place::Queue, Verb::Look) => Reply::Pending(self.ledger.pending(&queue.name)),
+            (Place::Nothing, Verb::Look | Verb::Cancel) => Reply::Unknown(Unknown::Job),
+            (Place::Queue | Place::Nothing, Verb::Submit(_) | Verb::Cancel) => Reply::Invalid(
+                "the path must end with the job's number, 16 hexadecimal digits".to_owned(),
+            ),
+        };
+        self.reply(asker, reply);
+    }
+
+    fn submit(&mut self, asker: Asker, job: u64, queue: &QueueSpec, spec: JobSpec) {
+        if self.ledger.job(job).is_some() {
+            return self.reply(asker, Reply::Done);
+        }
+        if let Some(waiting) = self.submitting.get_mut(&job) {
+            waiting.push(asker);
+            return;
+        }
+        self.submitting.insert(job, Vec::new());
+        let submission = Submission {
+            job,
+            queue: queue.name.clone(),
+            pool: queue.pool.clone(),
+            spec,
+            accepted: wall(),
+        };
+        self.propose(asker, &Command::Submit(Box::new(submission)));
+    }
+
+    fn cancel(&mut self, asker: Asker, job: u64) {
+        match self.ledger.job(job) {
+            None if self.submitting.contains_key(&job) => {
+                self.propose(asker, &Command::Cancel(job));
+            }
+            None => self.reply(asker, Reply::Unknown(Unknown::Job)),
+            Some(found) if found.is_over() => self.reply(asker, Reply::Done),
+            Some(_) => self.propose(asker, &Command::Cancel(job)),
+        }
+    }
+
+    fn beat(&mut self, asker: Asker, beat: Beat) {
+        let now = self.now();
+        let Beat { agent, clock, .. } = beat;
+        if let Some(since) = self.buried.get(&agent.id)
+            && now < *since + BURIED
+        {
+            return self.reply(asker, Reply::Done);
+        }
+        let same = |known: &AgentRecord| {
+            known.pool == agent.pool
+                && known.address == agent.address
+                && known.room == agent.room
+                && known.labels == agent.labels
+                && (known.leaving || !agent.leaving)
+        };
+        let known = self.ledger.agent(&agent.id).is_some_and(same);
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.heard(now, &agent.id, clock);
+        }
+        if known {
+            return self.reply(asker, Reply::Done);
+        }
+        self.propose(asker, &Command::Agent(Box::new(agent)));
+    }
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -9,19 +9,22 @@
     time::Duration,
 };
 
-use egretpin::core::{
-    types::{HostId, MinionId, Now, Resources, WaveId},
-    workload::{
-        catalog::{Catalog, PoolSpec, QueueSpec},
-        command::{AgentRecord, Command, Ending, Submission, WaveRecord},
-        job::{JobState, TaskId},
-        ledger::Ledger,
-        scheduler::{
-            AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections, Refusal,
-            Report, Running, Scheduler, Settings, StartOrder, What,
+use egretpin::{
+    core::{
+        types::{HostId, MinionId, Now, Resources, WaveId},
+        workload::{
+            catalog::{Catalog, PoolSpec, QueueSpec},
+            command::{AgentRecord, Command, Ending, Submission, WaveRecord},
+            job::{JobState, TaskId},
+            ledger::Ledger,
+            scheduler::{
+                AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections,
+                Refusal, Report, Running, Scheduler, Settings, StartOrder, What,
+            },
+            spec::{JobSpec, StepSpec},
         },
-        spec::{JobSpec, StepSpec},
     },
+    manager::metrics,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -422,15 +425,7 @@
     }
 
     fn send(&mut self, order: Order) {
-        let kind = match &order.what {
-            What::Start(_) => "start",
-            What::Stop { .. } => "stop",
-            What::Renew { .. } => "renew",
-            What::Throttle { .. } => "throttle",
-            What::Hosts => "hosts",
-            What::Move { .. } => "move",
-            What::Maintain { .. } => "maintain",
-        };
+        let kind = metrics::order(&order.what);
         *self.sent.entry(kind).or_default() += 1;
         let wait = match &order.what {
             What::Renew { wait, .. } => *wait,
