Take out what nothing reads, and check once whether an agent is still there

Cause: read again as a whole, the change held a time that was set and never read, a look-up of pools and an accessor that nothing needed, and the same six lines in the answers to starts and to stops. Ruled out: sharing the disk's events between the two control tasks: their states differ. Change: taken out, and one function for the check. Behaviour is the same.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -242,11 +242,6 @@
     pub fn queue(&self, name: &str) -> Option<&QueueSpec> {
         self.by_name.get(name).map(|ix| &self.queues[*ix])
     }
-
-    /// A pool by its name.
-    pub fn pool(&self, name: &str) -> Option<&PoolSpec> {
-        self.pools.iter().find(|pool| &*pool.name == name)
-    }
 }
 
 /// What the rest of a path names: nothing but hexadecimal digits, 16 of them, is a job.
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -263,10 +263,6 @@
         self.phase == Phase::Running && !self.lasting && now >= self.since + limit
     }
 
-    pub(super) fn lasts(&self) -> bool {
-        self.lasting
-    }
-
     pub(super) fn enter(&mut self, now: Now, phase: Phase) {
         self.phase = phase;
         self.since = now;
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -61,9 +61,7 @@
             task,
             sent,
         } = *start;
-        self.note_clock(now, id, answer);
-        if matches!(answer, Answer::Elsewhere) {
-            self.gone.insert(id.clone());
+        if !self.is_there(now, id, answer) {
             return;
         }
         let Some(agent) = self.agents.get_mut(id) else {
@@ -120,9 +118,7 @@
     }
 
     fn stopped(&mut self, now: Now, order: OrderId, id: &MinionId, task: TaskId, answer: &Answer) {
-        self.note_clock(now, id, answer);
-        if matches!(answer, Answer::Elsewhere) {
-            self.gone.insert(id.clone());
+        if !self.is_there(now, id, answer) {
             return;
         }
         let Some(agent) = self.agents.get_mut(id) else {
@@ -284,6 +280,16 @@
         }
     }
 
+    /// Learns the agent's clock from an answer; whether the agent is still there.
+    fn is_there(&mut self, now: Now, id: &MinionId, answer: &Answer) -> bool {
+        self.note_clock(now, id, answer);
+        if matches!(answer, Answer::Elsewhere) {
+            self.gone.insert(id.clone());
+            return false;
+        }
+        true
+    }
+
     fn note_clock(&mut self, now: Now, id: &MinionId, answer: &Answer) {
         let Some(agent) = self.agents.get_mut(id) else {
             return;
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -65,7 +65,6 @@
         if let Some(before) = self.ready.get(id) {
             // What is proposed and not committed isn't free either.
             ready.free = before.free.clone();
-            ready.since = before.since;
         }
         self.ready.insert(id, ready);
     }
@@ -94,7 +93,6 @@
                 .copied()
                 .unwrap_or_default(),
             priority: queue.map_or(0, |q| q.priority),
-            since: now,
         }
     }
 
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, Slot, WAIT, What};
+use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, WAIT, What};
 
 impl Scheduler {
     /// Renews the leases of agents that run something, and acknowledges ends to the others.
@@ -28,7 +28,7 @@
             });
             let wait = if idle || agent.trouble.is_some() || !quiet {
                 Duration::ZERO
-            } else if agent.slots.values().all(Slot::lasts) {
+            } else if agent.slots.values().all(|slot| slot.lasting) {
                 WAIT.1
             } else {
                 WAIT.0
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -469,7 +469,6 @@
         match self.ready.get_mut(task.step) {
             Some(ready) => {
                 ready.free.insert(task.task);
-                ready.since = now;
             }
             None => self.open(now, task.step, job),
         }
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -33,8 +33,6 @@
     pub(super) left: Duration,
     /// The queue's priority.
     pub(super) priority: u32,
-    /// Since when tasks are free.
-    pub(super) since: Now,
 }
 
 /// The place of a step among those that are ready; the lowest is served first.
