Give hosts to work that is there before turns that are expected

Besides, the jobs that last were counted as a first turn, so idle hosts were switched off seconds before the first rush. Ruled out: too few hosts (33 of 49 were idle or in that pool), the provider (moves took 1.5 s).

Change: a pool's need is split into what its work takes now and what it should keep; the first is served first, from any pool with more than that, the pool that lacks most first. Turns are learnt from short work alone. Needs stand in a module of their own, and what pools need and have is logged once a second. The line about a job's end says how long it took and what its objective was.

Two tests fail on the code before.

--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -8,7 +8,9 @@
 
 use super::{
     About, Answer, HostState, HostView, MinionId, Now, OrderId, PoolId, Refusal, Scheduler, Wall,
-    What, balance::Demand, forecast::Turns,
+    What,
+    demand::{Demand, Need},
+    forecast::Turns,
 };
 use crate::core::{
     types::{HostId, WaveId},
@@ -35,8 +37,12 @@
     asking: bool,
     pub(super) duties: BTreeMap<HostId, Duty>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
+    /// What each pool needed at the last look.
+    pub(super) needs: BTreeMap<PoolId, Need>,
     pub(super) turns: Turns,
     pub(super) looked: Now,
+    /// When what pools need was logged last.
+    pub(super) logged: Now,
 }
 
 /// Something that is being done with a host.
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -79,15 +79,13 @@
     ) -> Ready {
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
-        let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
         let pool = self.pool(job);
         let remaining = job.spec.remaining(|step| self.estimate(&pool, step));
-        let chain = remaining.iter().max().copied().unwrap_or_default();
         Ready {
             pool,
             spec: spec.clone(),
             free,
-            deadline: accepted + chain.mul_f64(stretch.max(1.0)) + target,
+            deadline: accepted + self.objective(job),
             left: remaining
                 .get(usize::from(id.step))
                 .copied()
@@ -96,6 +94,17 @@
         }
     }
 
+    /// How long a job should take: its longest chain, stretched as its queue says, and the queue's
+    /// target.
+    pub(super) fn objective(&self, job: &Job) -> Duration {
+        let pool = self.pool(job);
+        let remaining = job.spec.remaining(|step| self.estimate(&pool, step));
+        let chain = remaining.into_iter().max().unwrap_or_default();
+        let queue = self.catalog.queue(&job.queue);
+        let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
+        chain.mul_f64(stretch.max(1.0)) + target
+    }
+
     /// The pool that runs a job's tasks: what the catalog says now, or said last.
     pub(super) fn pool(&self, job: &Job) -> PoolId {
         let queue = self.catalog.queue(&job.queue);
@@ -105,11 +114,15 @@
     /// Stops what is placed of a job that is over.
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
-        self.accepted.remove(&id);
+        let accepted = self.accepted.remove(&id);
         self.over.push_back((now, id));
         let Some(job) = ledger.job(id) else {
             return;
         };
+        if let Some(accepted) = accepted {
+            let (took, objective) = (now.saturating_sub(accepted), self.objective(job));
+            log::info!(job:% = format_args!("{id:016x}"), queue:% = job.queue, state:? = job.state, took:?, objective:?, steps = job.spec.steps.len(); "a job is over");
+        }
         for (task, agent) in job.placements(id) {
             let done = job.task(task).is_some_and(|t| t.done);
             if !done {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod agent;
 mod answers;
 mod balance;
+mod demand;
 mod forecast;
 mod hosts;
 mod jobs;
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -398,12 +398,6 @@
                     log::info!(job:% = format_args!("{id:016x}"), queue:% = job.queue; "a job was accepted");
                 }
             }
-            Change::Over(id) if leads => {
-                if let Some(job) = self.ledger.job(id) {
-                    let state = job.state;
-                    log::info!(job:% = format_args!("{id:016x}"), state:?; "a job is over");
-                }
-            }
             _ => {}
         }
     }
--- a/tests/workload/hosts.rs
+++ b/tests/workload/hosts.rs
@@ -101,6 +101,34 @@
     assert!(there <= 4, "none is moved on for a turn that didn't come");
 }
 
+#[test]
+fn work_that_is_there_goes_before_a_turn_that_was_learnt() {
+    let mut world = World::new(8, 6);
+    world.pass(ms(2000));
+    for turn in 0..3 {
+        let queue = if turn % 2 == 0 { QUEUE } else { SECOND };
+        rush(&mut world, queue, 1 + turn * 100);
+        world.pass(ms(10_000));
+    }
+    // The second queue's turn is expected and hosts are there, but the first one has work: too little
+    // for a turn of its own, too much for the hosts that it has.
+    world.submit(301, JobSpec::new("x", vec![step(4, 4, 2000)]));
+    world.pass(ms(600));
+    let hosts = world.hosts.values();
+    let there = hosts.filter(|host| &*host.pool == POOL).count();
+    assert!(there >= 4, "{there} hosts are where the work is");
+}
+
+#[test]
+fn lasting_work_is_no_turn() {
+    let mut world = World::new(8, 7);
+    world.submit(1, JobSpec::new("x", vec![lasting(2, 8)]));
+    world.pass(ms(8000));
+    let hosts = world.hosts.values();
+    let spares = hosts.filter(|host| &*host.pool == SPARE).count();
+    assert_eq!(spares, 0, "nothing is known yet of work that comes and goes");
+}
+
 #[test]
 fn idle_hosts_go_to_the_spares_and_come_back() {
     let mut world = World::new(5, 5);
