Don't start an attempt whose task an earlier one has done

Cause: an agent that is cut off ends a task, its lease runs out, another attempt is placed; when the cut heals the first one's end is heard and the task is done, but the newer attempt went on being sent as long as its starts got no answer. Ruled out: the end itself. It counts, since the attempt was done, whatever the lease.

Change: the ledger says which placed attempts a done task makes superfluous, and the scheduler stops them. The twin without strays had noticed by this very fault and not by its own: agents that refuse a start because they aren't well are now in the worlds, which is how a stray matters. The test of the slow agent counted ends of one incarnation, and hosts move more now; its hosts are kept from moving, the claim is the same.

Conclusion: a start after the job was shown as completed was possible; it isn't now.

--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -43,7 +43,7 @@
 };
 use crate::core::{
     consensus::{Index, Payload},
-    types::{HostId, MinionId, Name, WaveId},
+    types::{Attempt, HostId, MinionId, Name, WaveId},
 };
 
 /// What a command changed.
@@ -66,6 +66,8 @@
         /// Whether the task needs another one.
         again: bool,
     },
+    /// The task of a placed attempt was done by another one.
+    Superfluous(Placed),
     /// All ends of an agent up to this one were taken in.
     Acked {
         /// The agent.
@@ -290,7 +292,7 @@
             }
         }
         if end.how == Ending::Done {
-            self.done(end.task, changes);
+            self.done(end.task, end.attempt, changes);
         }
         if stands {
             self.unplace(end.task, agent);
@@ -299,7 +301,10 @@
     }
 
     /// A task is done, whichever attempt did it; with it its whole gang.
-    fn done(&mut self, id: TaskId, changes: &mut Vec<Change>) {
+    ///
+    /// An attempt that was given up when its agent's lease ran out may turn out to have been done
+    /// before; the one that was placed since isn't needed then.
+    fn done(&mut self, id: TaskId, attempt: Attempt, changes: &mut Vec<Change>) {
         let StepId {
             job, occurrence, ..
         } = id.step;
@@ -324,6 +329,17 @@
             if (same || spec.gang) && !task.done {
                 task.done = true;
                 newly += 1;
+                if let Some(agent) = task.agent.clone().filter(|_| task.attempt != attempt) {
+                    let task_ix = TaskIx::try_from(ix).unwrap_or(TaskIx::MAX);
+                    changes.push(Change::Superfluous(Placed {
+                        task: TaskId {
+                            task: task_ix,
+                            ..id
+                        },
+                        attempt: task.attempt,
+                        agent,
+                    }));
+                }
             }
         }
         run.steps[step].done += newly;
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -399,6 +399,10 @@
                     self.open(now, *step, job);
                 }
             }
+            Change::Superfluous(placed) => {
+                log::info!(task:% = placed.task, attempt = placed.attempt, agent:% = placed.agent; "an attempt isn't needed any more");
+                self.stop(now, &placed.agent, placed.task);
+            }
             Change::Vacated { placed, again } => self.vacated(now, ledger, placed, *again),
             Change::Acked { agent, through } => {
                 if let Some(agent) = self.agents.get_mut(agent) {
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -77,6 +77,7 @@
     let faults = Faults {
         late: 0.05,
         failing: 0.05,
+        unwell: 0.05,
         ..Faults::default()
     };
     (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, faults, false)));
@@ -93,6 +94,7 @@
         lost: 0.05,
         late: 0.03,
         failing: 0.03,
+        unwell: 0.03,
         off: 2.0,
     };
     (0..SEEDS).for_each(|seed| {
@@ -126,6 +128,7 @@
     };
     let faults = Faults {
         late: 0.2,
+        unwell: 0.2,
         ..Faults::default()
     };
     assert!(is_noticed(without, faults, false));
--- a/tests/workload/ledger.rs
+++ b/tests/workload/ledger.rs
@@ -96,6 +96,24 @@
     }
 }
 
+#[test]
+fn an_attempt_whose_task_was_done_by_an_earlier_one_is_superfluous() {
+    let mut world = World::new();
+    world.start(task(0, 0), 1, "a");
+    // Its agent is cut off until the lease has run out.
+    world.apply(&Command::Round(Round {
+        freed: vec![placed(task(0, 0), 1, "a")],
+        ..Round::default()
+    }));
+    world.start(task(0, 0), 2, "b");
+    let changes = world.end("a", 1, task(0, 0), 1, Ending::Done);
+    let superfluous = Change::Superfluous(placed(task(0, 0), 2, "b"));
+    assert!(changes.contains(&superfluous), "{changes:?}");
+    // Its own end is nothing new.
+    let changes = world.end("b", 1, task(0, 0), 2, Ending::Stopped);
+    assert!(!changes.contains(&superfluous), "{changes:?}");
+}
+
 fn task(step: u16, task: u32) -> TaskId {
     let step = StepId {
         job: JOB,
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -199,6 +199,9 @@
 #[test]
 fn a_slow_agent_gets_less_than_the_others() {
     let mut world = World::new(4, 12);
+    // Hosts that are never empty aren't moved, so that each agent's ends are those of one host.
+    world.submit(200, JobSpec::new("x", vec![lasting(4, 1)]));
+    world.until("it runs", ms(1000), |world| world.runs(200).len() == 4);
     learn(&mut world);
     let slow = world.agents.keys().next_back().unwrap().clone();
     world.agents.get_mut(&slow).unwrap().slow = 2.5;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -64,6 +64,8 @@
     pub(crate) late: f64,
     /// Attempts that fail.
     pub(crate) failing: f64,
+    /// Starts that an agent refuses because it isn't well.
+    pub(crate) unwell: f64,
     /// How far off estimates are: tasks take up to this many times as long, or that part of it.
     pub(crate) off: f64,
 }
@@ -101,6 +103,11 @@
         now.saturating_sub(self.boot).mul_f64(self.rate) + ms(5000)
     }
 
+    /// Whether it runs anything.
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
     fn used(&self) -> Resources {
         let rooms = self.running.values().map(|run| run.room);
         rooms.fold(Resources::default(), |sum, room| sum.plus(&room))
@@ -627,6 +634,7 @@
             .any(|(other, agent)| other != id && agent.running.contains_key(&start.task));
         let done = job.task(start.task).is_some_and(|task| task.done);
         let open = job.is_open(start.task.step);
+        let unwell = self.rng.random_bool(self.faults.unwell);
         let (fails, slow) = (
             self.rng.random_bool(self.faults.failing),
             self.rng.random_range(0.8..1.3),
@@ -651,6 +659,9 @@
         {
             return Answer::Done { clock };
         }
+        if unwell {
+            return refused(Refusal::Unwell);
+        }
         if agent
             .over
             .get(&start.task)
