Empty busy hosts for a wave only as fast as its time asks

Ruled out: the provider's rate and the cap; both were never reached.

Change: hosts that no pool needs go at once; others as many at a time as the wave's time asks, three fifths of it planned, and those that take long to empty (lasting tasks of one step are stopped one after the other) as soon as they must.

--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -36,7 +36,11 @@
         if let Some(spare) = spare.filter(|_| self.hosts.turns.any()) {
             self.park(now, &kept, &mut have, &spare);
         }
-        self.hosts.needs = needs;
+        let surplus = |(pool, keep): (PoolId, usize)| {
+            let have = have.get(&pool).copied().unwrap_or_default();
+            (pool, have.saturating_sub(keep))
+        };
+        self.hosts.surplus = kept.into_iter().map(surplus).collect();
     }
 
     /// Moves hosts to the pools that have fewer than they need, from those that have more.
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -8,9 +8,7 @@
 
 use super::{
     About, Answer, HostState, HostView, MinionId, Now, OrderId, PoolId, Refusal, Scheduler, Wall,
-    What,
-    demand::{Demand, Need},
-    forecast::Turns,
+    What, balance::Counts, demand::Demand, forecast::Turns,
 };
 use crate::core::{
     types::{HostId, WaveId},
@@ -37,8 +35,10 @@
     asking: bool,
     pub(super) duties: BTreeMap<HostId, Duty>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
-    /// What each pool needed at the last look.
-    pub(super) needs: BTreeMap<PoolId, Need>,
+    /// Hosts that each pool has beyond what it keeps, as of the last look.
+    pub(super) surplus: Counts,
+    /// When each wave has to be through, by our clock.
+    pub(super) wave_due: BTreeMap<WaveId, Now>,
     pub(super) turns: Turns,
     pub(super) looked: Now,
     /// When what pools need was logged last.
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Agent, HostState, Now, Phase, Scheduler, TaskId, Wall,
+    Agent, HostState, Map, Now, Phase, Scheduler, StepId, TaskId, Wall,
     hosts::{Duty, Purpose, Stage},
 };
 use crate::core::{
@@ -17,8 +17,41 @@
 /// What maintaining a host takes, with what it takes to notice; counts in how soon a wave ends.
 const TURN: Duration = Duration::from_millis(3200);
 
+/// How long a host of a wave is of no use, with the time until its tasks have ended.
+const MISSED: Duration = Duration::from_secs(5);
+/// From the stop of a lasting task until it is at work elsewhere and the next of its step may be
+/// stopped: what agents take to stop and start one, with our looks in between.
+const RESTART: Duration = Duration::from_millis(2100);
+/// The part of a wave's time in which it is planned to be through. The rest is for what goes wrong:
+/// an election and a holder's pause take some five seconds.
+const PLANNED: f64 = 0.6;
+
+/// What a host runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Burden {
+    /// Tasks that last: each must be stopped, within its budget.
+    lasting: usize,
+    /// The most of them that are of one step, and so are stopped one after the other.
+    in_turn: u32,
+    /// All of them.
+    all: usize,
+}
+
+impl Burden {
+    /// About how long it takes until the host is back from its maintenance.
+    fn span(self) -> Duration {
+        TURN + RESTART * self.in_turn
+    }
+}
+
+/// Hosts that have to be under way at once for a wave to be through in time.
+fn pace(hosts: usize, left: Duration) -> usize {
+    let needed = MISSED.as_secs_f64() * hosts as f64;
+    (needed / (left.as_secs_f64() * PLANNED).max(0.001)).ceil() as usize
+}
+
 impl Scheduler {
-    /// Has hosts of a wave emptied, as many as may be maintained at once and as many again.
+    /// Has hosts of a wave emptied and maintained.
     pub(super) fn tend_wave(
         &mut self,
         now: Now,
@@ -40,9 +73,25 @@
                 hosts: gone,
             });
         }
+        // The clock of the day may jump, so it is looked at once.
+        let due = now + wave.until.saturating_sub(wall);
+        let due = *self.hosts.wave_due.entry(wave.wave).or_insert(due);
+        let left = due.saturating_sub(now);
+        self.empty_more(now, wave, cap, left);
+        let turns = wave.left.len().div_ceil(cap.max(1));
+        let needed = TURN * u32::try_from(turns).unwrap_or(u32::MAX);
+        let late = needed >= left;
+        let away = self.away(wave.wave);
+        self.admit(now, ledger, wave.wave, cap.saturating_sub(away), late);
+    }
+
+    /// Begins to empty hosts of a wave: those that no pool needs at once, and others only as fast as
+    /// the wave's time asks, since each host that is emptied is missed by its pool.
+    fn empty_more(&mut self, now: Now, wave: &WaveRecord, cap: usize, left: Duration) {
         let mine = |duty: &&Duty| duty.what == Purpose::Maintain(wave.wave);
-        let under = self.hosts.duties.values().filter(mine).count();
-        let room = cap.saturating_mul(2).saturating_sub(under);
+        let mut under = self.hosts.duties.values().filter(mine).count();
+        let most = cap.saturating_mul(2);
+        let needed = pace(wave.left.len(), left);
         let mut candidates: Vec<_> = wave
             .left
             .iter()
@@ -50,30 +99,57 @@
             .filter_map(|host| Some((self.burden(host)?, host.clone())))
             .collect();
         candidates.sort_unstable();
-        for (_, host) in candidates.into_iter().take(room) {
-            self.begin_duty(now, &host, Purpose::Maintain(wave.wave));
+        for (burden, host) in candidates {
+            if under >= most {
+                return;
+            }
+            let unneeded = burden == Burden::default() && self.take_surplus(&host);
+            let pressing = left.mul_f64(PLANNED) <= burden.span();
+            if unneeded || pressing || under < needed {
+                under += 1;
+                self.begin_duty(now, &host, Purpose::Maintain(wave.wave));
+            }
+        }
+    }
+
+    /// Takes a host out of what its pool has beyond its need; whether it had any.
+    fn take_surplus(&mut self, host: &HostId) -> bool {
+        let Some(view) = self.hosts.views.get(host) else {
+            return false;
+        };
+        match self.hosts.surplus.get_mut(&view.pool) {
+            Some(surplus) if *surplus > 0 => {
+                *surplus -= 1;
+                true
+            }
+            Some(_) => false,
+            // Spares are needed by no pool until they are moved.
+            None => true,
         }
-        let turns = wave.left.len().div_ceil(cap.max(1));
-        let needed = TURN * u32::try_from(turns).unwrap_or(u32::MAX);
-        let late = wall + needed >= wave.until;
-        let away = self.away(wave.wave);
-        self.admit(now, ledger, wave.wave, cap.saturating_sub(away), late);
     }
 
     /// How much stands against emptying a host now; nothing if it isn't up.
-    pub(super) fn burden(&self, host: &HostId) -> Option<(usize, usize)> {
+    pub(super) fn burden(&self, host: &HostId) -> Option<Burden> {
         let view = self.hosts.views.get(host)?;
         if view.state != HostState::Up {
             return None;
         }
         let Some(agent) = view.agent.as_ref().and_then(|id| self.agents.get(id)) else {
-            return Some((0, 0));
+            return Some(Burden::default());
         };
         if agent.record.leaving {
             return None;
         }
-        let lasting = agent.slots.values().filter(|s| s.lasting).count();
-        Some((lasting, agent.slots.len()))
+        let lasting = agent.slots.iter().filter(|(_, slot)| slot.lasting);
+        let mut steps: Map<StepId, u32> = Map::default();
+        for (task, _) in lasting {
+            *steps.entry(task.step).or_default() += 1;
+        }
+        Some(Burden {
+            lasting: usize::try_from(steps.values().sum::<u32>()).unwrap_or(usize::MAX),
+            in_turn: steps.values().max().copied().unwrap_or_default(),
+            all: agent.slots.len(),
+        })
     }
 
     /// Hosts that are down for a wave, or may be.
