--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -46,23 +46,29 @@
 
 /// Which steps go before others, whatever their deadlines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(super) enum Class {
+    /// It earns as long as it stands.
     Lasting,
+    /// It can still meet its objective.
     InTime,
+    /// It can't any more.
     Late,
 }
 
 impl Ready {
-    pub(super) fn rank(&self, now: Now, step: StepId) -> Rank {
-        let class = if self.spec.lasting {
+    pub(super) fn class(&self, now: Now) -> Class {
+        if self.spec.lasting {
             Class::Lasting
         } else if now + self.left <= self.deadline {
             Class::InTime
         } else {
             Class::Late
-        };
+        }
+    }
+
+    pub(super) fn rank(&self, now: Now, step: StepId) -> Rank {
         Rank {
-            class,
+            class: self.class(now),
             priority: self.priority,
             deadline: self.deadline,
             step,
