--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -1,14 +1,13 @@
 //! How many hosts each pool needs.
 //!
-//! What a pool needs *now* is what its tasks take or wait for as long as they can be in time, or what
-//! its arriving jobs will keep busy if that is more, carried on at its growth for the time of a
-//! move. What it should *keep* is more: work that is late already must be done too, demand that has
-//! just gone often comes back, and a turn that was learnt is prepared for. Needs of the first kind
-//! go before those of the second, whichever pool has them.
+//! What a pool needs *now* is what its tasks take or wait for, or what its arriving jobs will keep
+//! busy if that is more, carried on at its growth for the time of a move. What it should *keep* is
+//! more: demand that has just gone often comes back, and a turn that was learnt is prepared for.
+//! Needs of the first kind go before those of the second, whichever pool has them.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Now, PoolId, Scheduler, StepSpec, ready::Class};
+use super::{Now, PoolId, Scheduler, Slot, StepSpec};
 
 /// The time over which arriving work is averaged: long enough to see a trend in a few jobs, short
 /// against the seconds that demand stays.
@@ -53,12 +52,10 @@
 /// What the tasks of a pool take or wait for.
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
-    /// Thousandths of a core of those that last.
-    lasting: u64,
-    /// Thousandths of a core of those that end by themselves and are at work or can be in time.
+    /// Thousandths of a core of all of them.
+    all: u64,
+    /// Thousandths of a core of those that end by themselves.
     short: u64,
-    /// Thousandths of a core of those that wait and are late already.
-    late: u64,
     /// Hosts without which a lasting step can't keep its tasks apart.
     spread: usize,
 }
@@ -72,7 +69,7 @@
 
     /// Hosts that each pool should have.
     pub(super) fn needs(&mut self, now: Now, span: Duration) -> BTreeMap<PoolId, Need> {
-        let loads = self.loads(now);
+        let loads = self.loads();
         let sizes = self.agents.values().map(|a| a.record.room.millicores);
         let size = sizes.max().unwrap_or_default().max(1) as f64;
         let pools = self.catalog.pools.iter().filter(|p| !p.spare);
@@ -84,15 +81,15 @@
             let load = loads.get(&name).copied().unwrap_or_default();
             let demand = self.hosts.demands.entry(name.clone()).or_default();
             let short = demand.look(load.short as f64, span);
-            let late = short + load.late as f64;
             self.hosts
                 .turns
-                .observe(now, span, &name, late, size * RUSH_HOSTS);
-            demand.need = late.max(demand.need * decline);
+                .observe(now, span, &name, short, size * RUSH_HOSTS);
+            demand.need = short.max(demand.need * decline);
             let expected = expected.as_ref().filter(|(pool, _)| *pool == name);
             let kept = demand.need.max(expected.map_or(0.0, |(_, need)| *need));
+            let lasting = load.all.saturating_sub(load.short) as f64;
             let hosts = |cores: f64| {
-                let hosts = ((cores + load.lasting as f64) * HEADROOM / size).ceil();
+                let hosts = ((cores + lasting) * HEADROOM / size).ceil();
                 // A pool is never given up: its next job would wait for a move.
                 (hosts as usize).max(load.spread).max(1)
             };
@@ -106,29 +103,20 @@
     }
 
     /// What the tasks of each pool take or wait for.
-    fn loads(&self, now: Now) -> BTreeMap<PoolId, Load> {
+    fn loads(&self) -> BTreeMap<PoolId, Load> {
         let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
         for agent in self.agents.values() {
             let load = loads.entry(agent.record.pool.clone()).or_default();
-            for slot in agent.slots.values() {
-                let sum = if slot.lasting {
-                    &mut load.lasting
-                } else {
-                    &mut load.short
-                };
-                *sum += slot.room.millicores;
-            }
+            load.all += agent.used.millicores;
+            let short = agent.slots.values().filter(|slot| !slot.lasting);
+            load.short += short.map(|slot: &Slot| slot.room.millicores).sum::<u64>();
         }
         for (_, ready) in self.ready.iter() {
             let count = u64::try_from(ready.free.len()).unwrap_or(u64::MAX);
             let load = loads.entry(ready.pool.clone()).or_default();
             let cores = ready.spec.room().millicores.saturating_mul(count);
-            let sum = match ready.class(now) {
-                Class::Lasting => &mut load.lasting,
-                Class::InTime => &mut load.short,
-                Class::Late => &mut load.late,
-            };
-            *sum += cores;
+            load.all += cores;
+            load.short += if ready.spec.lasting { 0 } else { cores };
             load.spread = load.spread.max(spread(&ready.spec));
         }
         loads
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -46,29 +46,23 @@
 
 /// Which steps go before others, whatever their deadlines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Class {
-    /// It earns as long as it stands.
+enum Class {
     Lasting,
-    /// It can still meet its objective.
     InTime,
-    /// It can't any more.
     Late,
 }
 
 impl Ready {
-    pub(super) fn class(&self, now: Now) -> Class {
-        if self.spec.lasting {
+    pub(super) fn rank(&self, now: Now, step: StepId) -> Rank {
+        let class = if self.spec.lasting {
             Class::Lasting
         } else if now + self.left <= self.deadline {
             Class::InTime
         } else {
             Class::Late
-        }
-    }
-
-    pub(super) fn rank(&self, now: Now, step: StepId) -> Rank {
+        };
         Rank {
-            class: self.class(now),
+            class,
             priority: self.priority,
             deadline: self.deadline,
             step,
