Keep idle hosts while a rush begins, and pack tasks by when hosts become empty

Ruled out: the provider and the wave, which had taken three hosts.

Change: none is switched off within 4 s of a turn's begin. What pools need and have is logged with the number of their empty hosts. Test: a rush that begins with few jobs; it fails without the pause.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -42,6 +42,10 @@
     pub(super) slots: BTreeMap<TaskId, Slot>,
     /// The sum of what the slots take.
     pub(super) used: Resources,
+    /// How many of them last.
+    lasting: usize,
+    /// About when the others will have ended; in the past if there are none.
+    ends: Now,
     /// By when its lease has surely run out, by our clock.
     pub(super) lease: Now,
     /// The renewal under way.
@@ -124,6 +128,8 @@
             clock: None,
             slots: BTreeMap::new(),
             used: Resources::default(),
+            lasting: 0,
+            ends: now,
             lease: now,
             renewal: None,
             next: now,
@@ -175,15 +181,35 @@
 
     pub(super) fn add(&mut self, task: TaskId, slot: Slot) {
         self.used = self.used.plus(&slot.room);
+        if slot.lasting {
+            self.lasting += 1;
+        } else {
+            self.ends = self.ends.max(slot.since + slot.estimate);
+        }
         if let Some(before) = self.slots.insert(task, slot) {
             self.used = self.used.minus(&before.room);
+            self.lasting -= usize::from(before.lasting);
         }
     }
 
     pub(super) fn remove(&mut self, now: Now, task: TaskId) {
         if let Some(slot) = self.slots.remove(&task) {
             self.used = self.used.minus(&slot.room);
+            self.lasting -= usize::from(slot.lasting);
             self.idle = now;
+            if self.slots.len() == self.lasting {
+                self.ends = now;
+            }
+        }
+    }
+
+    /// How much longer it would be busy for a short task that begins now; nothing if it runs what
+    /// lasts, since it won't be empty anyway.
+    pub(super) fn extension(&self, now: Now, estimate: Duration) -> Duration {
+        if self.lasting > 0 {
+            Duration::ZERO
+        } else {
+            (now + estimate).saturating_sub(self.ends.max(now))
         }
     }
 
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -14,6 +14,8 @@
 
 /// A host that was empty for so long goes to the spares: by then it has cost what two moves do.
 const PARK: Duration = Duration::from_millis(2500);
+/// How long a turn takes to reach its peak.
+const RISE: Duration = Duration::from_secs(4);
 /// From one log of what pools need to the next.
 const LOG: Duration = Duration::from_secs(1);
 
@@ -32,8 +34,11 @@
         let kept: Counts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         self.supply(now, &present, &mut have, spare.as_ref());
         self.supply(now, &kept, &mut have, spare.as_ref());
-        // Until a first turn nothing is known of where hosts will be needed.
-        if let Some(spare) = spare.filter(|_| self.hosts.turns.any()) {
+        // Until a first turn nothing is known of where hosts will be needed, and while one begins
+        // its pool will soon need those that are idle elsewhere.
+        let last = self.hosts.turns.last();
+        let settled = last.is_some_and(|began| now >= began + RISE);
+        if let Some(spare) = spare.filter(|_| settled) {
             self.park(now, &kept, &mut have, &spare);
         }
         let surplus = |(pool, keep): (PoolId, usize)| {
@@ -65,8 +70,13 @@
             return;
         }
         self.hosts.logged = now;
+        let mut empties = Counts::new();
+        for (_, view, _) in self.empties() {
+            *empties.entry(view.pool.clone()).or_default() += 1;
+        }
         for (pool, need) in needs {
             let have = have.get(pool).copied().unwrap_or_default();
+            let empty = empties.get(pool).copied().unwrap_or_default();
             let demand = self.hosts.demands.get(pool).copied().unwrap_or_default();
             let (placed, demand, trend) = (
                 self.used(pool) / 1000,
@@ -74,7 +84,7 @@
                 demand.trend as u64 / 1000,
             );
             let Need { now: need, keep } = *need;
-            log::info!(pool:%, need, keep, have, placed, demand, trend; "hosts and cores of a pool");
+            log::info!(pool:%, need, keep, have, empty, placed, demand, trend; "hosts and cores of a pool");
         }
     }
 
--- a/src/core/workload/scheduler/forecast.rs
+++ b/src/core/workload/scheduler/forecast.rs
@@ -81,9 +81,9 @@
         self.trusted = true;
     }
 
-    /// Whether any pool has had a turn.
-    pub(super) fn any(&self) -> bool {
-        self.last.is_some()
+    /// When the last turn began.
+    pub(super) fn last(&self) -> Option<Now> {
+        self.last
     }
 
     /// The pool whose turn is about to begin, and what it will need.
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -1,9 +1,10 @@
 //! Which agent runs a task.
 //!
-//! Work is packed onto few agents, so that others stay empty for maintenance and moves. Best-effort
+//! Work is packed onto few agents, so that others stay empty for maintenance and moves: beside what
+//! lasts first, then beside what ends no sooner, then where most runs. Best-effort
 //! work and work that serves keep apart where there is a choice, for the one slows the other.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use super::agent::Agent;
 use crate::core::{
@@ -14,6 +15,9 @@
     },
 };
 
+/// Ends that are this close count as one: estimates aren't more exact.
+const GRAIN: Duration = Duration::from_millis(200);
+
 /// How well an agent suits a task; the highest is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -25,6 +29,8 @@
     apart: bool,
     /// For lasting work: others like it are here.
     alike: bool,
+    /// By how much it would be empty later, in units of [`GRAIN`].
+    later: Reverse<u128>,
     /// Cores in use, in thousandths.
     busy: u64,
 }
@@ -51,6 +57,11 @@
         .data_rack
         .as_ref()
         .is_none_or(|rack| agent.record.rack() == Some(rack));
+    let later = if spec.lasting {
+        Duration::ZERO
+    } else {
+        agent.extension(now, spec.estimate)
+    };
     let disturbs = spec.best_effort && agent.serves();
     let disturbed = spec.tail.is_some() && agent.has_best_effort();
     Fit {
@@ -58,6 +69,7 @@
         near,
         apart: !disturbs && !disturbed,
         alike: spec.lasting && agent.slots.values().any(|slot| slot.lasting),
+        later: Reverse(later.as_millis() / GRAIN.as_millis()),
         busy: agent.used.millicores,
     }
 }
--- a/tests/workload/hosts.rs
+++ b/tests/workload/hosts.rs
@@ -159,6 +159,28 @@
     );
 }
 
+#[test]
+fn idle_hosts_are_kept_while_a_rush_begins() {
+    let mut world = World::new(2, 9);
+    for host in 10..24 {
+        world.host(&format!("h{host}"), OTHER);
+    }
+    world.pass(ms(6000));
+    // The first jobs are a turn, but take no more than their pool has.
+    for job in 1..=4 {
+        world.submit(job, JobSpec::new("x", vec![step(4, 1, 2000)]));
+    }
+    world.pass(ms(500));
+    let hosts = world.hosts.values();
+    let spares = hosts.filter(|host| &*host.pool == SPARE).count();
+    assert_eq!(spares, 0, "what is idle elsewhere is needed next");
+    rush(&mut world, QUEUE, 11);
+    world.pass(ms(500));
+    let hosts = world.hosts.values();
+    let there = hosts.filter(|host| &*host.pool == POOL).count();
+    assert!(there >= 6, "{there} hosts are where the work is");
+}
+
 #[test]
 fn idle_hosts_go_to_the_spares_and_come_back() {
     let mut world = World::new(5, 5);
