--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -18,11 +18,6 @@
     },
 };
 
-/// How many times its estimate the longest task of a step takes: estimates are off by a fifth.
-const LONGEST: f64 = 1.15;
-/// From the decision to start a step's tasks to their work, and from the last one's end to ours.
-const LATENCY: Duration = Duration::from_millis(100);
-
 /// The tasks of a step that may be started.
 #[derive(Clone, Debug)]
 pub(super) struct Ready {
@@ -61,7 +56,7 @@
     pub(super) fn rank(&self, now: Now, step: StepId) -> Rank {
         let class = if self.spec.lasting {
             Class::Lasting
-        } else if now + self.left.mul_f64(LONGEST) + LATENCY <= self.deadline {
+        } else if now + self.left <= self.deadline {
             Class::InTime
         } else {
             Class::Late
