Ask where steps may run, and carry the grant in their starts

Cause: a queue may say that only an outside service knows which agents its steps may run on. Nothing asked it: every start would have been refused for want of a grant, again and again.

Change: where a step has tasks left and no agent that is known to be allowed has room, the service is asked about up to 30 agents, the best ones first, eight questions under way at most. Tests: four in the scheduler's worlds, whose agents now refuse a start without a grant that holds.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -50,6 +50,11 @@
             About::Hosts => {
                 self.hosts_listed(sent, answer);
             }
+            About::Eligible {
+                step,
+                agents,
+                valid,
+            } => self.eligible_told(now, sent, step, agents, valid, answer),
             About::Duty(host) => self.duty_answered(now, order, &host, &answer),
         }
     }
@@ -71,6 +76,13 @@
             // The next renewal tells whether the agent answers at all.
             agent.next = now;
         }
+        if let Answer::Refused {
+            why: Refusal::Grant,
+            ..
+        } = answer
+        {
+            self.eligible.revoke(task.step, id);
+        }
         if let Answer::Refused {
             why: Refusal::Unwell,
             ..
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -91,6 +91,7 @@
                 .copied()
                 .unwrap_or_default(),
             priority: queue.map_or(0, |q| q.priority),
+            eligibility: queue.and_then(|q| q.eligibility),
         }
     }
 
@@ -114,6 +115,7 @@
     /// Stops what is placed of a job that is over.
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
+        self.eligible.forget(id);
         let accepted = self.accepted.remove(&id);
         self.over.push_back((now, id));
         let Some(job) = ledger.job(id) else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod answers;
 mod balance;
 mod demand;
+mod eligible;
 mod forecast;
 mod hosts;
 mod jobs;
@@ -45,6 +46,7 @@
 };
 use self::{
     agent::{Agent, Phase, Slot},
+    eligible::Eligible,
     hosts::Hosts,
     learned::Learned,
     ready::{Queue, Ready},
@@ -178,6 +180,7 @@
     /// Rounds that were proposed and aren't applied.
     rounds: usize,
     hosts: Hosts,
+    eligible: Eligible,
     /// How long the tasks of each pool take.
     learned: BTreeMap<PoolId, Learned>,
     /// Hosts whose maintenance has begun, by wave.
@@ -207,6 +210,12 @@
     },
     Hosts,
     Duty(HostId),
+    /// Where a step may run.
+    Eligible {
+        step: StepId,
+        agents: Vec<MinionId>,
+        valid: Duration,
+    },
 }
 
 impl Scheduler {
@@ -236,6 +245,7 @@
             gone: BTreeSet::new(),
             rounds: 0,
             hosts: Hosts::default(),
+            eligible: Eligible::default(),
             learned: BTreeMap::new(),
             maintained: Vec::new(),
             orders: Vec::new(),
--- a/src/core/workload/scheduler/order.rs
+++ b/src/core/workload/scheduler/order.rs
@@ -5,7 +5,10 @@
 use crate::core::{
     consensus::Term,
     types::{Attempt, DataCentreId, HostId, MinionId, Name, PoolId, WaveId},
-    workload::{command::Ending, job::TaskId},
+    workload::{
+        command::Ending,
+        job::{StepId, TaskId},
+    },
 };
 
 /// The scheduler's number for an order; its answer carries the same one.
@@ -60,6 +63,15 @@
         /// The share in hundredths.
         percent: u8,
     },
+    /// Ask which agents may run a step.
+    Ask {
+        /// The step.
+        step: StepId,
+        /// The agents that are asked about.
+        agents: Vec<MinionId>,
+        /// How long the answer takes if all goes well.
+        within: Duration,
+    },
     /// List all hosts.
     Hosts,
     /// Move a host to another pool.
@@ -102,6 +114,8 @@
     pub until: AgentTime,
     /// From where it goes on.
     pub checkpoint: Option<Name>,
+    /// What shows that the agent may run it, if that had to be asked.
+    pub grant: Option<Name>,
 }
 
 /// What came of an order.
@@ -125,6 +139,8 @@
     Elsewhere,
     /// All hosts.
     Hosts(Vec<HostView>),
+    /// The agents that may run a step, each with the grant that a start there must carry.
+    Eligible(Vec<(MinionId, Name)>),
     /// No clear answer came: it may have been done, or may yet be.
     Silent,
 }
@@ -148,6 +164,8 @@
     Unwell,
     /// The order made no sense there.
     Invalid,
+    /// The grant is missing or holds no more.
+    Grant,
     /// Too many orders at once.
     Throttled,
 }
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -87,6 +87,21 @@
     best.map(|agent| agent.record.id.clone())
 }
 
+/// The agents that suit a step best and have room for a task of it, at most so many.
+pub(super) fn best<'a>(
+    now: Now,
+    agents: impl Iterator<Item = &'a Agent>,
+    spec: &StepSpec,
+    step: StepId,
+    most: usize,
+) -> Vec<MinionId> {
+    let able = agents.filter(|agent| may_run(agent, spec, step));
+    let mut able: Vec<_> = able.map(|agent| (fit(now, agent, spec), agent)).collect();
+    able.sort_by_key(|(fit, agent)| Reverse((*fit, &agent.record.id)));
+    let best = able.into_iter().take(most);
+    best.map(|(_, agent)| agent.record.id.clone()).collect()
+}
+
 /// Agents for all tasks of a gang at once, on one rack if it asks for that and one has the room.
 pub(super) fn choose_gang(
     agents: &BTreeMap<MinionId, &Agent>,
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -12,7 +12,7 @@
 use crate::core::{
     types::{Now, PoolId},
     workload::{
-        catalog::JobId,
+        catalog::{Eligibility, JobId},
         job::StepId,
         spec::{StepSpec, TaskIx},
     },
@@ -33,6 +33,8 @@
     pub(super) left: Duration,
     /// The queue's priority.
     pub(super) priority: u32,
+    /// What it costs to ask where its tasks may run, if that must be asked.
+    pub(super) eligibility: Option<Eligibility>,
 }
 
 /// The place of a step among those that are ready; the lowest is served first.
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -70,6 +70,7 @@
             let spec = ready.spec.clone();
             if spec.gang {
                 self.place_gang(now, ledger, rank.step(), &spec, starts);
+                self.ask_eligible(now, pool, rank.step(), &spec);
                 continue;
             }
             let tasks: Vec<_> = ready.free.iter().copied().collect();
@@ -79,6 +80,7 @@
                     task,
                 };
                 let able = self.able(now, pool);
+                let able = able.filter(|agent| self.is_eligible(now, rank.step(), agent));
                 let Some(agent) = place::choose(now, able, &spec, rank.step()) else {
                     break;
                 };
@@ -89,6 +91,7 @@
                 };
                 self.propose(now, &spec, placed, starts);
             }
+            self.ask_eligible(now, pool, rank.step(), &spec);
         }
     }
 
@@ -108,6 +111,7 @@
             return;
         }
         let able = self.able(now, &ready.pool);
+        let able = able.filter(|agent| self.is_eligible(now, step, agent));
         let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
         let Some(seats) = place::choose_gang(&able, spec, step) else {
             return;
@@ -182,7 +186,9 @@
             let Some((payload, checkpoint)) = content(ledger, task) else {
                 continue;
             };
+            let grant = self.eligible.grant(now, task.step, &id);
             let start = StartOrder {
+                grant,
                 to,
                 task,
                 attempt,
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -214,6 +214,7 @@
         What::Stop { .. } => "stop",
         What::Renew { .. } => "renew",
         What::Throttle { .. } => "throttle",
+        What::Ask { .. } => "ask",
         What::Hosts => "hosts",
         What::Move { .. } => "move",
         What::Maintain { .. } => "maintain",
@@ -223,7 +224,7 @@
 /// The word for an answer.
 pub fn answered(answer: &Answer) -> &'static str {
     match answer {
-        Answer::Done { .. } | Answer::Report(_) | Answer::Hosts(_) => "done",
+        Answer::Done { .. } | Answer::Report(_) | Answer::Hosts(_) | Answer::Eligible(_) => "done",
         Answer::Elsewhere => "elsewhere",
         Answer::Silent => "silent",
         Answer::Refused { why, .. } => match why {
@@ -235,6 +236,7 @@
             Refusal::NotInWave => "not_in_wave",
             Refusal::Unwell => "unwell",
             Refusal::Invalid => "invalid",
+            Refusal::Grant => "grant",
             Refusal::Throttled => "throttled",
         },
     }
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,6 +1,7 @@
 //! Jobs, their ledger and the leader's scheduler, on logical time.
 
 mod catalog;
+mod eligible;
 mod faults;
 mod hosts;
 mod ledger;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -11,11 +11,11 @@
 
 use egretpin::{
     core::{
-        types::{HostId, MinionId, Now, Resources, WaveId},
+        types::{HostId, MinionId, Name, Now, Resources, WaveId},
         workload::{
-            catalog::{Catalog, PoolSpec, QueueSpec},
+            catalog::{Catalog, Eligibility, PoolSpec, QueueSpec},
             command::{AgentRecord, Command, Ending, Submission, WaveRecord},
-            job::{JobState, TaskId},
+            job::{JobState, StepId, TaskId},
             ledger::Ledger,
             scheduler::{
                 AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections,
@@ -35,6 +35,14 @@
 pub(crate) const QUEUE: &str = "queue";
 /// The queue of the other pool.
 pub(crate) const SECOND: &str = "second";
+/// A queue of the first pool that may use every second host only; a service knows that.
+pub(crate) const GUIDED: &str = "guided";
+/// What it takes to ask the service.
+const ELIGIBILITY: Eligibility = Eligibility {
+    decision: ms(40),
+    each: ms(5),
+    valid: ms(3000),
+};
 /// One step of time.
 const STEP: Duration = Duration::from_millis(5);
 /// From a proposal to its commit.
@@ -81,7 +89,7 @@
 
 pub(crate) struct Agent {
     pub(crate) record: AgentRecord,
-    host: HostId,
+    pub(crate) host: HostId,
     boot: Now,
     /// How fast its clock runs.
     rate: f64,
@@ -142,6 +150,11 @@
     down: BTreeMap<WaveId, BTreeSet<HostId>>,
     pub(crate) peak: usize,
     pub(crate) moves: usize,
+    /// Grants that were given, for which step and agent, and until when they hold.
+    grants: BTreeMap<Name, (StepId, MinionId, Now)>,
+    /// Questions to the service, and whether it answers.
+    pub(crate) asked: usize,
+    pub(crate) mute: bool,
     /// Starts of each task.
     pub(crate) starts: BTreeMap<TaskId, u32>,
     catalog: Arc<Catalog>,
@@ -170,6 +183,10 @@
             attempts: 3,
             ..QueueSpec::default()
         };
+        let guided = QueueSpec {
+            eligibility: Some(ELIGIBILITY),
+            ..queue(GUIDED, POOL)
+        };
         let pool = |name: &str, spare| PoolSpec {
             name: name.into(),
             spare,
@@ -187,10 +204,13 @@
             down: BTreeMap::new(),
             peak: 0,
             moves: 0,
+            grants: BTreeMap::new(),
+            asked: 0,
+            mute: false,
             starts: BTreeMap::new(),
             catalog: Arc::new(Catalog::new(
                 1,
-                vec![queue(QUEUE, POOL), queue(SECOND, OTHER)],
+                vec![queue(QUEUE, POOL), queue(SECOND, OTHER), guided],
                 pools,
             )),
             term: 0,
@@ -514,7 +534,9 @@
         let id = match &order.what {
             What::Start(start) => &start.to.agent,
             What::Stop { to, .. } | What::Renew { to, .. } | What::Throttle { to, .. } => &to.agent,
-            What::Hosts | What::Move { .. } | What::Maintain { .. } => return None,
+            What::Ask { .. } | What::Hosts | What::Move { .. } | What::Maintain { .. } => {
+                return None;
+            }
         };
         self.agents.get(id).filter(|agent| self.now >= agent.cut)
     }
@@ -526,6 +548,7 @@
                 self.answer(order, Answer::Hosts(hosts));
                 return;
             }
+            What::Ask { step, agents, .. } => return self.grant(order, *step, agents),
             What::Move { host, pool } => {
                 self.moves += 1;
                 let answer = self.duty(host, |view| view.pool = pool.clone(), HostState::Moving);
@@ -593,6 +616,51 @@
         }
     }
 
+    /// The service answers which agents may run a step: those of every second host.
+    fn grant(&mut self, order: &Order, step: StepId, agents: &[MinionId]) {
+        self.asked += 1;
+        assert!(agents.len() <= 100, "the service takes no longer list");
+        if self.mute {
+            return self.answer(order, Answer::Silent);
+        }
+        let count = u32::try_from(agents.len()).unwrap();
+        let done = self.now + ELIGIBILITY.decision + ELIGIBILITY.each * count;
+        let mut allowed = Vec::new();
+        for id in agents {
+            let even = self.agents.get(id).is_some_and(|a| is_even(&a.host));
+            if even {
+                let grant: Name = format!("{step} {id} {done:?}").into();
+                let holds = done + ELIGIBILITY.valid;
+                self.grants.insert(grant.clone(), (step, id.clone(), holds));
+                allowed.push((id.clone(), grant));
+            }
+        }
+        let (term, order) = (order.term, order.id);
+        let answer = Answer::Eligible(allowed);
+        let event = Event::Answer {
+            term,
+            order,
+            answer,
+        };
+        self.at(done + HOP, event);
+    }
+
+    /// Whether a start carries a grant that holds, if its queue asks for one.
+    fn is_granted(&self, queue: &str, start: &StartOrder) -> bool {
+        let asks = self
+            .catalog
+            .queue(queue)
+            .is_some_and(|q| q.eligibility.is_some());
+        let grant = start
+            .grant
+            .as_ref()
+            .and_then(|grant| self.grants.get(grant));
+        !asks
+            || grant.is_some_and(|(step, agent, until)| {
+                *step == start.task.step && *agent == start.to.agent && self.now < *until
+            })
+    }
+
     fn duty(
         &mut self,
         host: &HostId,
@@ -634,6 +702,7 @@
             .any(|(other, agent)| other != id && agent.running.contains_key(&start.task));
         let done = job.task(start.task).is_some_and(|task| task.done);
         let open = job.is_open(start.task.step);
+        let granted = self.is_granted(&job.queue, start);
         let unwell = self.rng.random_bool(self.faults.unwell);
         let (fails, slow) = (
             self.rng.random_bool(self.faults.failing),
@@ -662,6 +731,9 @@
         if unwell {
             return refused(Refusal::Unwell);
         }
+        if !granted {
+            return refused(Refusal::Grant);
+        }
         if agent
             .over
             .get(&start.task)
@@ -826,6 +898,11 @@
     }
 }
 
+/// Whether a host's number is even.
+pub(crate) fn is_even(host: &str) -> bool {
+    host[1..].parse::<u32>().is_ok_and(|number| number % 2 == 0)
+}
+
 /// Tasks of a second or so on some cores.
 pub(crate) fn step(tasks: u32, cores: u64, millis: u64) -> StepSpec {
     let mut step = StepSpec::new(tasks, ms(millis));
