Throttle best-effort work by the tails that it disturbs

Cause: best-effort tasks were only kept apart from what serves where there was a choice. Where there is none a serving task may stay over its target for as long as they run, which breaks a rule after four seconds. Ruled out: a fixed share; how much they disturb differs by image and changes.

Such agents are looked at every 600 ms. Test: one in the scheduler's worlds, with tails that grow with the share: below the target within 4 s, never far above it again, and full speed when nothing is disturbed. The orders had been there, unused.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::order::{AgentTime, OrderId, Target};
+use super::{
+    order::{AgentTime, OrderId, Target},
+    throttle::FULL,
+};
 use crate::core::{
     types::{Attempt, Now, Resources},
     workload::{catalog::JobId, command::AgentRecord, job::TaskId, spec::StepSpec},
@@ -64,6 +67,10 @@
     pub(super) cordoned: bool,
     /// Whether all that it runs is about to be ended by an order about its host.
     pub(super) ending: bool,
+    /// The hundredths of their speed that its best-effort tasks should work at.
+    pub(super) share: u8,
+    /// When that was changed last.
+    pub(super) throttled: Now,
     /// Since when it runs nothing, if it doesn't.
     pub(super) idle: Now,
     /// The different jobs that failed here since the last success.
@@ -86,8 +93,10 @@
     pub(super) unanswered: Option<Now>,
     /// How often its start was sent.
     pub(super) tries: u32,
-    /// Whether it serves, and so must not be disturbed.
-    pub(super) serves: bool,
+    /// The tail latency that it must stay below, if it serves.
+    pub(super) tail: Option<Duration>,
+    /// The hundredths of its speed that it was last told to work at.
+    pub(super) share: u8,
     /// Whether it lives on what others leave.
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
@@ -139,6 +148,8 @@
             aside: now,
             cordoned: false,
             ending: false,
+            share: FULL,
+            throttled: Now::ZERO,
             idle: now,
             failed: Vec::new(),
             lapses: 0,
@@ -215,7 +226,7 @@
 
     /// Whether anything that it runs serves.
     pub(super) fn serves(&self) -> bool {
-        self.slots.values().any(|slot| slot.serves)
+        self.slots.values().any(|slot| slot.tail.is_some())
     }
 
     /// Whether anything that it runs lives on what others leave.
@@ -272,7 +283,8 @@
             since: now,
             unanswered: None,
             tries: 0,
-            serves: spec.tail.is_some(),
+            tail: spec.tail,
+            share: FULL,
             best_effort: spec.best_effort,
             lasting: spec.lasting,
             at_work: false,
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -9,6 +9,8 @@
 };
 use crate::core::workload::command::Ending;
 
+/// No share of a task's speed; what it was told may not have arrived.
+const UNTOLD: u8 = u8::MAX;
 /// What a lasting task says that is at work, in hundredths.
 const WHOLE: u32 = 100;
 
@@ -45,6 +47,14 @@
                 self.started(now, &start, &answer);
             }
             About::Stop(agent, task) => self.stopped(now, order, &agent, task, &answer),
+            About::Throttle(agent, task) => {
+                // What got no answer is sent again with the next report.
+                if !matches!(answer, Answer::Done { .. })
+                    && let Some(slot) = self.slot(&agent, task)
+                {
+                    slot.share = UNTOLD;
+                }
+            }
             About::Sweep => {}
             About::Renew { agent, acked } => self.renewed(now, sent, &agent, acked, answer),
             About::Hosts => {
@@ -166,6 +176,7 @@
                 agent.tell_time(now, report.clock);
                 agent.next = now + GAP;
                 self.take_report(now, sent, id, &report);
+                self.measure(now, id, &report);
             }
             Answer::Elsewhere => {
                 self.gone.insert(id.clone());
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, WAIT, What};
+use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, WAIT, WATCH, What};
 
 impl Scheduler {
     /// Renews the leases of agents that run something, and acknowledges ends to the others.
@@ -28,6 +28,8 @@
             });
             let wait = if idle || agent.trouble.is_some() || !quiet {
                 Duration::ZERO
+            } else if agent.serves() && agent.has_best_effort() {
+                WATCH
             } else if agent.slots.values().all(|slot| slot.lasting) {
                 WAIT.1
             } else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -32,6 +32,7 @@
 mod place;
 mod ready;
 mod starts;
+mod throttle;
 mod waves;
 
 use std::{
@@ -72,6 +73,8 @@
 /// How long a renewal may wait for an end, where short tasks run and where only lasting ones do.
 /// An agent that has died is noticed only after it, and each look costs.
 const WAIT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1500));
+/// And where best-effort work is beside work that serves: as long as a throttle takes to show.
+const WATCH: Duration = Duration::from_millis(600);
 /// How long ends may stay unacknowledged at an agent that runs nothing. Each look at it costs.
 const ACK_DELAY: Duration = Duration::from_millis(1200);
 /// From a start or stop that got no answer to the next try.
@@ -202,6 +205,7 @@
 enum About {
     Start(MinionId, TaskId),
     Stop(MinionId, TaskId),
+    Throttle(MinionId, TaskId),
     /// A stop of what shouldn't be there.
     Sweep,
     Renew {
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -157,6 +157,43 @@
     assert!(serving.is_disjoint(&filling));
 }
 
+#[test]
+fn best_effort_work_is_throttled_while_it_disturbs() {
+    // One host, so that they can't keep apart.
+    let mut world = World::new(1, 10);
+    let mut serving = lasting(1, 2);
+    serving.tail = Some(ms(50));
+    let mut filling = lasting(1, 2);
+    filling.best_effort = true;
+    world.submit(1, JobSpec::new("x", vec![serving, filling]));
+    world.until("both run", ms(2000), |world| world.runs(1).len() == 2);
+    let tail = |world: &World| {
+        let agents = world.agents.values();
+        agents
+            .map(|agent| agent.tail(world.harm))
+            .fold(0.0, f64::max)
+    };
+    world.harm = 60.0;
+    world.until("the tail is below its target", ms(4000), |world| {
+        tail(world) < 50.0
+    });
+    for _ in 0..80 {
+        world.pass(ms(100));
+        assert!(tail(&world) < 55.0, "{}", tail(&world));
+    }
+    assert!(
+        tail(&world) > 25.0,
+        "much of the work goes on: {}",
+        tail(&world)
+    );
+    world.harm = 1000.0;
+    world.until("it stands still", ms(4000), |world| tail(world) < 50.0);
+    world.harm = 1.0;
+    world.until("it has its full speed again", ms(10_000), |world| {
+        tail(world) > 10.9
+    });
+}
+
 /// Lets enough tasks end for estimates to be known as good or bad.
 fn learn(world: &mut World) {
     world.submit(100, JobSpec::new("x", vec![step(24, 1, 300)]));
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -85,6 +85,10 @@
     how: Ending,
     stopping: bool,
     percent: u32,
+    /// The hundredths of its speed that it works at.
+    share: u8,
+    best_effort: bool,
+    serves: bool,
 }
 
 pub(crate) struct Agent {
@@ -111,6 +115,14 @@
         now.saturating_sub(self.boot).mul_f64(self.rate) + ms(5000)
     }
 
+    /// The tail latency of what serves here, in milliseconds: ten, and more for each best-effort
+    /// task at full speed.
+    pub(crate) fn tail(&self, harm: f64) -> f64 {
+        let others = self.running.values().filter(|run| run.best_effort);
+        let shares: f64 = others.map(|run| f64::from(run.share) / 100.0).sum();
+        10.0 + harm * shares
+    }
+
     /// Whether it runs anything.
     pub(crate) fn is_busy(&self) -> bool {
         !self.running.is_empty()
@@ -155,6 +167,8 @@
     /// Questions to the service, and whether it answers.
     pub(crate) asked: usize,
     pub(crate) mute: bool,
+    /// What each best-effort task at full speed adds to the tails beside it, in milliseconds.
+    pub(crate) harm: f64,
     /// Starts of each task.
     pub(crate) starts: BTreeMap<TaskId, u32>,
     catalog: Arc<Catalog>,
@@ -207,6 +221,7 @@
             grants: BTreeMap::new(),
             asked: 0,
             mute: false,
+            harm: 0.0,
             starts: BTreeMap::new(),
             catalog: Arc::new(Catalog::new(
                 1,
@@ -609,6 +624,13 @@
                 }
                 return;
             }
+            What::Throttle { task, percent, .. } => {
+                let agent = self.agents.get_mut(&id);
+                if let Some(run) = agent.and_then(|agent| agent.running.get_mut(task)) {
+                    run.share = *percent;
+                }
+                Answer::Done { clock }
+            }
             _ => Answer::Done { clock },
         };
         if !silent {
@@ -770,6 +792,9 @@
             how,
             stopping: false,
             percent: 0,
+            share: 100,
+            best_effort: spec.best_effort,
+            serves: spec.tail.is_some(),
         };
         agent.running.insert(start.task, run);
         *self.starts.entry(start.task).or_default() += 1;
@@ -814,12 +839,13 @@
         let Some(agent) = self.target(order) else {
             return;
         };
+        let tail = agent.tail(self.harm);
         let running = agent.running.iter().map(|(task, run)| Running {
             task: *task,
             attempt: run.attempt,
             checkpoint: None,
             percent: run.percent,
-            measure: None,
+            measure: run.serves.then_some(tail),
         });
         let report = Report {
             clock: agent.clock(now),
