--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -2,7 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use egretpin::core::workload::{command::Command, job::JobState, spec::JobSpec};
+use egretpin::core::workload::{
+    command::Command,
+    job::JobState,
+    spec::{JobSpec, Recurrence},
+};
 
 use crate::world::{RETENTION, World, lasting, ms, step};
 
@@ -157,6 +161,41 @@
     assert!(serving.is_disjoint(&filling));
 }
 
+#[test]
+fn a_recurring_job_fires_when_it_is_due_and_as_often_as_it_should() {
+    let mut world = World::new(2, 16);
+    world.pass(ms(500));
+    let first = world.now + ms(2000);
+    // An occurrence takes longer than the time to the next one, so that they overlap.
+    let mut job = JobSpec::new("x", vec![step(2, 1, 900)]);
+    job.recurrence = Some(Recurrence {
+        first,
+        interval: ms(500),
+        count: 4,
+    });
+    world.submit(1, job);
+    let fired = |world: &World| {
+        let occurrences = world.starts.keys().map(|task| task.step.occurrence);
+        occurrences.collect::<BTreeSet<_>>()
+    };
+    for occurrence in 0..4 {
+        let due = first + ms(500) * occurrence;
+        world.pass(due.saturating_sub(world.now + ms(10)));
+        assert!(
+            !fired(&world).contains(&occurrence),
+            "{occurrence} is early"
+        );
+        // A look, a commit and a start.
+        world.pass(ms(100));
+        assert!(fired(&world).contains(&occurrence), "{occurrence} is late");
+    }
+    world.until("all of it is through", ms(5000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    assert_eq!(world.starts.len(), 8);
+    assert!(world.starts.values().all(|starts| *starts == 1));
+}
+
 #[test]
 fn best_effort_work_is_throttled_while_it_disturbs() {
     // One host, so that they can't keep apart.
