Let a pool's need decline in half the time

Cause: hosts that a fading turn had needed were kept for it for seconds, while the next turn's pool lacked them: a need fell by half in 1.5 s.

Change: it falls by half in 0.7 s.

--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -18,8 +18,9 @@
 const AHEAD: Duration = Duration::from_millis(1500);
 /// At most so many times as much is expected as there is.
 const MOST: f64 = 3.0;
-/// A pool's need falls by half in this time: demand that has just gone often comes back.
-const DECLINE: Duration = Duration::from_millis(1500);
+/// A pool's need falls by half in this time. Noise comes and goes faster; hosts that are kept for
+/// longer are missed where the next turn begins.
+const DECLINE: Duration = Duration::from_millis(700);
 /// What a pool gets beyond its need, since tasks don't fill hosts without gaps.
 const HEADROOM: f64 = 1.1;
 /// Hosts that a pool needs beyond what is usual for a rush.
