--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -60,11 +60,7 @@
             About::Hosts => {
                 self.hosts_listed(sent, answer);
             }
-            About::Eligible {
-                step,
-                agents,
-                valid,
-            } => self.eligible_told(now, sent, step, agents, valid, answer),
+            About::Eligible(question) => self.eligible_told(now, sent, question, answer),
             About::Duty(host) => self.duty_answered(now, order, &host, &answer),
         }
     }
--- /dev/null
+++ b/src/core/workload/scheduler/changes.rs
@@ -0,0 +1,153 @@
+//! What the changes of the ledger mean for the leader, from those that it inherits on.
+
+use std::time::Duration;
+
+use super::{
+    Agent, Change, Job, Ledger, MinionId, Now, Phase, Placed, Scheduler, Slot, StepSpec, TaskId,
+    Wall,
+};
+
+impl Scheduler {
+    /// Takes an agent over from an earlier leader.
+    pub(super) fn inherit(&mut self, now: Now, ledger: &Ledger, id: &MinionId) {
+        let Some(record) = ledger.agent(id) else {
+            return;
+        };
+        let mut agent = Agent::new(record.clone(), now);
+        for task in ledger.placed(id) {
+            let Some((spec, attempt)) = placed_spec(ledger, task) else {
+                continue;
+            };
+            let mut slot = Slot::new(spec, attempt, Phase::Unsure, now);
+            // What the earlier leader sent last may still be under way.
+            slot.unanswered = Some(now);
+            if self.settings.protections.inherit {
+                agent.add(task, slot);
+            } else {
+                self.freed.push(Placed {
+                    task,
+                    attempt,
+                    agent: id.clone(),
+                });
+            }
+        }
+        if !agent.slots.is_empty() {
+            agent.lease = now + self.settings.lease.mul_f64(1.03) + Duration::from_millis(300);
+        }
+        self.agents.insert(id.clone(), agent);
+    }
+
+    pub(super) fn change(&mut self, now: Now, wall: Wall, ledger: &Ledger, change: &Change) {
+        match change {
+            Change::Accepted(id) => {
+                if let Some(job) = ledger.job(*id) {
+                    self.accepted.insert(*id, now);
+                    self.note_demand(&self.pool(job), self.work(job));
+                    self.take_job(now, wall, *id, job);
+                }
+            }
+            Change::Over(id) => self.end_job(now, ledger, *id),
+            Change::Opened(step) => {
+                if let Some(job) = ledger.job(step.job) {
+                    self.open(now, *step, job);
+                }
+            }
+            Change::Superfluous(placed) => {
+                log::info!(task:% = placed.task, attempt = placed.attempt, agent:% = placed.agent; "an attempt isn't needed any more");
+                self.stop(now, &placed.agent, placed.task);
+            }
+            Change::Vacated { placed, again } => self.vacated(now, ledger, placed, *again),
+            Change::Acked { agent, through } => {
+                if let Some(agent) = self.agents.get_mut(agent) {
+                    agent.record.acked = *through;
+                }
+            }
+            Change::Declared | Change::Placed(_) | Change::Wave(_) => {}
+            Change::Agent(id) => self.know(now, ledger, id),
+            Change::Gone(id) => {
+                self.agents.remove(id);
+                self.ends.remove(id);
+            }
+        }
+    }
+
+    fn know(&mut self, now: Now, ledger: &Ledger, id: &MinionId) {
+        let Some(record) = ledger.agent(id) else {
+            return;
+        };
+        // An address belongs to one incarnation at a time.
+        let former = self.agents.values().map(|a| &a.record);
+        let former = former.filter(|r| r.address == record.address && r.id != *id);
+        let former: Vec<_> = former.map(|r| r.id.clone()).collect();
+        self.gone.extend(former);
+        match self.agents.get_mut(id) {
+            Some(agent) => agent.record = record.clone(),
+            None => {
+                let agent = Agent::new(record.clone(), now);
+                self.agents.insert(id.clone(), agent);
+            }
+        }
+    }
+
+    /// An attempt doesn't run any more.
+    fn vacated(&mut self, now: Now, ledger: &Ledger, placed: &Placed, again: bool) {
+        if let Some(agent) = self.agents.get_mut(&placed.agent) {
+            let same = |slot: &Slot| slot.attempt == placed.attempt;
+            if agent.slots.get(&placed.task).is_some_and(same) {
+                agent.remove(now, placed.task);
+            }
+        }
+        if again {
+            self.free(now, ledger, placed.task);
+        }
+    }
+
+    /// Makes a task ready again.
+    fn free(&mut self, now: Now, ledger: &Ledger, task: TaskId) {
+        let Some(job) = ledger.job(task.step.job).filter(|job| !job.is_over()) else {
+            return;
+        };
+        match self.ready.get_mut(task.step) {
+            Some(ready) => {
+                ready.free.insert(task.task);
+            }
+            None => self.open(now, task.step, job),
+        }
+    }
+
+    /// Sends the starts that were committed, and forgets those that lost a race in the ledger.
+    pub(super) fn check_start(&mut self, now: Now, ledger: &Ledger, start: &Placed) {
+        let task = ledger
+            .job(start.task.step.job)
+            .and_then(|job| job.task(start.task));
+        let stands = task.is_some_and(|task| {
+            task.attempt == start.attempt && task.agent.as_ref() == Some(&start.agent)
+        });
+        let over = ledger.job(start.task.step.job).is_none_or(Job::is_over);
+        if let Some(slot) = self.slot(&start.agent, start.task) {
+            if stands && !over {
+                slot.enter(now, Phase::Due);
+                return;
+            }
+            if stands {
+                // It was cancelled in between, and nothing was sent.
+                slot.enter(now, Phase::Ended);
+                self.freed.push(start.clone());
+                return;
+            }
+        }
+        if let Some(agent) = self.agents.get_mut(&start.agent) {
+            agent.remove(now, start.task);
+        }
+        if task.is_none_or(|task| task.agent.is_none() && !task.done) {
+            self.free(now, ledger, start.task);
+        }
+    }
+}
+
+/// What a task that is placed runs, and in which attempt.
+fn placed_spec(ledger: &Ledger, task: TaskId) -> Option<(&StepSpec, u32)> {
+    let job = ledger.job(task.step.job)?;
+    let spec = job.spec.steps.get(usize::from(task.step.step))?;
+    Some((spec, job.task(task)?.attempt))
+}
--- a/src/core/workload/scheduler/eligible.rs
+++ b/src/core/workload/scheduler/eligible.rs
@@ -43,6 +43,15 @@
     next: Now,
 }
 
+/// What the service was asked.
+#[derive(Clone, Debug)]
+pub(super) struct Question {
+    step: StepId,
+    agents: Vec<MinionId>,
+    /// How long its grants hold.
+    valid: Duration,
+}
+
 impl Eligible {
     /// The grant for a step's tasks at an agent.
     pub(super) fn grant(&self, now: Now, step: StepId, agent: &MinionId) -> Option<Name> {
@@ -113,11 +122,11 @@
         let count = u32::try_from(agents.len()).unwrap_or(u32::MAX);
         let before = u32::try_from(self.eligible.under_way).unwrap_or(u32::MAX);
         let within = (cost.decision + cost.each * count) * before;
-        let about = About::Eligible {
+        let about = About::Eligible(Question {
             step,
             agents: agents.clone(),
             valid: cost.valid,
-        };
+        });
         let what = What::Ask {
             step,
             agents,
@@ -131,11 +140,14 @@
         &mut self,
         now: Now,
         sent: Now,
-        step: StepId,
-        agents: Vec<MinionId>,
-        valid: Duration,
+        question: Question,
         answer: Answer,
     ) {
+        let Question {
+            step,
+            agents,
+            valid,
+        } = question;
         self.eligible.under_way = self.eligible.under_way.saturating_sub(1);
         let Some(known) = self.eligible.steps.get_mut(&step) else {
             return;
