Log and count who votes, and whom of them a node hears

Cause: without a leader no line told whether too few voters live or living ones can't agree, nor that a change of the voters was begun and not finished. The three hypotheses on the lost quorum couldn't be told apart by the lines alone. Nothing is decided differently.

--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -165,6 +165,7 @@
         submitting: Map::default(),
         buried: Map::default(),
         members: Members::default(),
+        voting: Default::default(),
         data_centre: config.data_centre,
         mesh_port: config.mesh_port,
         voters: config.voters,
@@ -205,6 +206,8 @@
     /// Incarnations that are over, and since when.
     pub(super) buried: Map<MinionId, Now>,
     pub(super) members: Members,
+    /// The voters and those of them that are heard, as logged last.
+    pub(super) voting: (Vec<NodeId>, Vec<NodeId>),
     pub(super) data_centre: DataCentreId,
     pub(super) mesh_port: u16,
     pub(super) voters: usize,
@@ -533,6 +536,10 @@
             Asker::Here(sender) => drop(sender.send(reply)),
             Asker::There(node, number) => self.answer(node, number, reply),
             Asker::Nobody => {}
+            // It is tried again as long as it is wanted.
+            Asker::Membership => {
+                log::info!(reply:?; "a change of the voters was answered");
+            }
         }
     }
 
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -41,6 +41,12 @@
             .collect()
     }
 
+    /// Those of some nodes that were heard lately.
+    pub(super) fn living(&self, now: Now, nodes: &[NodeId]) -> Vec<NodeId> {
+        let living = |node: &NodeId| self.within(now, *node, ALIVE);
+        nodes.iter().copied().filter(living).collect()
+    }
+
     /// The change of voters that is wanted most; `None` if all is well.
     ///
     /// A leader that began at `led` can't tell silent voters from those that it has had no time to
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -55,6 +55,10 @@
     pub applied: Gauge,
     /// 1 while this node votes.
     pub votes: Gauge,
+    /// Voters, as this node's log has them.
+    pub voters: Gauge,
+    /// Those of them that this node hears.
+    pub voters_heard: Gauge,
     /// Agents that are known.
     pub agents: Gauge,
     /// Tasks that wait to be started; the leader's alone.
@@ -76,6 +80,8 @@
             term: Gauge::default(),
             applied: Gauge::default(),
             votes: Gauge::default(),
+            voters: Gauge::default(),
+            voters_heard: Gauge::default(),
             agents: Gauge::default(),
             waiting: Gauge::default(),
             placed: Gauge::default(),
@@ -126,6 +132,16 @@
             ("term", "The term of the log", &self.term),
             ("applied", "The last index applied here", &self.applied),
             ("votes", "1 while this node votes", &self.votes),
+            (
+                "voters",
+                "Voters, as this node's log has them",
+                &self.voters,
+            ),
+            (
+                "voters_heard",
+                "Voters that this node hears, itself included",
+                &self.voters_heard,
+            ),
             ("agents", "Agents that are known", &self.agents),
             (
                 "tasks_waiting",
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -11,7 +11,11 @@
     identity::address,
     waiting::Asker,
 };
-use crate::core::{consensus, types::NodeId, workload::scheduler::Scheduler};
+use crate::core::{
+    consensus,
+    types::{NodeId, Now},
+    workload::scheduler::Scheduler,
+};
 
 impl Task {
     /// Dials the control nodes that are known, and has the right ones vote.
@@ -26,6 +30,7 @@
         for voter in self.node.voters().to_vec() {
             self.dial(voter);
         }
+        self.watch_voters(now);
         self.buried.retain(|_, since| now < *since + BURIED);
         if self.scheduler.is_none() || !self.leads() {
             return;
@@ -35,11 +40,24 @@
             .wanted(now, self.led, self.node.voters(), self.voters);
         if let Some(voters) = wanted {
             log::info!(voters:? = voters, now:? = self.node.voters(); "the voters should change");
-            let proposal = self.waiting.propose(Asker::Nobody);
+            let proposal = self.waiting.propose(Asker::Membership);
             self.consensus(consensus::Input::Reconfigure { proposal, voters });
         }
     }
 
+    /// Logs who votes, and whom of them this node hears, when either changes. Without a leader
+    /// this alone tells too few living voters from living ones that can't agree.
+    fn watch_voters(&mut self, now: Now) {
+        let voters = self.node.voters().to_vec();
+        let heard = self.members.living(now, &voters);
+        if (&voters, &heard) == (&self.voting.0, &self.voting.1) {
+            return;
+        }
+        let (term, index) = (self.node.term(), self.node.last().index);
+        log::info!(term, index, voters:?, heard:?; "the voters as this node sees them");
+        self.voting = (voters, heard);
+    }
+
     /// Sets the gauges.
     fn measure(&self) {
         let metrics = &self.ports.metrics;
@@ -48,6 +66,8 @@
         metrics.term.set(count(self.node.term()));
         metrics.applied.set(count(self.ledger.applied()));
         metrics.votes.set(i64::from(self.node.is_voter()));
+        metrics.voters.set(size(self.voting.0.len()));
+        metrics.voters_heard.set(size(self.voting.1.len()));
         metrics.agents.set(size(self.ledger.agents().count()));
         metrics
             .waiting
--- a/src/manager/waiting.rs
+++ b/src/manager/waiting.rs
@@ -19,6 +19,8 @@
     There(NodeId, AskId),
     /// Nobody: the scheduler proposed it.
     Nobody,
+    /// This node, which wants other voters.
+    Membership,
 }
 
 /// Commands that were proposed and aren't known to be committed.
