Replace a silent voter before the next one may be lost

Cause: a voter that ended for good was replaced 8 s after the next leader began, while operators wait 4 s after the start of its successor. Two ends in a row left one voter of three, and nothing can be voted back in by one of three. The 8 s were a guess about operators that nothing derived or checked. Ruled out: live voters that can't agree, and new nodes that aren't reached; the test brings the whole incident about without either. Its class: a time limit of repair that isn't derived from the time that is promised between two losses.

--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -22,7 +22,7 @@
 const SUBSCRIPTION: u32 = 2;
 /// How many of the longest waits a voter does without a leader before it asks to be fed: it may
 /// have been removed without hearing so.
-const LEADERLESS: u32 = 4;
+const LEADERLESS: u32 = 2;
 
 /// One that is fed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -84,8 +84,8 @@
     /// All voters after the change.
     pub(super) voters: Vec<NodeId>,
     pub(super) node: NodeId,
-    /// When the change is given up.
-    pub(super) until: Now,
+    /// Since when it is waited for.
+    pub(super) since: Now,
 }
 
 /// Leadership on its way to another voter.
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -15,6 +15,9 @@
 
 /// How many of the longest election waits a new voter has to come up to date.
 const JOIN: u32 = 30;
+/// How many of them it may be silent: one that is gone mustn't hold up the change that replaces
+/// another.
+const SILENT: u32 = 2;
 /// How many entries a new voter may lack when it is added.
 const CLOSE: Index = 16;
 
@@ -32,12 +35,12 @@
             None => self.reject(proposal),
             Some(Change::Remove) => self.propose(proposal, Content::Voters(voters)),
             Some(Change::Add(node)) => {
-                let until = self.now + self.config.election_max * JOIN;
+                let since = self.now;
                 self.join(Joining {
                     proposal,
                     voters,
                     node,
-                    until,
+                    since,
                 });
             }
         }
@@ -94,15 +97,18 @@
     /// Adds a voter once it is close enough not to hold up the majority that needs it.
     fn tend_joining(&mut self) {
         let (now, last) = (self.now, self.log.last().index);
+        let wait = self.config.election_max;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let Some(Joining { node, until, .. }) = leader.joining else {
+        let Some(Joining { node, since, .. }) = leader.joining else {
             return;
         };
-        let matched = leader.peers.get(&node).map_or(0, |p| p.matched);
+        let peer = leader.peers.get(&node);
+        let matched = peer.map_or(0, |p| p.matched);
         let close = matched > 0 && matched + CLOSE >= last;
-        if !close && now < until {
+        let heard = peer.and_then(|p| p.heard).unwrap_or_default().max(since);
+        if !close && now < since + wait * JOIN && now < heard + wait * SILENT {
             return;
         }
         let Some(joining) = leader.joining.take() else {
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -1,5 +1,7 @@
 //! What others may ask a node.
 
+use std::time::Duration;
+
 use super::{
     message::Position,
     node::{Node, Role, Standing},
@@ -42,6 +44,21 @@
         Some(self.quorum_heard()? + self.config.lease)
     }
 
+    /// On the leader, the voters that have answered nothing that was sent within the last `limit`,
+    /// or since it was elected if that is later.
+    pub fn silent(&self, limit: Duration) -> Vec<NodeId> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let silent = |voter: &&NodeId| {
+            let heard = leader.peers.get(voter).map(|peer| peer.heard);
+            heard.is_some_and(|heard| {
+                self.now >= heard.unwrap_or_default().max(leader.elected) + limit
+            })
+        };
+        self.voters().iter().filter(silent).copied().collect()
+    }
+
     /// The last index known to be committed.
     pub fn committed(&self) -> Index {
         self.committed
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -54,8 +54,9 @@
 pub(super) const TEND: Duration = Duration::from_millis(500);
 /// Beats of an incarnation that is over are ignored for so long: some are still under way.
 pub(super) const BURIED: Duration = Duration::from_secs(10);
-/// How long a stopping leader waits for another to take over.
-const HAND_OVER: Duration = Duration::from_millis(1500);
+/// How long a stopping node waits for another to lead and to vote in its place: an election and two
+/// changes of the voters.
+const LEAVE: Duration = Duration::from_millis(2500);
 
 /// Carries out an order; resolves when it is answered or given up.
 pub type Perform = Arc<dyn Fn(Order) -> Pin<Box<dyn Future<Output = Answer> + Send>> + Send + Sync>;
@@ -76,10 +77,25 @@
     pub mesh_port: u16,
     /// How many nodes should vote.
     pub voters: usize,
+    /// How long a voter may be silent before another node takes its place.
+    pub silence: Duration,
     /// The scheduler's.
     pub scheduler: Settings,
 }
 
+/// What a control node is to the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seat {
+    /// Who leads.
+    pub leader: Option<NodeId>,
+    /// Whether this node votes.
+    pub votes: bool,
+    /// Whether it is about to end.
+    pub leaving: bool,
+    /// Whether another could vote in its place then.
+    pub spare: bool,
+}
+
 /// What a control node speaks to.
 pub struct Ports {
     /// The other nodes.
@@ -90,8 +106,8 @@
     pub decode: Decode,
     /// What is counted.
     pub metrics: Arc<Metrics>,
-    /// Told who leads.
-    pub leader: watch::Sender<Option<NodeId>>,
+    /// Told what this node is to the others.
+    pub seat: watch::Sender<Seat>,
     /// Told why the process must stop.
     pub fatal: mpsc::UnboundedSender<String>,
 }
@@ -102,7 +118,7 @@
     Disk(DiskEvent),
     Ask(Ask, oneshot::Sender<Reply>),
     Answered(OrderId, u64, Answer),
-    HandOver,
+    Leave,
 }
 
 /// Speaks to the task, which ends when every handle is gone.
@@ -126,14 +142,18 @@
         let _ = self.0.try_send(Input::Frame(from, frame));
     }
 
-    /// Gives leadership up, and waits for another leader for a while.
-    pub async fn hand_over(&self, mut leader: watch::Receiver<Option<NodeId>>, me: NodeId) {
-        if *leader.borrow() != Some(me) || self.0.send(Input::HandOver).await.is_err() {
+    /// Gives up leadership and vote, and waits a while for others to take them, so that a node
+    /// which doesn't come back isn't missed.
+    pub async fn leave(&self, mut seat: watch::Receiver<Seat>, me: NodeId) {
+        if self.0.send(Input::Leave).await.is_err() {
             return;
         }
-        let other = leader.wait_for(|l| l.is_some_and(|l| l != me));
-        // Whether or not one was found, this process ends.
-        let _ = tokio::time::timeout(HAND_OVER, other).await;
+        let free = seat.wait_for(|seat| {
+            let led = seat.leader.is_some_and(|leader| leader != me);
+            seat.leaving && led && !(seat.votes && seat.spare)
+        });
+        // Whether or not others were found, this process ends.
+        let _ = tokio::time::timeout(LEAVE, free).await;
     }
 }
 
@@ -169,14 +189,16 @@
         data_centre: config.data_centre,
         mesh_port: config.mesh_port,
         voters: config.voters,
+        silence: config.silence,
         settings: config.scheduler,
         writes: Vec::new(),
         disk,
         full: false,
         compacted: 0,
         bytes: 0,
-        tended: Duration::ZERO,
-        viewed: Duration::ZERO,
+        leaving: false,
+        tended: None,
+        viewed: None,
         view: None,
         failed: false,
         sender: sender.downgrade(),
@@ -211,6 +233,7 @@
     pub(super) data_centre: DataCentreId,
     pub(super) mesh_port: u16,
     pub(super) voters: usize,
+    pub(super) silence: Duration,
     settings: Settings,
     writes: Vec<Write>,
     disk: std::sync::mpsc::Sender<Vec<Write>>,
@@ -218,8 +241,12 @@
     compacted: Index,
     /// Bytes applied since the last snapshot.
     bytes: usize,
-    pub(super) tended: Now,
-    pub(super) viewed: Now,
+    /// Whether this process is about to end.
+    pub(super) leaving: bool,
+    /// When the voters were looked at last; never, if that is due at once.
+    pub(super) tended: Option<Now>,
+    /// When the others were told last; never, if that is due at once.
+    pub(super) viewed: Option<Now>,
     pub(super) view: Option<View>,
     failed: bool,
     sender: mpsc::WeakSender<Input>,
@@ -257,10 +284,17 @@
             Input::Disk(event) => self.disk_event(event),
             Input::Ask(ask, reply) => self.ask(Asker::Here(reply), ask),
             Input::Answered(order, tenure, answer) => self.answered(order, tenure, answer),
-            Input::HandOver => self.consensus(consensus::Input::HandOver { to: None }),
+            Input::Leave => self.leave(),
         }
     }
 
+    /// Lets others lead and vote, and tells them at once.
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.viewed = None;
+        self.consensus(consensus::Input::HandOver { to: None });
+    }
+
     fn frame(&mut self, from: NodeId, frame: Frame) {
         match frame {
             Frame::Log(message) => self.consensus(consensus::Input::Receive { from, message }),
@@ -334,6 +368,9 @@
             }
             Output::Rejected { proposal, leader } => {
                 if let Some(asker) = self.waiting.rejected(proposal) {
+                    if matches!(asker, Asker::Membership) {
+                        self.members.came_to_nothing(self.epoch.elapsed());
+                    }
                     let why = match leader {
                         Some(leader) if leader == self.node.id() => Refused::Overloaded,
                         leader => Refused::NotLeader(leader),
@@ -354,6 +391,10 @@
             }
         }
         if let Some((asker, own)) = waiter {
+            if matches!(asker, Asker::Membership) {
+                // The next change need not wait: with a lost voter in it a longer list is weaker.
+                self.tended = None;
+            }
             let reply = if own {
                 Reply::Done
             } else {
--- a/src/manager/frame.rs
+++ b/src/manager/frame.rs
@@ -37,6 +37,8 @@
     pub term: Term,
     /// Who leads.
     pub leader: Option<NodeId>,
+    /// Whether it is about to end.
+    pub leaving: bool,
     /// The control nodes that it heard of lately, itself included.
     pub controls: Vec<(NodeId, DataCentreId)>,
     /// What callers may send.
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -1,110 +1,213 @@
 //! Which control nodes should vote.
 //!
-//! A voter that is gone for good must be replaced soon, since the next loss can follow. A node that
-//! lost its disk comes back under another id; so an id whose address another id lives at is gone.
-//! One that is merely silent is given more time, as it may come back with all it had.
+//! A voter that is gone for good must be replaced before the next one goes: of three voters one is
+//! no majority, and what was lost then can't be voted back in. Nobody tells a voter that comes back
+//! from one that doesn't, so whoever is silent is replaced as soon as another node can take its
+//! place. That costs two entries of the log if it comes back after all; it then follows, and may
+//! be chosen again. Without another node the silent voter stays.
+//!
+//! A node that lost its disk comes back under another id, so an id whose address another id lives
+//! at is gone. A node that is about to end says so, and is replaced before it does.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use egretpin::manager::membership::{Members, Voting};
+//!
+//! let now = Duration::from_secs(9);
+//! let mut members = Members::default();
+//! for (node, data_centre) in [(1, "east"), (2, "west"), (4, "north")] {
+//!     members.heard(now, node, data_centre.into(), false);
+//! }
+//! let mut voting = Voting { leader: 1, voters: &[1, 2, 3], silent: &[3], target: 3 };
+//! // The new one comes in before the lost one goes out.
+//! assert_eq!(members.wanted(now, &voting), Some(vec![1, 2, 3, 4]));
+//! voting.voters = &[1, 2, 3, 4];
+//! assert_eq!(members.wanted(now, &voting), Some(vec![1, 2, 4]));
+//! voting.voters = &[1, 2, 4];
+//! assert_eq!(members.wanted(now, &voting), None);
+//! ```
 
 use std::{collections::BTreeMap, time::Duration};
 
 use super::identity::ip;
 use crate::core::types::{DataCentreId, NodeId, Now};
 
-/// A voter that is silent for so long is replaced if another node can take its place. Longer than
-/// a restart, shorter than what operators take between two losses.
-const SILENCE: Duration = Duration::from_secs(8);
-/// A node counts as alive if it was heard within this: three of its views.
-const ALIVE: Duration = Duration::from_secs(3);
+/// A node counts as alive if it was heard within this: two of its views, and some delay.
+const ALIVE: Duration = Duration::from_millis(2500);
+/// A node that came to nothing as a new voter is the last choice for so long. Another may be
+/// reached where it can't, and it may be reached again soon.
+const LAST_CHOICE: Duration = Duration::from_secs(5);
+
+/// What is known of a control node.
+#[derive(Clone, Debug)]
+struct Member {
+    data_centre: DataCentreId,
+    /// When it was last heard; never, if others told of it.
+    heard: Option<Now>,
+    /// Whether it is about to end.
+    leaving: bool,
+    /// When it last came to nothing as a new voter.
+    failed: Option<Now>,
+}
 
 /// The control nodes that were heard of.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Members {
-    heard: BTreeMap<NodeId, (Now, DataCentreId)>,
+pub struct Members {
+    members: BTreeMap<NodeId, Member>,
+    /// The node that is to become a voter.
+    joining: Option<NodeId>,
+}
+
+/// Who votes now, as the leader sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Voting<'a> {
+    /// The leader.
+    pub leader: NodeId,
+    /// The voters.
+    pub voters: &'a [NodeId],
+    /// Those of them that haven't answered for too long.
+    pub silent: &'a [NodeId],
+    /// How many there should be.
+    pub target: usize,
 }
 
 impl Members {
-    /// A control node was heard.
-    pub(super) fn heard(&mut self, now: Now, node: NodeId, data_centre: DataCentreId) {
-        self.heard.insert(node, (now, data_centre));
+    /// A control node was heard, and whether it is about to end. Returns whether it is new.
+    pub fn heard(
+        &mut self,
+        now: Now,
+        node: NodeId,
+        data_centre: DataCentreId,
+        leaving: bool,
+    ) -> bool {
+        let before = self.members.remove(&node);
+        let failed = before.as_ref().and_then(|member| member.failed);
+        let new = before.is_none_or(|member| member.heard.is_none());
+        let member = Member {
+            data_centre,
+            heard: Some(now),
+            leaving,
+            failed,
+        };
+        self.members.insert(node, member);
+        new
     }
 
-    /// A control node was heard of; it isn't known to live.
-    pub(super) fn told(&mut self, node: NodeId, data_centre: DataCentreId) {
-        self.heard.entry(node).or_insert((Now::ZERO, data_centre));
+    /// A control node was heard of; it isn't known to live. Returns whether it is new.
+    pub fn told(&mut self, node: NodeId, data_centre: DataCentreId) -> bool {
+        let new = !self.members.contains_key(&node);
+        self.members.entry(node).or_insert(Member {
+            data_centre,
+            heard: None,
+            leaving: false,
+            failed: None,
+        });
+        new
     }
 
     /// All that were heard of, but those whose address another id has.
-    pub(super) fn all(&self, now: Now) -> Vec<(NodeId, DataCentreId)> {
-        let nodes = self.heard.iter();
-        let nodes = nodes.filter(|(node, _)| !self.replaced(now, **node));
-        nodes
-            .map(|(node, (_, centre))| (*node, centre.clone()))
+    pub fn all(&self, now: Now) -> Vec<(NodeId, DataCentreId)> {
+        let all = self.members.iter();
+        let all = all.filter(|(node, _)| !self.is_replaced(now, **node));
+        all.map(|(node, member)| (*node, member.data_centre.clone()))
             .collect()
     }
 
     /// Those of some nodes that were heard lately.
-    pub(super) fn living(&self, now: Now, nodes: &[NodeId]) -> Vec<NodeId> {
-        let living = |node: &NodeId| self.within(now, *node, ALIVE);
+    pub fn living(&self, now: Now, nodes: &[NodeId]) -> Vec<NodeId> {
+        let living = |node: &NodeId| self.is_alive(now, *node);
         nodes.iter().copied().filter(living).collect()
     }
 
     /// The change of voters that is wanted most; `None` if all is well.
-    ///
-    /// A leader that began at `led` can't tell silent voters from those that it has had no time to
-    /// hear.
-    pub(super) fn wanted(
-        &self,
-        now: Now,
-        led: Now,
-        voters: &[NodeId],
-        target: usize,
-    ) -> Option<Vec<NodeId>> {
-        let lost = voters.iter().copied().find(|v| self.replaced(now, *v));
-        let silent = || {
-            let silent = |v: &NodeId| now >= led + SILENCE && !self.within(now, *v, SILENCE);
-            voters.iter().copied().find(silent)
-        };
-        let lost = lost.or_else(silent);
+    pub fn wanted(&mut self, now: Now, voting: &Voting<'_>) -> Option<Vec<NodeId>> {
+        let Voting { voters, target, .. } = *voting;
+        let lost = self.lost(now, voting);
         if voters.len() > target {
-            return lost.map(|lost| without(voters, lost));
+            let out = lost.or_else(|| self.superfluous(now, voting))?;
+            return Some(without(voters, out));
         }
         if lost.is_none() && voters.len() == target {
             return None;
         }
-        let staying: Vec<_> = voters
-            .iter()
-            .copied()
-            .filter(|v| Some(*v) != lost)
-            .collect();
+        let staying = lost.map_or_else(|| voters.to_vec(), |lost| without(voters, lost));
         let added = self.candidate(now, voters, &staying)?;
+        self.joining = Some(added);
         let mut changed = voters.to_vec();
         changed.push(added);
         changed.sort_unstable();
         Some(changed)
     }
 
+    /// The change of voters that was wanted last came to nothing.
+    pub fn came_to_nothing(&mut self, now: Now) {
+        let joining = self.joining.take();
+        if let Some(member) = joining.and_then(|node| self.members.get_mut(&node)) {
+            member.failed = Some(now);
+        }
+    }
+
+    /// Whether a node that lives could vote instead of one that does.
+    pub fn has_spare(&self, now: Now, voters: &[NodeId]) -> bool {
+        self.candidate(now, voters, &[]).is_some()
+    }
+
+    /// The voter that most needs to be replaced.
+    fn lost(&self, now: Now, voting: &Voting<'_>) -> Option<NodeId> {
+        let voters = || voting.voters.iter().copied();
+        let leaving = |v: &NodeId| self.members.get(v).is_some_and(|member| member.leaving);
+        voters()
+            .find(|v| self.is_replaced(now, *v))
+            .or_else(|| voters().find(|v| voting.silent.contains(v)))
+            .or_else(|| voters().find(|v| leaving(v) && *v != voting.leader))
+    }
+
+    /// A voter too many, once all live: one of the data centre that has the most, so that losing
+    /// it costs the fewest.
+    fn superfluous(&self, now: Now, voting: &Voting<'_>) -> Option<NodeId> {
+        let voters = voting.voters.iter().copied();
+        if voters.clone().any(|v| !self.is_alive(now, v)) {
+            return None;
+        }
+        let others = voters.filter(|v| *v != voting.leader);
+        others.max_by_key(|v| (self.neighbours(*v, voting.voters), *v))
+    }
+
     /// A living node that isn't a voter, in a data centre with as few of those as can be.
     fn candidate(&self, now: Now, voters: &[NodeId], staying: &[NodeId]) -> Option<NodeId> {
-        let centre = |node: &NodeId| self.heard.get(node).map(|(_, centre)| centre);
-        let others = self.heard.keys().copied();
-        let able = others.filter(|n| {
-            !voters.contains(n) && self.within(now, *n, ALIVE) && !self.replaced(now, *n)
+        let able = self.members.iter().filter(|(node, member)| {
+            !voters.contains(node)
+                && !member.leaving
+                && self.is_alive(now, **node)
+                && !self.is_replaced(now, **node)
         });
-        able.min_by_key(|n| {
-            let same = staying.iter().filter(|v| centre(v) == centre(n)).count();
-            (same, *n)
-        })
+        let failed = |member: &Member| member.failed.is_some_and(|at| now < at + LAST_CHOICE);
+        let best = able.min_by_key(|(node, member)| {
+            (failed(member), self.neighbours(**node, staying), **node)
+        });
+        best.map(|(node, _)| *node)
+    }
+
+    /// How many of some nodes are in a node's data centre.
+    fn neighbours(&self, node: NodeId, nodes: &[NodeId]) -> usize {
+        let centre = |node: &NodeId| self.members.get(node).map(|m| &m.data_centre);
+        nodes.iter().filter(|n| centre(n) == centre(&node)).count()
     }
 
-    fn within(&self, now: Now, node: NodeId, span: Duration) -> bool {
-        let heard = self.heard.get(&node);
-        heard.is_some_and(|(heard, _)| now < *heard + span)
+    fn is_alive(&self, now: Now, node: NodeId) -> bool {
+        let heard = self.members.get(&node).and_then(|member| member.heard);
+        heard.is_some_and(|heard| now < heard + ALIVE)
     }
 
     /// Whether another id, heard later, lives at the address of this one.
-    fn replaced(&self, now: Now, node: NodeId) -> bool {
-        let heard = self.heard.get(&node).map_or(Now::ZERO, |(heard, _)| *heard);
-        self.heard.iter().any(|(other, (at, _))| {
-            *other != node && ip(*other) == ip(node) && *at > heard && now < *at + ALIVE
+    fn is_replaced(&self, now: Now, node: NodeId) -> bool {
+        let heard = self.members.get(&node).and_then(|member| member.heard);
+        self.members.iter().any(|(other, member)| {
+            *other != node
+                && ip(*other) == ip(node)
+                && member.heard > heard
+                && self.is_alive(now, *other)
         })
     }
 }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -7,14 +7,15 @@
 //! - [`control`]: consensus, the ledger and the leader's scheduler, as one task;
 //! - [`entry`]: finds the leader and asks it, again if need be;
 //! - [`ask`]: what may be asked, and what is answered;
-//! - [`identity`]: which node a data folder belongs to.
+//! - [`identity`]: which node a data folder belongs to;
+//! - [`membership`]: which control nodes should vote.
 
 pub mod ask;
 pub mod control;
 pub mod entry;
 pub mod frame;
 pub mod identity;
-mod membership;
+pub mod membership;
 pub mod metrics;
 mod peers;
 mod questions;
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 
 use super::{
-    control::{BURIED, TEND, Task, VIEW},
+    control::{BURIED, Seat, TEND, Task, VIEW},
     frame::{Frame, View},
     identity::address,
+    membership::Voting,
     waiting::Asker,
 };
 use crate::core::{
@@ -21,12 +22,13 @@
     /// Dials the control nodes that are known, and has the right ones vote.
     pub(super) fn tend(&mut self) {
         let now = self.now();
-        if now < self.tended + TEND {
+        if self.tended.is_some_and(|tended| now < tended + TEND) {
             return;
         }
-        self.tended = now;
+        self.tended = Some(now);
         let me = self.node.id();
-        self.members.heard(now, me, self.data_centre.clone());
+        let centre = self.data_centre.clone();
+        self.members.heard(now, me, centre, self.leaving);
         for voter in self.node.voters().to_vec() {
             self.dial(voter);
         }
@@ -35,9 +37,13 @@
         if self.scheduler.is_none() || !self.leads() {
             return;
         }
-        let wanted = self
-            .members
-            .wanted(now, self.led, self.node.voters(), self.voters);
+        let voting = Voting {
+            leader: me,
+            voters: self.node.voters(),
+            silent: &self.node.silent(self.silence),
+            target: self.voters,
+        };
+        let wanted = self.members.wanted(now, &voting);
         if let Some(voters) = wanted {
             log::info!(voters:? = voters, now:? = self.node.voters(); "the voters should change");
             let proposal = self.waiting.propose(Asker::Membership);
@@ -58,6 +64,21 @@
         self.voting = (voters, heard);
     }
 
+    /// Shows who leads and votes, when that changes.
+    fn show_seat(&mut self, now: Now) {
+        let seat = Seat {
+            leader: self.node.leader(),
+            votes: self.node.is_voter(),
+            leaving: self.leaving,
+            spare: self.leaving && self.members.has_spare(now, self.node.voters()),
+        };
+        self.ports.seat.send_if_modified(|shown| {
+            let changed = *shown != seat;
+            *shown = seat;
+            changed
+        });
+    }
+
     /// Sets the gauges.
     fn measure(&self) {
         let metrics = &self.ports.metrics;
@@ -89,11 +110,17 @@
 
     pub(super) fn viewed(&mut self, from: NodeId, view: View) {
         let now = self.now();
-        self.members.heard(now, from, view.data_centre);
+        let mut new = self
+            .members
+            .heard(now, from, view.data_centre, view.leaving);
         for (node, centre) in view.controls {
-            self.members.told(node, centre);
+            new |= self.members.told(node, centre);
             self.dial(node);
         }
+        if new {
+            // Whoever is new must be reached by all before the next loss.
+            self.viewed = None;
+        }
     }
 
     /// Tells every linked node what this one knows, from time to time and when it changes.
@@ -108,16 +135,18 @@
         } else {
             VIEW.1
         };
-        if same && now < self.viewed + pause {
+        self.show_seat(now);
+        if same && self.viewed.is_some_and(|viewed| now < viewed + pause) {
             return;
         }
-        self.viewed = now;
+        self.viewed = Some(now);
         self.measure();
         let controls = self.members.all(now);
         let view = View {
             data_centre: self.data_centre.clone(),
             term: self.node.term(),
             leader,
+            leaving: self.leaving,
             controls: controls.clone(),
             limits,
         };
@@ -132,7 +161,6 @@
         }
         if !known {
             log::info!(term = view.term, leader; "who leads has changed");
-            self.ports.leader.send_replace(leader);
         }
         let frame: Bytes = Frame::View(view.clone()).encode();
         for peer in self.ports.mesh.peers() {
