--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -12,20 +12,26 @@
 //! ```
 //! use std::time::Duration;
 //!
-//! use egretpin::manager::membership::{Members, Voting};
+//! use egretpin::manager::{
+//!     identity::node_id,
+//!     membership::{Members, Voting},
+//! };
 //!
+//! let node = |host: u8| node_id([10, 0, 0, host].into(), 0);
 //! let now = Duration::from_secs(9);
 //! let mut members = Members::default();
-//! for (node, data_centre) in [(1, "east"), (2, "west"), (4, "north")] {
-//!     members.heard(now, node, data_centre.into(), false);
+//! for (host, data_centre) in [(1, "east"), (2, "west"), (4, "north")] {
+//!     members.heard(now, node(host), data_centre.into(), false);
 //! }
-//! let mut voting = Voting { leader: 1, voters: &[1, 2, 3], silent: &[3], target: 3 };
 //! // The new one comes in before the lost one goes out.
-//! assert_eq!(members.wanted(now, &voting), Some(vec![1, 2, 3, 4]));
-//! voting.voters = &[1, 2, 3, 4];
-//! assert_eq!(members.wanted(now, &voting), Some(vec![1, 2, 4]));
-//! voting.voters = &[1, 2, 4];
-//! assert_eq!(members.wanted(now, &voting), None);
+//! let voters = [node(1), node(2), node(3)];
+//! let silent = [node(3)];
+//! let mut voting = Voting { leader: node(1), voters: &voters, silent: &silent, target: 3 };
+//! let voters = members.wanted(now, &voting).expect("the third is lost");
+//! assert_eq!(voters, [node(1), node(2), node(3), node(4)]);
+//! voting.voters = &voters;
+//! let voters = members.wanted(now, &voting).expect("it is still there");
+//! assert_eq!(voters, [node(1), node(2), node(4)]);
 //! ```
 
 use std::{collections::BTreeMap, time::Duration};
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -98,6 +98,46 @@
     assert_eq!(world.commands(old), [5], "it follows from now on");
 }
 
+#[test]
+fn a_node_that_is_gone_holds_up_the_change_that_adds_it_for_two_seconds_at_most() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    let voters = vec![1, 2, 3, 9];
+    world.input(
+        leader,
+        Input::Reconfigure {
+            proposal: 1,
+            voters,
+        },
+    );
+    assert!(world.answers.is_empty(), "it is waited for");
+    world.until(SECOND * 5 / 2, |w| !w.answers.is_empty());
+    assert!(matches!(
+        world.answers[..],
+        [(_, Output::Rejected { proposal: 1, .. })]
+    ));
+    assert_eq!(world.leader(), Some(leader));
+    world.commit(1);
+}
+
+#[test]
+fn a_leader_knows_which_voters_have_fallen_silent() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    let gone = leader % 3 + 1;
+    world.commit(1);
+    let limit = SECOND * 3 / 2;
+    world.crash(gone);
+    world.run(SECOND);
+    assert!(world.node(leader).silent(limit).is_empty());
+    world.run(SECOND);
+    assert_eq!(world.node(leader).silent(limit), [gone]);
+    assert!(world.node(6 - leader - gone).silent(limit).is_empty());
+    world.start(gone);
+    world.run(SECOND);
+    assert!(world.node(leader).silent(limit).is_empty());
+}
+
 #[test]
 fn a_change_that_waits_for_its_voter_is_answered_when_the_leader_falls() {
     let mut world = World::voters(3);
--- /dev/null
+++ b/tests/manager/main.rs
@@ -0,0 +1,3 @@
+//! The parts of control nodes that decide without a process around them.
+
+mod membership;
--- /dev/null
+++ b/tests/manager/membership.rs
@@ -0,0 +1,149 @@
+//! Which control nodes should vote.
+
+use std::time::Duration;
+
+use egretpin::{
+    core::types::{NodeId, Now},
+    manager::{
+        identity::node_id,
+        membership::{Members, Voting},
+    },
+};
+
+const NOW: Now = Duration::from_secs(30);
+/// Long enough for a node that isn't heard to count as dead.
+const LONG: Duration = Duration::from_secs(3);
+
+/// The node at a host whose folder has never been lost.
+fn node(host: u8) -> NodeId {
+    node_id([10, 0, 0, host].into(), 0)
+}
+
+fn nodes<const N: usize>(hosts: [u8; N]) -> [NodeId; N] {
+    hosts.map(node)
+}
+
+/// The nodes at the hosts 1, 2, 3 and so on, heard at a time, each in the data centre named.
+fn heard(at: Now, centres: &[&str]) -> Members {
+    let mut members = Members::default();
+    for (host, centre) in (1..).zip(centres) {
+        members.heard(at, node(host), (*centre).into(), false);
+    }
+    members
+}
+
+fn voting<'a>(voters: &'a [NodeId], silent: &'a [NodeId]) -> Voting<'a> {
+    Voting {
+        leader: node(1),
+        voters,
+        silent,
+        target: 3,
+    }
+}
+
+#[test]
+fn a_silent_voter_is_replaced_by_a_node_that_lives() {
+    let mut members = heard(NOW, &["a", "b", "c", "d"]);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 4]).to_vec()));
+    assert_eq!(
+        members.wanted(NOW, &voting(&nodes([1, 2, 4]), &nodes([]))),
+        None
+    );
+}
+
+#[test]
+fn a_silent_voter_stays_while_no_other_node_lives() {
+    let mut members = heard(NOW, &["a", "b", "c"]);
+    members.told(node(4), "d".into());
+    assert_eq!(
+        members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3]))),
+        None
+    );
+    let mut members = heard(NOW, &["a", "b", "c", "d"]);
+    let later = NOW + LONG;
+    assert_eq!(
+        members.wanted(later, &voting(&nodes([1, 2, 3]), &nodes([3]))),
+        None
+    );
+}
+
+#[test]
+fn a_voter_that_is_about_to_end_is_replaced_while_it_still_votes() {
+    let mut members = heard(NOW, &["a", "b", "c", "d"]);
+    members.heard(NOW, node(2), "b".into(), true);
+    assert!(members.has_spare(NOW, &nodes([1, 2, 3])));
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([])));
+    assert_eq!(wanted, Some(nodes([1, 3, 4]).to_vec()));
+    members.heard(NOW, node(2), "b".into(), false);
+    assert_eq!(
+        members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([]))),
+        None
+    );
+}
+
+#[test]
+fn a_node_that_is_about_to_end_takes_no_vote() {
+    let mut members = heard(NOW, &["a", "b", "c", "d"]);
+    members.heard(NOW, node(4), "d".into(), true);
+    assert_eq!(
+        members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3]))),
+        None
+    );
+}
+
+#[test]
+fn a_silent_voter_goes_before_one_that_is_about_to_end() {
+    let mut members = heard(NOW, &["a", "b", "c", "d"]);
+    members.heard(NOW, node(2), "b".into(), true);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 4]).to_vec()));
+}
+
+#[test]
+fn a_node_that_came_to_nothing_is_the_last_choice_for_a_while() {
+    let mut members = heard(NOW, &["a", "b", "c", "d", "e"]);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
+    members.came_to_nothing(NOW);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 5]).to_vec()));
+    // The one choice that there is, is taken all the same.
+    members.heard(NOW, node(5), "e".into(), true);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
+}
+
+#[test]
+fn a_list_that_is_too_long_is_shortened_once_all_live() {
+    let mut members = heard(NOW, &["a", "b", "c", "b"]);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([])));
+    assert_eq!(
+        wanted,
+        Some(nodes([1, 2, 3]).to_vec()),
+        "one of the two in b goes"
+    );
+    let mut members = heard(NOW, &["a", "b", "c"]);
+    members.told(node(4), "b".into());
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([])));
+    assert_eq!(wanted, None, "a dead one may be among them");
+}
+
+#[test]
+fn a_node_whose_disk_was_lost_is_replaced_by_its_successor() {
+    let mut members = heard(NOW, &["a", "b", "c"]);
+    let later = NOW + Duration::from_secs(1);
+    let successor = node_id([10, 0, 0, 2].into(), 77);
+    members.heard(later, successor, "b".into(), false);
+    let wanted = members.wanted(later, &voting(&nodes([1, 2, 3]), &[]));
+    let wanted = wanted.unwrap();
+    assert!(wanted.contains(&successor), "{wanted:?}");
+    let wanted = members.wanted(later, &voting(&wanted, &[]));
+    let wanted = wanted.unwrap();
+    assert!(!wanted.contains(&node(2)), "{wanted:?}");
+    assert_eq!(wanted.len(), 3);
+}
