--- a/src/core/consensus/election.rs
+++ b/src/core/consensus/election.rs
@@ -161,7 +161,8 @@
     }
 
     fn lead(&mut self) {
-        let mut leader = Leader::new(self.term, self.now);
+        let former = self.former.zip(self.heard);
+        let mut leader = Leader::new(self.term, self.now, former);
         let next = self.log.last().index + 1;
         for voter in self.others() {
             leader.peers.insert(voter, Progress::new(next));
@@ -196,7 +197,8 @@
     /// The leader hands over. Its lease ended when it asked, so votes may be given at once.
     pub(super) fn take_over(&mut self, from: NodeId, term: Term) {
         let from_leader = self.leader == Some(from) || self.leader.is_none();
-        if term == self.term && from_leader && self.is_voter() && !self.is_leader() {
+        let able = self.is_voter() && !self.retiring;
+        if term == self.term && from_leader && able && !self.is_leader() {
             self.postpone();
             self.ask_votes(true);
         }
--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -21,6 +21,8 @@
     pub(super) probing: bool,
     /// The last index of each message with entries under way.
     pub(super) in_flight: VecDeque<Index>,
+    /// Since when no entry was confirmed although some are under way.
+    pub(super) owing: Option<Now>,
     /// The snapshot on its way, if the log doesn't reach back far enough.
     pub(super) transfer: Option<Transfer>,
 }
@@ -28,13 +30,14 @@
 impl Progress {
     pub(super) fn new(next: Index) -> Self {
         let in_flight = VecDeque::new();
-        let (heard, transfer) = (None, None);
+        let (heard, owing, transfer) = (None, None, None);
         Self {
             next,
             matched: 0,
             heard,
             probing: true,
             in_flight,
+            owing,
             transfer,
         }
     }
@@ -46,13 +49,15 @@
     }
 
     /// A message with entries up to `last` went.
-    pub(super) fn sent(&mut self, last: Index) {
+    pub(super) fn sent(&mut self, now: Now, last: Index) {
         self.next = last + 1;
         self.in_flight.push_back(last);
+        self.owing.get_or_insert(now);
     }
 
     /// The node has everything up to an index.
-    pub(super) fn matched(&mut self, index: Index) {
+    pub(super) fn matched(&mut self, now: Now, index: Index) {
+        let moved = index > self.matched;
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched + 1);
         self.probing = false;
@@ -63,6 +68,11 @@
         {
             self.in_flight.pop_front();
         }
+        if self.in_flight.is_empty() {
+            self.owing = None;
+        } else if moved {
+            self.owing = Some(now);
+        }
     }
 
     /// The node's log differs; go back to where it says, not behind what is known to match.
@@ -70,6 +80,7 @@
         self.next = hint.min(self.next).max(self.matched + 1);
         self.probing = true;
         self.in_flight.clear();
+        self.owing = None;
     }
 
     pub(super) fn heard(&mut self, sent: Now) {
@@ -103,6 +114,8 @@
     pub(super) term: Term,
     /// When it was elected.
     pub(super) elected: Now,
+    /// Who led before, and when it was last heard.
+    pub(super) former: Option<(NodeId, Now)>,
     /// When the next heartbeat is due.
     pub(super) beat: Now,
     /// The other voters, and a node that is about to become one.
@@ -114,12 +127,13 @@
 }
 
 impl Leader {
-    pub(super) fn new(term: Term, now: Now) -> Self {
+    pub(super) fn new(term: Term, now: Now, former: Option<(NodeId, Now)>) -> Self {
         let peers = BTreeMap::new();
         let (joining, handing) = (None, None);
         Self {
             term,
             elected: now,
+            former,
             beat: now,
             peers,
             joining,
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -15,9 +15,9 @@
 
 /// How many of the longest election waits a new voter has to come up to date.
 const JOIN: u32 = 30;
-/// How many of them it may be silent: one that is gone mustn't hold up the change that replaces
-/// another.
-const SILENT: u32 = 2;
+/// How many of them it may say nothing, or confirm nothing of what it was sent: one that is gone or
+/// whose disk hangs mustn't hold up the change that replaces another.
+const UNCONFIRMED: u32 = 1;
 /// How many entries a new voter may lack when it is added.
 const CLOSE: Index = 16;
 
@@ -54,6 +54,8 @@
         let peer = leader.peers.entry(joining.node);
         peer.or_insert_with(|| Progress::new(next));
         leader.joining = Some(joining);
+        // It has all but what was written since it was last fed, and can say so at once.
+        leader.beat = self.now;
     }
 
     /// What a change comes to, unless it can't be made now.
@@ -80,6 +82,14 @@
         )
     }
 
+    /// Whether a change of voters is under way at this leader, so that no other can begin.
+    pub fn is_changing(&self) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        leader.joining.is_some() || self.log.last_change() > self.committed
+    }
+
     /// Whether this leader has committed an entry of its own term.
     pub(super) fn has_committed(&self) -> bool {
         self.log
@@ -108,7 +118,9 @@
         let matched = peer.map_or(0, |p| p.matched);
         let close = matched > 0 && matched + CLOSE >= last;
         let heard = peer.and_then(|p| p.heard).unwrap_or_default().max(since);
-        if !close && now < since + wait * JOIN && now < heard + wait * SILENT {
+        let confirmed = peer.and_then(|p| p.owing).unwrap_or(now).min(heard);
+        let waits = now < since + wait * JOIN && now < confirmed.max(since) + wait * UNCONFIRMED;
+        if !close && waits {
             return;
         }
         let Some(joining) = leader.joining.take() else {
@@ -199,7 +211,7 @@
     }
 
     /// Whether this leader takes no proposals because another is to lead.
-    pub(super) fn is_handing(&self) -> bool {
+    pub fn is_handing(&self) -> bool {
         matches!(&self.role, Role::Leader(leader) if leader.handing.is_some())
     }
 }
--- a/src/core/consensus/node.rs
+++ b/src/core/consensus/node.rs
@@ -63,6 +63,10 @@
     pub(super) vote: Option<NodeId>,
     pub(super) role: Role,
     pub(super) leader: Option<NodeId>,
+    /// The leader that was last heard, which may be long ago.
+    pub(super) former: Option<NodeId>,
+    /// Whether this node is about to end, so that it must not begin to lead.
+    pub(super) retiring: bool,
     pub(super) log: Log,
     pub(super) committed: Index,
     pub(super) applied: Index,
@@ -96,6 +100,8 @@
             vote: restored.vote,
             role: Role::Follower,
             leader: None,
+            former: None,
+            retiring: false,
             log: Log::new(snapshot, restored.entries),
             committed: base,
             applied: base,
@@ -128,6 +134,7 @@
             }
             Input::Reconfigure { proposal, voters } => self.reconfigure(proposal, voters),
             Input::HandOver { to } => self.hand_over(to),
+            Input::Retire => self.retiring = true,
             Input::Nodes(places) => self.config.places = places,
             Input::Synced { write } => self.synced(write),
             Input::Compact { index, image } => self.compact(index, image),
@@ -193,7 +200,7 @@
     }
 
     fn may_campaign(&self) -> bool {
-        self.is_voter() && !self.is_stalled()
+        self.is_voter() && !self.is_stalled() && !self.retiring
     }
 
     /// Whether the disk has not answered for longer than an election takes. Such a node would hold
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -131,8 +131,9 @@
             return false;
         };
         self.send_append(to, entries);
+        let now = self.now;
         if let Some(peer) = self.peer(to) {
-            peer.sent(last);
+            peer.sent(now, last);
         }
         true
     }
@@ -213,6 +214,7 @@
         }
         self.step_down(term);
         self.leader = Some(from);
+        self.former = Some(from);
         self.heard = Some(self.now);
         self.postpone();
         true
@@ -303,11 +305,12 @@
 
     /// Takes a follower's answer.
     pub(super) fn append_reply(&mut self, from: NodeId, term: Term, sent: Now, verdict: Verdict) {
+        let now = self.now;
         let Some(peer) = self.hear(from, term, sent) else {
             return;
         };
         match verdict {
-            Verdict::Matched(index) => peer.matched(index),
+            Verdict::Matched(index) => peer.matched(now, index),
             Verdict::Conflict(hint) => peer.conflict(hint),
         }
     }
--- a/src/core/consensus/seam.rs
+++ b/src/core/consensus/seam.rs
@@ -85,6 +85,8 @@
         /// To whom; the most advanced other voter if none is named.
         to: Option<NodeId>,
     },
+    /// This node is about to end: it begins to lead no more.
+    Retire,
     /// All nodes that are known now, this one too, and where they stand.
     Nodes(Vec<Place>),
     /// The state machine's image as of an index, for the log to be cut.
--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -203,6 +203,7 @@
             self.feed_answered(from, index, held, sent);
             return;
         }
+        let now = self.now;
         let Some(peer) = self.hear(from, term, sent) else {
             return;
         };
@@ -211,7 +212,7 @@
         };
         if let Answer::Done(index) = transfer.answered(index, held, sent) {
             peer.transfer = None;
-            peer.matched(index);
+            peer.matched(now, index);
         }
     }
 }
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -9,6 +9,9 @@
 };
 use crate::core::types::{NodeId, Now};
 
+/// How many heartbeats a new leader sends to its predecessor before it may take it for lost.
+const FIRST_BEATS: u32 = 4;
+
 impl Node {
     /// The node's id.
     pub fn id(&self) -> NodeId {
@@ -44,17 +47,30 @@
         Some(self.quorum_heard()? + self.config.lease)
     }
 
-    /// On the leader, the voters that have answered nothing that was sent within the last `limit`,
-    /// or since it was elected if that is later.
+    /// On the leader, the voters that for `limit` have answered nothing, or confirmed no entry
+    /// though some were sent, as one does whose disk hangs.
+    ///
+    /// Counted from the election at the earliest, but for the former leader: it may have been
+    /// missed for an election already, and has a few heartbeats to answer.
     pub fn silent(&self, limit: Duration) -> Vec<NodeId> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
         };
         let silent = |voter: &&NodeId| {
-            let heard = leader.peers.get(voter).map(|peer| peer.heard);
-            heard.is_some_and(|heard| {
-                self.now >= heard.unwrap_or_default().max(leader.elected) + limit
-            })
+            let Some(peer) = leader.peers.get(voter) else {
+                return false;
+            };
+            let former = leader.former.filter(|(former, _)| former == *voter);
+            let since = match (peer.heard, former) {
+                (Some(heard), _) => heard.max(leader.elected),
+                (None, Some((_, heard))) => {
+                    let grace = self.config.heartbeat * FIRST_BEATS;
+                    heard.max((leader.elected + grace).saturating_sub(limit))
+                }
+                (None, None) => leader.elected,
+            };
+            let since = peer.owing.unwrap_or(since).min(since);
+            self.now >= since + limit
         };
         self.voters().iter().filter(silent).copied().collect()
     }
@@ -89,6 +105,13 @@
         self.standing == Standing::Member && self.voters().contains(&self.config.id)
     }
 
+    /// Whether this node votes by the last list that is known to be committed. A list after it may
+    /// still come to nothing.
+    pub fn is_committed_voter(&self) -> bool {
+        let voters = self.log.voters_at(self.committed);
+        self.standing == Standing::Member && voters.contains(&self.config.id)
+    }
+
     /// When a leader with a quorum was last known to lead, by this node's clock: on the leader the
     /// last quorum's answer, on a voter the last message (after a freeze only one that can't have
     /// waited in a socket since before it), on a follower the last subscription
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -51,9 +51,11 @@
 /// nodes must know to be there, and of the others.
 pub(super) const VIEW: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(1));
 /// From one look at the voters to the next.
-pub(super) const TEND: Duration = Duration::from_millis(500);
+pub(super) const TEND: Duration = Duration::from_millis(200);
 /// Beats of an incarnation that is over are ignored for so long: some are still under way.
 pub(super) const BURIED: Duration = Duration::from_secs(10);
+/// The least silence after which a voter counts as lost: an election, in which nobody is heard.
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
 /// How long a stopping node waits for another to lead and to vote in its place: an election and two
 /// changes of the voters.
 const LEAVE: Duration = Duration::from_millis(2500);
@@ -144,16 +146,21 @@
 
     /// Gives up leadership and vote, and waits a while for others to take them, so that a node
     /// which doesn't come back isn't missed.
-    pub async fn leave(&self, mut seat: watch::Receiver<Seat>, me: NodeId) {
-        if self.0.send(Input::Leave).await.is_err() {
-            return;
-        }
-        let free = seat.wait_for(|seat| {
-            let led = seat.leader.is_some_and(|leader| leader != me);
-            seat.leaving && led && !(seat.votes && seat.spare)
-        });
+    pub async fn leave(&self, mut seat: watch::Receiver<Seat>, me: NodeId, limit: Duration) {
+        let free = async {
+            // A task that has ended leads and votes no more.
+            if self.0.send(Input::Leave).await.is_err() {
+                return;
+            }
+            let free = seat.wait_for(|seat| {
+                let led = seat.leader.is_some_and(|leader| leader != me);
+                seat.leaving && led && !(seat.votes && seat.spare)
+            });
+            // The same if it ends meanwhile.
+            drop(free.await);
+        };
         // Whether or not others were found, this process ends.
-        let _ = tokio::time::timeout(LEAVE, free).await;
+        let _ = tokio::time::timeout(limit.min(LEAVE), free).await;
     }
 }
 
@@ -189,7 +196,7 @@
         data_centre: config.data_centre,
         mesh_port: config.mesh_port,
         voters: config.voters,
-        silence: config.silence,
+        silence: config.silence.max(LEAST_SILENCE),
         settings: config.scheduler,
         writes: Vec::new(),
         disk,
@@ -197,8 +204,8 @@
         compacted: 0,
         bytes: 0,
         leaving: false,
-        tended: None,
-        viewed: None,
+        tend_due: None,
+        view_due: None,
         view: None,
         failed: false,
         sender: sender.downgrade(),
@@ -243,10 +250,10 @@
     bytes: usize,
     /// Whether this process is about to end.
     pub(super) leaving: bool,
-    /// When the voters were looked at last; never, if that is due at once.
-    pub(super) tended: Option<Now>,
-    /// When the others were told last; never, if that is due at once.
-    pub(super) viewed: Option<Now>,
+    /// When the voters are to be looked at; at once if not given.
+    pub(super) tend_due: Option<Now>,
+    /// When the others are to be told; at once if not given.
+    pub(super) view_due: Option<Now>,
     pub(super) view: Option<View>,
     failed: bool,
     sender: mpsc::WeakSender<Input>,
@@ -291,8 +298,9 @@
     /// Lets others lead and vote, and tells them at once.
     fn leave(&mut self) {
         self.leaving = true;
-        self.viewed = None;
-        self.consensus(consensus::Input::HandOver { to: None });
+        self.view_due = None;
+        self.tend_due = None;
+        self.consensus(consensus::Input::Retire);
     }
 
     fn frame(&mut self, from: NodeId, frame: Frame) {
@@ -368,7 +376,8 @@
             }
             Output::Rejected { proposal, leader } => {
                 if let Some(asker) = self.waiting.rejected(proposal) {
-                    if matches!(asker, Asker::Membership) {
+                    // One that leads no more can't know why its change came to nothing.
+                    if matches!(asker, Asker::Membership) && self.node.is_leader() {
                         self.members.came_to_nothing(self.epoch.elapsed());
                     }
                     let why = match leader {
@@ -393,7 +402,8 @@
         if let Some((asker, own)) = waiter {
             if matches!(asker, Asker::Membership) {
                 // The next change need not wait: with a lost voter in it a longer list is weaker.
-                self.tended = None;
+                self.tend_due = None;
+                self.members.came_about();
             }
             let reply = if own {
                 Reply::Done
@@ -472,9 +482,9 @@
         self.lead();
         self.plan();
         self.compact();
-        self.flush();
         self.tend();
         self.tell();
+        self.flush();
     }
 
     /// Whether no other node can lead now.
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -3,11 +3,13 @@
 //! A voter that is gone for good must be replaced before the next one goes: of three voters one is
 //! no majority, and what was lost then can't be voted back in. Nobody tells a voter that comes back
 //! from one that doesn't, so whoever is silent is replaced as soon as another node can take its
-//! place. That costs two entries of the log if it comes back after all; it then follows, and may
-//! be chosen again. Without another node the silent voter stays.
+//! place. That costs two entries of the log if it comes back after all, and between the two the
+//! newcomer is needed for a majority; the old voter then follows, and may be chosen again. Without
+//! another node the silent voter stays.
 //!
 //! A node that lost its disk comes back under another id, so an id whose address another id lives
-//! at is gone. A node that is about to end says so, and is replaced before it does.
+//! at is gone. A node that is about to end says so, and is replaced while it still votes, if another
+//! node can take its place.
 //!
 //! ```
 //! use std::time::Duration;
@@ -44,6 +46,12 @@
 /// A node that came to nothing as a new voter is the last choice for so long. Another may be
 /// reached where it can't, and it may be reached again soon.
 const LAST_CHOICE: Duration = Duration::from_secs(5);
+/// A living node that was heard within this, one of its views and some delay, is chosen before one
+/// that was not: what takes a voter away may have taken its neighbours.
+const FRESH: Duration = Duration::from_millis(1200);
+/// Nodes that aren't heard for so long are forgotten, or those that were replaced would be told of
+/// and dialled for ever. Longer than any cut that operators told us of.
+const FORGET: Duration = Duration::from_secs(60);
 
 /// What is known of a control node.
 #[derive(Clone, Debug)]
@@ -51,6 +59,8 @@
     data_centre: DataCentreId,
     /// When it was last heard; never, if others told of it.
     heard: Option<Now>,
+    /// When it was first told of or last heard.
+    known: Now,
     /// Whether it is about to end.
     leaving: bool,
     /// When it last came to nothing as a new voter.
@@ -93,6 +103,7 @@
         let member = Member {
             data_centre,
             heard: Some(now),
+            known: now,
             leaving,
             failed,
         };
@@ -101,20 +112,27 @@
     }
 
     /// A control node was heard of; it isn't known to live. Returns whether it is new.
-    pub fn told(&mut self, node: NodeId, data_centre: DataCentreId) -> bool {
+    pub fn told(&mut self, now: Now, node: NodeId, data_centre: DataCentreId) -> bool {
         let new = !self.members.contains_key(&node);
         self.members.entry(node).or_insert(Member {
             data_centre,
             heard: None,
+            known: now,
             leaving: false,
             failed: None,
         });
         new
     }
 
-    /// All that were heard of, but those whose address another id has.
+    /// Forgets nodes that weren't heard for long.
+    pub fn forget(&mut self, now: Now) {
+        self.members.retain(|_, member| now < member.known + FORGET);
+    }
+
+    /// All that were heard, but those whose address another id has. Who was merely told of isn't
+    /// passed on, so that nobody is told of for ever.
     pub fn all(&self, now: Now) -> Vec<(NodeId, DataCentreId)> {
-        let all = self.members.iter();
+        let all = self.members.iter().filter(|(_, m)| m.heard.is_some());
         let all = all.filter(|(node, _)| !self.is_replaced(now, **node));
         all.map(|(node, member)| (*node, member.data_centre.clone()))
             .collect()
@@ -134,11 +152,11 @@
             let out = lost.or_else(|| self.superfluous(now, voting))?;
             return Some(without(voters, out));
         }
-        if lost.is_none() && voters.len() == target {
-            return None;
-        }
         let staying = lost.map_or_else(|| voters.to_vec(), |lost| without(voters, lost));
         let added = self.candidate(now, voters, &staying)?;
+        if lost.is_none() && voters.len() == target && !self.spreads(added, voters) {
+            return None;
+        }
         self.joining = Some(added);
         let mut changed = voters.to_vec();
         changed.push(added);
@@ -146,6 +164,11 @@
         Some(changed)
     }
 
+    /// The change of voters that was wanted last was made.
+    pub fn came_about(&mut self) {
+        self.joining = None;
+    }
+
     /// The change of voters that was wanted last came to nothing.
     pub fn came_to_nothing(&mut self, now: Now) {
         let joining = self.joining.take();
@@ -159,6 +182,19 @@
         self.candidate(now, voters, &[]).is_some()
     }
 
+    /// To whom a leader that is about to end should hand over: a voter that goes on and isn't
+    /// silent.
+    pub fn heir(&self, now: Now, voting: &Voting<'_>) -> Option<NodeId> {
+        let voters = voting.voters.iter().copied();
+        let able = |v: &NodeId| {
+            let leaving = self.members.get(v).is_some_and(|member| member.leaving);
+            *v != voting.leader && !leaving && !voting.silent.contains(v) && self.is_alive(now, *v)
+        };
+        voters
+            .filter(able)
+            .max_by_key(|v| self.members.get(v).and_then(|m| m.heard))
+    }
+
     /// The voter that most needs to be replaced.
     fn lost(&self, now: Now, voting: &Voting<'_>) -> Option<NodeId> {
         let voters = || voting.voters.iter().copied();
@@ -169,6 +205,13 @@
             .or_else(|| voters().find(|v| leaving(v) && *v != voting.leader))
     }
 
+    /// Whether a node would leave fewer voters to be lost with one data centre, if it voted instead
+    /// of one of those that are most.
+    fn spreads(&self, node: NodeId, voters: &[NodeId]) -> bool {
+        let most = voters.iter().map(|v| self.neighbours(*v, voters)).max();
+        self.neighbours(node, voters) + 1 < most.unwrap_or_default()
+    }
+
     /// A voter too many, once all live: one of the data centre that has the most, so that losing
     /// it costs the fewest.
     fn superfluous(&self, now: Now, voting: &Voting<'_>) -> Option<NodeId> {
@@ -189,9 +232,12 @@
                 && !self.is_replaced(now, **node)
         });
         let failed = |member: &Member| member.failed.is_some_and(|at| now < at + LAST_CHOICE);
-        let best = able.min_by_key(|(node, member)| {
-            (failed(member), self.neighbours(**node, staying), **node)
-        });
+        let stale = |member: &Member| member.heard.is_none_or(|heard| now >= heard + FRESH);
+        let rank = |node: NodeId, member: &Member| {
+            let neighbours = self.neighbours(node, staying);
+            (failed(member), stale(member), neighbours, node)
+        };
+        let best = able.min_by_key(|(node, member)| rank(**node, member));
         best.map(|(node, _)| *node)
     }
 
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -1,7 +1,7 @@
 //! What a control node does about the others: dials them, has the right ones vote, and tells all
 //! what it knows.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 
@@ -18,14 +18,17 @@
     workload::scheduler::Scheduler,
 };
 
+/// A voter that has answered nothing for so long isn't handed leadership: three heartbeats.
+const HEIR: Duration = Duration::from_millis(300);
+
 impl Task {
     /// Dials the control nodes that are known, and has the right ones vote.
     pub(super) fn tend(&mut self) {
         let now = self.now();
-        if self.tended.is_some_and(|tended| now < tended + TEND) {
+        if self.tend_due.is_some_and(|due| now < due) {
             return;
         }
-        self.tended = Some(now);
+        self.tend_due = Some(now + TEND);
         let me = self.node.id();
         let centre = self.data_centre.clone();
         self.members.heard(now, me, centre, self.leaving);
@@ -34,7 +37,11 @@
         }
         self.watch_voters(now);
         self.buried.retain(|_, since| now < *since + BURIED);
-        if self.scheduler.is_none() || !self.leads() {
+        self.members.forget(now);
+        if self.leaving && self.node.is_leader() {
+            return self.hand_over(now);
+        }
+        if self.scheduler.is_none() || !self.leads() || self.node.is_changing() {
             return;
         }
         let voting = Voting {
@@ -51,6 +58,20 @@
         }
     }
 
+    /// Hands leadership over before this process ends; again until another node has it.
+    fn hand_over(&mut self, now: Now) {
+        let voting = Voting {
+            leader: self.node.id(),
+            voters: self.node.voters(),
+            silent: &self.node.silent(HEIR),
+            target: self.voters,
+        };
+        let to = self.members.heir(now, &voting);
+        if to.is_some() && !self.node.is_handing() {
+            self.consensus(consensus::Input::HandOver { to });
+        }
+    }
+
     /// Logs who votes, and whom of them this node hears, when either changes. Without a leader
     /// this alone tells too few living voters from living ones that can't agree.
     fn watch_voters(&mut self, now: Now) {
@@ -68,7 +89,7 @@
     fn show_seat(&mut self, now: Now) {
         let seat = Seat {
             leader: self.node.leader(),
-            votes: self.node.is_voter(),
+            votes: self.node.is_committed_voter(),
             leaving: self.leaving,
             spare: self.leaving && self.members.has_spare(now, self.node.voters()),
         };
@@ -114,12 +135,12 @@
             .members
             .heard(now, from, view.data_centre, view.leaving);
         for (node, centre) in view.controls {
-            new |= self.members.told(node, centre);
+            new |= self.members.told(now, node, centre);
             self.dial(node);
         }
         if new {
             // Whoever is new must be reached by all before the next loss.
-            self.viewed = None;
+            self.view_due = None;
         }
     }
 
@@ -136,10 +157,10 @@
             VIEW.1
         };
         self.show_seat(now);
-        if same && self.viewed.is_some_and(|viewed| now < viewed + pause) {
+        if same && self.view_due.is_some_and(|due| now < due) {
             return;
         }
-        self.viewed = Some(now);
+        self.view_due = Some(now + pause);
         self.measure();
         let controls = self.members.all(now);
         let view = View {
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -138,6 +138,85 @@
     assert!(world.node(leader).silent(limit).is_empty());
 }
 
+#[test]
+fn a_voter_whose_disk_hangs_is_silent_though_it_answers_heartbeats() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    let hung = leader % 3 + 1;
+    world.commit(1);
+    world.stuck.insert(hung);
+    let limit = SECOND * 3 / 2;
+    world.run(SECOND * 3);
+    assert!(
+        world.node(leader).silent(limit).is_empty(),
+        "it owes nothing"
+    );
+    world.commit(2);
+    world.run(SECOND * 2);
+    assert_eq!(world.node(leader).silent(limit), [hung]);
+}
+
+#[test]
+fn a_node_whose_disk_hangs_holds_up_the_change_that_adds_it_for_two_seconds_at_most() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    world.commit(1);
+    let directory = (1..=4).fold(config(4, &[]), |c, id| c.place(id, "north"));
+    world.add(directory);
+    world.until(SECOND * 2, |w| w.node(4).standing() == Standing::Member);
+    world.run(SECOND);
+    world.stuck.insert(4);
+    world.commit(2);
+    world.input(
+        leader,
+        Input::Reconfigure {
+            proposal: 1,
+            voters: vec![1, 2, 3, 4],
+        },
+    );
+    assert!(world.node(leader).is_changing());
+    // More than may be missing of one that is close.
+    (3..30).for_each(|command| world.commit(command));
+    world.until(SECOND * 2, |w| !w.node(leader).is_changing());
+    assert_eq!(world.node(leader).voters(), [1, 2, 3]);
+    world.commit(30);
+}
+
+#[test]
+fn the_former_leader_is_silent_from_when_it_was_last_heard() {
+    let mut world = World::voters(3);
+    let gone = world.elect();
+    world.commit(1);
+    let limit = SECOND * 3 / 2;
+    world.crash(gone);
+    let lost = world.now;
+    world.until(SECOND * 2, |w| w.leader().is_some_and(|l| l != gone));
+    let leader = world.leader().unwrap();
+    world.until(SECOND * 2, |w| w.node(leader).silent(limit) == [gone]);
+    let took = world.now - lost;
+    assert!(took <= SECOND * 17 / 10, "{took:?}");
+}
+
+#[test]
+fn a_node_that_is_about_to_end_begins_to_lead_no_more() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    let others: Vec<_> = (1..=3).filter(|&id| id != leader).collect();
+    world.input(others[0], Input::Retire);
+    world.input(
+        leader,
+        Input::HandOver {
+            to: Some(others[0]),
+        },
+    );
+    // It can't do so by an election either.
+    for _ in 0..20 {
+        world.run(SECOND / 4);
+        assert_ne!(world.leader(), Some(others[0]));
+    }
+    assert!(world.leader().is_some());
+}
+
 #[test]
 fn a_change_that_waits_for_its_voter_is_answered_when_the_leader_falls() {
     let mut world = World::voters(3);
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -57,7 +57,7 @@
 #[test]
 fn a_silent_voter_stays_while_no_other_node_lives() {
     let mut members = heard(NOW, &["a", "b", "c"]);
-    members.told(node(4), "d".into());
+    members.told(NOW, node(4), "d".into());
     assert_eq!(
         members.wanted(NOW, &voting(&nodes([1, 2, 3]), &nodes([3]))),
         None
@@ -128,11 +128,53 @@
         "one of the two in b goes"
     );
     let mut members = heard(NOW, &["a", "b", "c"]);
-    members.told(node(4), "b".into());
+    members.told(NOW, node(4), "b".into());
     let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &nodes([])));
     assert_eq!(wanted, None, "a dead one may be among them");
 }
 
+#[test]
+fn a_node_just_heard_is_chosen_before_one_that_may_have_gone_with_the_lost_one() {
+    let mut members = heard(NOW, &["a", "b", "c", "d", "a"]);
+    let later = NOW + Duration::from_millis(1500);
+    for host in [1, 2, 5] {
+        members.heard(later, node(host), "a".into(), false);
+    }
+    let wanted = members.wanted(later, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 5]).to_vec()));
+}
+
+#[test]
+fn voters_are_spread_over_the_data_centres_again() {
+    let mut members = heard(NOW, &["a", "b", "c", "b"]);
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 4]), &[]));
+    assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
+    let wanted = members.wanted(NOW, &voting(&nodes([1, 2, 3, 4]), &[]));
+    assert_eq!(wanted, Some(nodes([1, 2, 3]).to_vec()));
+    assert_eq!(members.wanted(NOW, &voting(&nodes([1, 2, 3]), &[])), None);
+}
+
+#[test]
+fn a_leader_that_ends_hands_over_to_a_voter_that_goes_on() {
+    let mut members = heard(NOW, &["a", "b", "c"]);
+    members.heard(NOW, node(2), "b".into(), true);
+    let heir = members.heir(NOW, &voting(&nodes([1, 2, 3]), &[]));
+    assert_eq!(heir, Some(node(3)));
+    let heir = members.heir(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
+    assert_eq!(heir, None);
+}
+
+#[test]
+fn who_is_merely_told_of_is_not_told_of_for_ever() {
+    let mut members = heard(NOW, &["a"]);
+    members.told(NOW, node(2), "b".into());
+    assert_eq!(members.all(NOW), [(node(1), "a".into())]);
+    let later = NOW + Duration::from_secs(60);
+    members.heard(later, node(1), "a".into(), false);
+    members.forget(later);
+    assert!(members.told(later, node(2), "b".into()), "it was forgotten");
+}
+
 #[test]
 fn a_node_whose_disk_was_lost_is_replaced_by_its_successor() {
     let mut members = heard(NOW, &["a", "b", "c"]);
