Look at idle agents while something may run there that isn't placed

Cause: an agent that nothing is placed at and whose ends are acknowledged was never looked at. What ran there, or was started there late, ran until its lease lapsed (up to 10 s).

Ruled out by the random worlds: starts of removed leaders, leader changes, cuts and late leases by themselves.

A protection (looks) can be taken away, and a test sees a cancelled task run on then.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -55,6 +55,8 @@
     pub(super) renewal: Option<(OrderId, Now)>,
     /// When the next renewal is due.
     pub(super) next: Now,
+    /// When the last look was sent that showed what runs there, if none showed a stray attempt.
+    pub(super) seen: Option<Now>,
     /// The last of its ends that was proposed to the log.
     pub(super) proposed: u64,
     /// The last of its ends that it was told we know.
@@ -142,6 +144,7 @@
             lease: now,
             renewal: None,
             next: now,
+            seen: None,
             proposed: acked,
             told: acked,
             trouble: None,
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -5,7 +5,7 @@
 use super::agent::LAGGING;
 use super::{
     ACK_DELAY, About, Answer, End, Ends, GAP, MinionId, Now, OrderId, Pending, Phase, Placed,
-    RENEW_RETRY, Refusal, Report, Scheduler, Slot, TRIES, TaskId, UNWELL, What,
+    RENEW_RETRY, RETRY, Refusal, Report, Scheduler, Slot, TRIES, TaskId, UNWELL, What,
 };
 use crate::core::workload::command::Ending;
 
@@ -55,7 +55,7 @@
                     slot.share = UNTOLD;
                 }
             }
-            About::Sweep => {}
+            About::Sweep(agent) => self.swept(now, &agent, &answer),
             About::Renew { agent, acked } => self.renewed(now, sent, &agent, acked, answer),
             About::Hosts => {
                 self.hosts_listed(sent, answer);
@@ -75,6 +75,9 @@
         if !self.is_there(now, id, answer) {
             return;
         }
+        if matches!(answer, Answer::Silent) {
+            self.note_stray(id, sent);
+        }
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
@@ -159,6 +162,16 @@
         }
     }
 
+    /// A stop of what isn't placed was answered; if it wasn't, the next look repeats it.
+    fn swept(&mut self, now: Now, id: &MinionId, answer: &Answer) {
+        if self.is_there(now, id, answer)
+            && !matches!(answer, Answer::Done { .. })
+            && let Some(agent) = self.agents.get_mut(id)
+        {
+            agent.next = agent.next.min(now + RETRY);
+        }
+    }
+
     fn renewed(&mut self, now: Now, sent: Now, id: &MinionId, acked: u64, answer: Answer) {
         let Some(agent) = self.agents.get_mut(id) else {
             return;
@@ -182,7 +195,8 @@
                     log::info!(agent:% = id; "an agent doesn't answer");
                 }
                 agent.trouble.get_or_insert(sent);
-                agent.next = now + RENEW_RETRY;
+                let idle = agent.slots.is_empty();
+                agent.next = now + if idle { ACK_DELAY } else { RENEW_RETRY };
             }
         }
     }
@@ -239,6 +253,7 @@
         let strays = report.running.iter();
         let strays = strays.filter(|r| !known(&r.task, r.attempt));
         let strays: Vec<_> = strays.map(|r| (r.task, r.attempt)).collect();
+        agent.seen = strays.is_empty().then_some(sent);
         let to = agent.target();
         if agent.slots.is_empty() {
             agent.next = agent.next.max(now + ACK_DELAY);
@@ -246,7 +261,11 @@
         for (task, attempt) in strays {
             log::warn!(agent:% = id, task:%, attempt; "an attempt runs that was given up; it is stopped");
             let to = to.clone();
-            self.order(now, About::Sweep, What::Stop { to, task, attempt });
+            self.order(
+                now,
+                About::Sweep(id.clone()),
+                What::Stop { to, task, attempt },
+            );
         }
     }
 
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Command, Job, JobId, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId, StepIx,
-    StepSpec, TaskIx, Wall,
+    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId,
+    StepIx, StepSpec, TaskIx, Wall,
 };
 
 impl Scheduler {
@@ -126,8 +126,9 @@
             log::info!(job:% = format_args!("{id:016x}"), queue:% = job.queue, state:? = job.state, took:?, objective:?, steps = job.spec.steps.len(); "a job is over");
         }
         for (task, agent) in job.placements(id) {
+            // Where an earlier attempt was done, a later one may still run.
             let done = job.task(task).is_some_and(|t| t.done);
-            if !done {
+            if !done || job.state == JobState::Cancelled {
                 self.stop(now, &agent, task);
             }
         }
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -1,18 +1,24 @@
 //! The leases of agents: renewed while they run something, and given up when they surely ran out.
+//!
+//! A renewal is a look as well: its answer lists what runs at the agent.
 
 use std::time::Duration;
 
 use super::{About, EXTEND, Now, Phase, Placed, STRAY, Scheduler, WAIT, WATCH, What};
 
 impl Scheduler {
-    /// Renews the leases of agents that run something, and acknowledges ends to the others.
+    /// Renews the leases of agents that run something, acknowledges ends to the others, and looks
+    /// at those where something may run that isn't placed there.
     pub(super) fn renew(&mut self, now: Now) {
         let lease = self.settings.lease;
         let mut due = Vec::new();
         for (id, agent) in &mut self.agents {
             let acked = agent.record.acked;
             let idle = agent.slots.is_empty();
-            if agent.renewal.is_some() || now < agent.next || (idle && acked == agent.told) {
+            let strays = self.strays.get(id).copied();
+            let doubtful = self.settings.protections.looks && agent.is_doubtful(strays);
+            let wanted = !idle || acked != agent.told || doubtful;
+            if agent.renewal.is_some() || now < agent.next || !wanted {
                 continue;
             }
             let extend = !idle
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod place;
 mod ready;
 mod starts;
+mod strays;
 mod throttle;
 mod waves;
 
@@ -56,7 +57,7 @@
 use super::{
     catalog::{Catalog, JobId},
     command::{Command, End, Ends, Placed, Round},
-    job::{Job, Run, StepId, TaskId},
+    job::{Job, JobState, Run, StepId, TaskId},
     ledger::{Change, Ledger},
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
@@ -76,7 +77,8 @@
 const WAIT: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1500));
 /// And where best-effort work is beside work that serves: as long as a throttle takes to show.
 const WATCH: Duration = Duration::from_millis(600);
-/// How long ends may stay unacknowledged at an agent that runs nothing. Each look at it costs.
+/// From one look at an agent that runs nothing to the next, if ends are unacknowledged there or
+/// something may run that isn't placed there. Each look costs.
 const ACK_DELAY: Duration = Duration::from_millis(1200);
 /// From a start or stop that got no answer to the next try.
 const RETRY: Duration = Duration::from_millis(200);
@@ -135,6 +137,8 @@
     pub inherit: bool,
     /// A host is maintained only when it is empty, or when all that it runs may be away.
     pub budget: bool,
+    /// Agents that nothing is placed at are looked at while something may run there.
+    pub looks: bool,
 }
 
 impl Default for Protections {
@@ -144,6 +148,7 @@
             lease: true,
             inherit: true,
             budget: true,
+            looks: true,
         }
     }
 }
@@ -181,6 +186,9 @@
     freed: Vec<Placed>,
     /// Incarnations that are over.
     gone: BTreeSet<MinionId>,
+    /// Until when a start of this leader's that got no answer may be carried out, also at agents
+    /// that were taken for gone.
+    strays: BTreeMap<MinionId, Now>,
     /// Rounds that were proposed and aren't applied.
     rounds: usize,
     hosts: Hosts,
@@ -208,7 +216,7 @@
     Stop(MinionId, TaskId),
     Throttle(MinionId, TaskId),
     /// A stop of what shouldn't be there.
-    Sweep,
+    Sweep(MinionId),
     Renew {
         agent: MinionId,
         acked: u64,
@@ -244,6 +252,7 @@
             ends: BTreeMap::new(),
             freed: Vec::new(),
             gone: BTreeSet::new(),
+            strays: BTreeMap::new(),
             rounds: 0,
             hosts: Hosts::default(),
             eligible: Eligible::default(),
@@ -330,6 +339,7 @@
         }
         commands.extend(self.forget(now));
         self.expire_leases(now);
+        self.forget_strays(now);
         self.tend_hosts(now, wall, ledger, &mut commands);
         if self.rounds < ROUNDS {
             let round = self.round(now, ledger);
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    ATTEMPTS, About, Agent, Ends, Ledger, Name, Now, Phase, Placed, PoolId, RETRY, Round, STARTS,
-    Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, What, place,
+    ATTEMPTS, About, Agent, Ends, GAP, Ledger, Name, Now, Phase, Placed, PoolId, RETRY, Round,
+    STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, What, place,
 };
 use crate::core::workload::{catalog::JobId, command::Ending};
 
@@ -198,6 +198,10 @@
             };
             let about = About::Start(id.clone(), task);
             let order = self.order(now, about, What::Start(Box::new(start)));
+            if let Some(agent) = self.agents.get_mut(&id) {
+                // It may have been looked at just before, while it ran nothing.
+                agent.next = agent.next.min(now + GAP);
+            }
             if let Some(slot) = self.slot(&id, task) {
                 slot.tries += 1;
                 slot.enter(now, Phase::Starting(order));
--- a/tests/workload/cancelled.rs
+++ b/tests/workload/cancelled.rs
@@ -3,16 +3,18 @@
 
 use egretpin::core::{
     types::MinionId,
-    workload::{command::Command, job::JobState, spec::JobSpec},
+    workload::{command::Command, job::JobState, scheduler::Protections, spec::JobSpec},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::world::{Faults, POOL, World, lasting, ms, step};
 
-/// Seeds that are played. Each plays half a minute of trouble and as long after it.
+/// Seeds that are played.
 const SEEDS: u64 = 200;
-/// Seeds of more that failed once, on the code as it was when they did.
+/// Times of trouble in each.
+const PHASES: u64 = 2;
+/// Further seeds that failed once.
 const REGRESSIONS: [u64; 0] = [];
 
 /// Which disturbances a world has.
@@ -41,56 +43,73 @@
     agents[rng.random_range(0..agents.len())].clone()
 }
 
-/// Jobs come and most are cancelled soon, while there is trouble; then it calms down.
-fn play(seed: u64, trouble: Trouble) {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xca9ce1);
+/// Jobs come, and most are cancelled soon: for some seconds beside trouble, then for some without,
+/// in which late orders are still carried out.
+fn play(seed: u64, without: Protections, trouble: Trouble) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x00ca_9ce1);
     let mut world = World::with_lease(8, seed, ms(10_000));
-    world.pass(ms(200));
-    world.faults = trouble.faults;
+    world.protections = without;
     world.lax = trouble.burials || (trouble.cuts && trouble.faults.lenient);
-    for id in 1..=40 {
-        world.submit(id, job(&mut rng));
-        world.pass(ms(rng.random_range(0..900)));
-        let cancelled = rng.random_range(id.saturating_sub(4).max(1)..=id);
-        if rng.random_bool(0.8) {
-            world.propose(Command::Cancel(cancelled));
-        }
-        world.pass(ms(rng.random_range(0..300)));
-        match rng.random_range(0..12) {
-            0 if trouble.takeovers => {
-                world.depose();
-                world.pass(ms(rng.random_range(0..3000)));
-                world.lead();
-            }
-            1 | 2 if trouble.cuts => {
-                let agent = any(&mut rng, &world);
-                world.cut(&agent, ms(rng.random_range(500..16_000)));
+    world.lead();
+    for phase in 0..PHASES {
+        world.faults = trouble.faults;
+        let first = phase * 16 + 1;
+        for id in first..first + 16 {
+            if id == first + 8 {
+                world.faults = Faults::default();
             }
-            3 if trouble.burials => {
-                let agent = any(&mut rng, &world);
-                world.propose(Command::Gone(agent));
+            world.submit(id, job(&mut rng));
+            world.pass(ms(rng.random_range(0..900)));
+            if rng.random_bool(0.8) {
+                let job = rng.random_range(id.saturating_sub(4).max(1)..=id);
+                world.propose(Command::Cancel(job));
             }
-            4 => {
-                let agent = any(&mut rng, &world);
-                world.crash(&agent);
-                world.host(&format!("h{}", 100 + id), POOL);
+            world.pass(ms(rng.random_range(0..300)));
+            if id < first + 8 {
+                disturb(&mut world, &mut rng, trouble);
             }
-            _ => {}
         }
+        for id in 1..first + 16 {
+            world.propose(Command::Cancel(id));
+        }
+        world.pass(ms(14_000));
     }
-    world.faults = Faults::default();
-    for id in 1..=40 {
-        world.propose(Command::Cancel(id));
+}
+
+fn disturb(world: &mut World, rng: &mut Pcg64Mcg, trouble: Trouble) {
+    match rng.random_range(0..8) {
+        0 if trouble.takeovers => {
+            world.depose();
+            world.pass(ms(rng.random_range(0..3000)));
+            world.lead();
+        }
+        1 | 2 if trouble.cuts => {
+            let agent = any(rng, world);
+            world.cut(&agent, ms(rng.random_range(500..16_000)));
+        }
+        3 if trouble.burials => {
+            let agent = any(rng, world);
+            world.propose(Command::Gone(agent));
+        }
+        4 => {
+            let agent = any(rng, world);
+            world.crash(&agent);
+            let host = 100 + world.hosts.len();
+            world.host(&format!("h{host}"), POOL);
+        }
+        _ => {}
     }
-    world.pass(ms(30_000));
+}
+
+/// The seeds that fail, as they are found.
+fn failing(without: Protections, trouble: Trouble) -> impl Iterator<Item = u64> {
+    let seeds = (0..SEEDS).chain(REGRESSIONS);
+    seeds.filter(move |seed| std::panic::catch_unwind(|| play(*seed, without, trouble)).is_err())
 }
 
 /// Plays all seeds, and names all those that fail.
 fn play_all(trouble: Trouble) {
-    let seeds = (0..SEEDS).chain(REGRESSIONS);
-    let failed: Vec<_> = seeds
-        .filter(|seed| std::panic::catch_unwind(|| play(*seed, trouble)).is_err())
-        .collect();
+    let failed: Vec<_> = failing(Protections::default(), trouble).collect();
     assert!(failed.is_empty(), "{} seeds fail: {failed:?}", failed.len());
 }
 
@@ -182,6 +201,20 @@
     });
 }
 
+#[test]
+fn without_looking_at_idle_agents_a_cancelled_task_runs_on() {
+    let without = Protections {
+        looks: false,
+        ..Protections::default()
+    };
+    let trouble = Trouble {
+        faults: late(),
+        burials: true,
+        ..Trouble::default()
+    };
+    assert!(failing(without, trouble).next().is_some());
+}
+
 #[test]
 fn what_ran_through_a_wrong_burial_is_stopped_when_its_job_is_cancelled() {
     let mut world = World::with_lease(3, 1, ms(10_000));
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -60,7 +60,8 @@
 const LEASE: Duration = ms(6000);
 /// By when nothing of a job that was cancelled runs, counted from its cancel.
 const CANCELLED: Duration = ms(3900);
-/// And counted from an order that was carried out late, a leader's begin or an agent's return.
+/// And counted from a start that was carried out late, or the last disturbance: what is steady
+/// again after three seconds has as long as ever.
 const CANCELLED_LATE: Duration = ms(6900);
 /// How long a job that is over is known.
 pub(crate) const RETENTION: Duration = Duration::from_secs(120);
@@ -196,8 +197,8 @@
     pub(crate) lease: Duration,
     /// When each job was cancelled, as far as it was.
     cancelled: BTreeMap<u64, Now>,
-    /// When a leader began last.
-    led: Now,
+    /// When orders or answers last went astray, a leader began, or an agent was taken for gone.
+    disturbed: Now,
     /// Whether agents check no more than what is asked of cancelled jobs: where ones that live are
     /// taken for gone, or leases outlive what leaders count, a task may run twice at once.
     pub(crate) lax: bool,
@@ -264,7 +265,7 @@
             beats: Duration::ZERO,
             lease,
             cancelled: BTreeMap::new(),
-            led: Duration::ZERO,
+            disturbed: Duration::ZERO,
             lax: false,
             protections: Protections::default(),
         };
@@ -338,7 +339,7 @@
     /// A new leader, in a new term.
     pub(crate) fn lead(&mut self) {
         self.term += 1;
-        self.led = self.now;
+        self.disturbed = self.now;
         let settings = Settings {
             lease: self.lease,
             silence: ms(4000),
@@ -390,14 +391,8 @@
                     continue;
                 };
                 let late = if run.late { run.began } else { Now::ZERO };
-                let disturbed = late.max(self.led).max(agent.cut);
-                // A stop may be late as well.
-                let calm = if self.faults.late > 0.0 {
-                    CANCELLED_LATE
-                } else {
-                    CANCELLED
-                };
-                let limit = (*cancelled + calm).max(disturbed + CANCELLED_LATE);
+                let disturbed = late.max(self.disturbed).max(agent.cut);
+                let limit = (*cancelled + CANCELLED).max(disturbed + CANCELLED_LATE);
                 assert!(
                     self.now <= limit,
                     "{task} attempt {} of a job cancelled at {cancelled:?} runs on at {id} at {:?}, begun at {:?}, late: {}",
@@ -505,6 +500,9 @@
             self.take(event);
         }
         self.run_agents();
+        if self.faults.late + self.faults.lost + self.faults.unwell > 0.0 {
+            self.disturbed = self.now;
+        }
         self.check_cancelled();
         if self.now >= self.beats + BEAT {
             self.beats = self.now;
