Show that a late heartbeat of an ended incarnation ends its successor

A heartbeat may arrive after its sender has crashed and the next incarnation has registered at the same address. Before any change of the code: the successor is declared over and its task starts a second time while it runs on.

--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -50,6 +50,10 @@
                 let agent = &agents[rng.random_range(0..agents.len())];
                 world.cut(agent, ms(rng.random_range(500..9000)));
             }
+            // Some of the cut ones crash behind their cut.
+            3 | 4 if faults.ghosts > 0.0 && !agents.is_empty() => {
+                world.reboot(&agents[rng.random_range(0..agents.len())]);
+            }
             _ => {}
         }
     }
@@ -88,6 +92,16 @@
     (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, Faults::default(), true)));
 }
 
+#[test]
+fn late_heartbeats_of_ended_incarnations_start_nothing_twice() {
+    let faults = Faults {
+        ghosts: 0.8,
+        ..Faults::default()
+    };
+    (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, faults, false)));
+    (0..SEEDS).for_each(|seed| drop(play(World::new(6, seed), seed, faults, true)));
+}
+
 #[test]
 fn all_of_it_at_once_starts_nothing_twice_and_loses_nothing() {
     let faults = Faults {
@@ -96,6 +110,7 @@
         failing: 0.03,
         unwell: 0.03,
         off: 2.0,
+        ghosts: 0.5,
     };
     (0..SEEDS).for_each(|seed| {
         let mut world = play(World::new(6, seed), seed, faults, true);
--- /dev/null
+++ b/tests/workload/incarnations.rs
@@ -0,0 +1,120 @@
+//! Which incarnation lives at an address, when heartbeats come late.
+
+use std::time::Duration;
+
+use egretpin::core::{
+    types::MinionId,
+    workload::{command::AgentRecord, job::JobState, spec::JobSpec},
+};
+
+use crate::world::{World, ms, step};
+
+/// An agent has ended, and its successor runs a task, which another agent could run too.
+struct Succeeded {
+    world: World,
+    /// What the ended incarnation said of itself.
+    former: AgentRecord,
+    successor: MinionId,
+}
+
+impl Succeeded {
+    fn new() -> Self {
+        let mut world = World::new(1, 1);
+        world.pass(ms(100));
+        let former = world.agents.values().next().unwrap().record.clone();
+        let successor = world.reboot(&former.id).unwrap();
+        world.submit(1, JobSpec::new("x", vec![step(1, 1, 25_000)]));
+        world.until("it runs", ms(1000), |world| world.runs(1).len() == 1);
+        assert_eq!(world.runs(1)[0].0, successor);
+        world.host("h9", crate::world::POOL);
+        Self {
+            world,
+            former,
+            successor,
+        }
+    }
+
+    /// The task runs where it is, and once, through a heartbeat of an ended incarnation.
+    fn outlives_beat(self, id: &MinionId, delay: Duration) {
+        let Self {
+            mut world,
+            former,
+            successor,
+        } = self;
+        world.late_beat(id, &former, delay);
+        world.pass(delay + ms(1000));
+        assert!(
+            world.ledger.agent(&successor).is_some(),
+            "the successor stays known"
+        );
+        assert!(
+            world.ledger.agent(id).is_none(),
+            "the ended one doesn't come back"
+        );
+        world.until("it is through", ms(40_000), |world| {
+            world.state(1) == Some(JobState::Completed)
+        });
+        assert_eq!(world.starts.values().copied().collect::<Vec<_>>(), [1]);
+        assert_eq!(world.sent["start"], 1, "nothing is given to the ended one");
+    }
+}
+
+#[test]
+fn a_late_beat_soon_after_the_end_ends_no_successor() {
+    let case = Succeeded::new();
+    let former = case.former.id.clone();
+    case.outlives_beat(&former, ms(50));
+}
+
+#[test]
+fn a_beat_that_is_as_late_as_a_long_cut_ends_no_successor() {
+    let case = Succeeded::new();
+    let former = case.former.id.clone();
+    case.outlives_beat(&former, ms(15_000));
+}
+
+#[test]
+fn a_late_beat_to_another_leader_ends_no_successor() {
+    let mut case = Succeeded::new();
+    case.world.depose();
+    case.world.lead();
+    let former = case.former.id.clone();
+    case.outlives_beat(&former, ms(500));
+}
+
+#[test]
+fn a_late_beat_of_an_incarnation_never_heard_before_ends_no_successor() {
+    Succeeded::new().outlives_beat(&"unheard".into(), ms(50));
+}
+
+#[test]
+fn a_claim_to_a_silent_address_changes_nothing_until_it_answers() {
+    let mut case = Succeeded::new();
+    let world = &mut case.world;
+    world.cut(&case.successor, ms(3000));
+    world.late_beat(&"unheard".into(), &case.former, ms(50));
+    // A job more than the other host has room for; the claimant would have it.
+    world.submit(2, JobSpec::new("x", vec![step(2, 8, 500)]));
+    world.pass(ms(2500));
+    assert!(world.ledger.agent(&case.successor).is_some());
+    assert_eq!(world.sent["start"], 3, "to the other host, one by one");
+    world.until("the address has answered", ms(2000), |world| {
+        world.ledger.agent(&"unheard".into()).is_none()
+    });
+    world.until("it is through", ms(40_000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    assert!(world.starts.values().all(|starts| *starts == 1));
+}
+
+#[test]
+fn what_a_crashed_agent_ran_is_started_again_as_soon_as_its_successor_is_heard() {
+    let mut world = World::new(1, 1);
+    world.submit(1, JobSpec::new("x", vec![step(1, 1, 5000)]));
+    world.until("it runs", ms(1000), |world| world.runs(1).len() == 1);
+    let (agent, _) = world.runs(1)[0].clone();
+    let next = world.reboot(&agent).unwrap();
+    // Three commits, a look and a start, in steps of 5 ms.
+    world.until("it runs again", ms(60), |world| world.runs(1).len() == 1);
+    assert_eq!(world.runs(1)[0].0, next);
+}
--- a/tests/workload/ledger.rs
+++ b/tests/workload/ledger.rs
@@ -32,16 +32,7 @@
         let ledger = Ledger::default();
         let mut world = Self { ledger, index: 0 };
         for agent in ["a", "b"] {
-            world.apply(&Command::Agent(Box::new(AgentRecord {
-                id: agent.into(),
-                pool: "pool".into(),
-                address: "127.0.0.1:1".parse().unwrap(),
-                data_centre: "west".into(),
-                labels: Vec::new(),
-                room: Resources::default(),
-                leaving: false,
-                acked: 0,
-            })));
+            world.know(agent);
         }
         world.apply(&Command::Submit(Box::new(Submission {
             job: JOB,
@@ -58,6 +49,19 @@
         self.ledger.apply(self.index, command)
     }
 
+    fn know(&mut self, agent: &str) -> Vec<Change> {
+        self.apply(&Command::Agent(Box::new(AgentRecord {
+            id: agent.into(),
+            pool: "pool".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: "west".into(),
+            labels: Vec::new(),
+            room: Resources::default(),
+            leaving: false,
+            acked: 0,
+        })))
+    }
+
     fn start(&mut self, task: TaskId, attempt: u32, agent: &str) -> Vec<Change> {
         let starts = vec![placed(task, attempt, agent)];
         self.apply(&Command::Round(Round {
@@ -275,3 +279,53 @@
     assert_eq!(copy.job(JOB), world.ledger.job(JOB));
     assert_eq!(copy.applied(), world.ledger.applied());
 }
+
+#[test]
+fn an_incarnation_that_is_over_is_never_known_again() {
+    let mut world = World::new();
+    world.apply(&Command::Gone("a".into()));
+    // Its end may also be heard before its first heartbeat.
+    world.apply(&Command::Gone("c".into()));
+    world.ledger = Ledger::from_image(&world.ledger.image()).unwrap();
+    for agent in ["a", "c"] {
+        assert!(world.know(agent).is_empty());
+        assert!(world.ledger.agent(&agent.into()).is_none());
+    }
+    assert_eq!(world.know("d"), [Change::Agent("d".into())]);
+}
+
+#[test]
+fn incarnations_that_are_over_take_bounded_space() {
+    let mut world = World::new();
+    let id = |number: u32| format!("i-{number:08x}");
+    for number in 0..10_000 {
+        world.apply(&Command::Gone(id(number).as_str().into()));
+    }
+    let size = world.ledger.image().len();
+    assert!(size < 100_000, "{size} bytes");
+    assert!(world.know(&id(9999)).is_empty());
+    assert!(world.know(&id(9999 - 4000)).is_empty());
+}
+
+/// Images were written before incarnations that are over were kept, and numbers of heartbeats.
+#[test]
+fn an_older_image_is_read() {
+    use ciborium::Value;
+
+    fn without(value: &mut Value, names: &[&str]) {
+        let Value::Map(fields) = value else { return };
+        fields.retain(|(name, _)| name.as_text().is_none_or(|name| !names.contains(&name)));
+        fields
+            .iter_mut()
+            .for_each(|(_, field)| without(field, names));
+    }
+    let mut world = World::new();
+    world.apply(&Command::Gone("b".into()));
+    let mut image: Value = ciborium::from_reader(&*world.ledger.image()).unwrap();
+    without(&mut image, &["over", "sequence"]);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&image, &mut bytes).unwrap();
+    let ledger = Ledger::from_image(&bytes).unwrap();
+    assert_eq!(ledger.agent(&"a".into()), world.ledger.agent(&"a".into()));
+    assert!(ledger.agent(&"b".into()).is_none());
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -4,6 +4,7 @@
 mod eligible;
 mod faults;
 mod hosts;
+mod incarnations;
 mod ledger;
 mod promises;
 mod spec;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -19,7 +20,7 @@
             ledger::Ledger,
             scheduler::{
                 AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections,
-                Refusal, Report, Running, Scheduler, Settings, StartOrder, What,
+                Refusal, Report, Running, Scheduler, Settings, StartOrder, Target, What,
             },
             spec::{JobSpec, StepSpec},
         },
@@ -76,6 +77,8 @@
     pub(crate) unwell: f64,
     /// How far off estimates are: tasks take up to this many times as long, or that part of it.
     pub(crate) off: f64,
+    /// Incarnations that end of which a heartbeat comes up to twenty seconds later.
+    pub(crate) ghosts: f64,
 }
 
 struct Run {
@@ -147,6 +150,11 @@
     Waited { order: Order, since: u64 },
     /// A host is back in a pool.
     Back { host: HostId },
+    /// A heartbeat that was under way for long arrives.
+    Beat {
+        record: Box<AgentRecord>,
+        clock: AgentTime,
+    },
 }
 
 pub(crate) struct World {
@@ -258,8 +266,13 @@
         self.boot(&host.into());
     }
 
-    /// A new incarnation of a host's agent, unless it is a spare.
+    /// A new incarnation of a host's agent, at an address of its own, unless it is a spare.
     fn boot(&mut self, host: &HostId) {
+        let port = 1001 + u16::try_from(self.boots).unwrap();
+        self.boot_at(host, ([127, 0, 0, 1], port).into());
+    }
+
+    fn boot_at(&mut self, host: &HostId, address: SocketAddr) {
         let rack = host[1..].parse::<usize>().unwrap_or(0) / 2;
         let Some(view) = self.hosts.get_mut(host) else {
             return;
@@ -271,11 +284,10 @@
         self.boots += 1;
         let id: MinionId = format!("{host}-{}", self.boots).into();
         view.agent = Some(id.clone());
-        let port = 1000 + u16::try_from(self.boots).unwrap();
         let record = AgentRecord {
             id: id.clone(),
             pool: view.pool.clone(),
-            address: ([127, 0, 0, 1], port).into(),
+            address,
             data_centre: "west".into(),
             labels: vec!["a".into(), format!("r{rack}").into()],
             room: Resources {
@@ -383,6 +395,42 @@
         }
     }
 
+    /// An agent dies, and the next incarnation comes up at its address, behind the same cut; which.
+    pub(crate) fn reboot(&mut self, id: &MinionId) -> Option<MinionId> {
+        let Agent {
+            record, host, cut, ..
+        } = self.agents.remove(id)?;
+        self.haunt(&record.id, &record);
+        let never = format!("{id}-unheard").into();
+        self.haunt(&never, &record);
+        self.boot_at(&host, record.address);
+        let next = self.hosts.get(&host)?.agent.clone()?;
+        self.agents.get_mut(&next)?.cut = cut;
+        Some(next)
+    }
+
+    /// Has a heartbeat of an incarnation that is over arrive some time, if the faults say so.
+    fn haunt(&mut self, id: &MinionId, record: &AgentRecord) {
+        if self.faults.ghosts > 0.0 && self.rng.random_bool(self.faults.ghosts) {
+            let delay = Duration::from_secs_f64(self.rng.random_range(0.0..20.0));
+            self.late_beat(id, record, delay);
+        }
+    }
+
+    /// Has a heartbeat arrive after a delay that says what a record does, of this incarnation.
+    pub(crate) fn late_beat(&mut self, id: &MinionId, record: &AgentRecord, delay: Duration) {
+        let id = id.clone();
+        let record = AgentRecord {
+            id,
+            ..record.clone()
+        };
+        let event = Event::Beat {
+            record: Box::new(record),
+            clock: ms(5000),
+        };
+        self.at(self.now + delay, event);
+    }
+
     /// Nothing gets through to an agent for a while.
     pub(crate) fn cut(&mut self, id: &MinionId, span: Duration) {
         if let Some(agent) = self.agents.get_mut(id) {
@@ -528,6 +576,7 @@
                 }
                 self.boot(&host);
             }
+            Event::Beat { record, clock } => self.hear(*record, clock),
         }
     }
 
@@ -546,16 +595,22 @@
     }
 
     fn target(&self, order: &Order) -> Option<&Agent> {
-        let id = match &order.what {
-            What::Start(start) => &start.to.agent,
-            What::Stop { to, .. } | What::Renew { to, .. } | What::Throttle { to, .. } => &to.agent,
-            What::Ask { .. } | What::Hosts | What::Move { .. } | What::Maintain { .. } => {
-                return None;
-            }
-        };
+        let id = &target(order)?.agent;
         self.agents.get(id).filter(|agent| self.now >= agent.cut)
     }
 
+    /// Whether another incarnation than the one that is meant takes the order.
+    fn is_elsewhere(&self, order: &Order) -> bool {
+        let Some(Target { agent, address }) = target(order) else {
+            return false;
+        };
+        let mut agents = self.agents.values();
+        agents.any(|other| {
+            let Agent { record, cut, .. } = other;
+            record.address == *address && record.id != *agent && self.now >= *cut
+        })
+    }
+
     fn arrive(&mut self, order: &Order, silent: bool) {
         match &order.what {
             What::Hosts => {
@@ -587,6 +642,9 @@
         }
         let now = self.now;
         let Some(agent) = self.target(order) else {
+            if !silent && self.is_elsewhere(order) {
+                self.answer(order, Answer::Elsewhere);
+            }
             return;
         };
         let id = agent.record.id.clone();
@@ -913,17 +971,31 @@
             return;
         };
         let (record, clock) = (agent.record.clone(), agent.clock(now));
+        self.hear(record, clock);
+    }
+
+    /// The leader, if there is one, takes a heartbeat in.
+    fn hear(&mut self, record: AgentRecord, clock: AgentTime) {
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
-        scheduler.heard(now, id, clock);
-        let known = self.ledger.agent(id);
+        scheduler.heard(self.now, &record.id, clock);
+        let known = self.ledger.agent(&record.id);
         if known.is_none_or(|known| known.leaving != record.leaving) {
             self.propose(Command::Agent(Box::new(record)));
         }
     }
 }
 
+/// The incarnation that an order is for, if it is for an agent.
+fn target(order: &Order) -> Option<&Target> {
+    match &order.what {
+        What::Start(start) => Some(&start.to),
+        What::Stop { to, .. } | What::Renew { to, .. } | What::Throttle { to, .. } => Some(to),
+        What::Ask { .. } | What::Hosts | What::Move { .. } | What::Maintain { .. } => None,
+    }
+}
+
 /// Whether a host's number is even.
 pub(crate) fn is_even(host: &str) -> bool {
     host[1..].parse::<u32>().is_ok_and(|number| number % 2 == 0)
