Show that a connection which goes silent is noticed late

Connections between nodes may stop carrying anything without a reset, while new ones work. The mesh takes 5 s to notice; a named peer is never reached over the connection that it dialled; and the client of agents uses one kept connection after the other, each until a timeout of its own.

--- /dev/null
+++ b/tests/http/client.rs
@@ -0,0 +1,90 @@
+//! The client that keeps its connections.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use egretpin::adapters::http::{self, Client, Failure, Limits, text};
+use hyper::{Request, StatusCode};
+use tokio::{
+    net::TcpListener,
+    sync::{Barrier, watch},
+};
+
+use crate::proxy::Proxy;
+
+/// Connections that the client may keep, and requests that are answered together.
+const CONNECTIONS: usize = 3;
+/// How long an exchange may take that works.
+const LONG: Duration = Duration::from_secs(10);
+/// How long one may take that won't work.
+const SHORT: Duration = Duration::from_millis(100);
+
+/// A server that answers `/together` when so many wait for it, and all else at once.
+async fn serve(stop: watch::Receiver<bool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let together = Arc::new(Barrier::new(CONNECTIONS));
+    let handler = move |request: Request<Bytes>| {
+        let together = Arc::clone(&together);
+        async move {
+            if request.uri().path() == "/together" {
+                together.wait().await;
+            }
+            Ok(text(StatusCode::OK, "done"))
+        }
+    };
+    tokio::spawn(http::serve(
+        listener,
+        Limits::default,
+        stop,
+        |_| (),
+        handler,
+    ));
+    address
+}
+
+fn get(path: &str) -> Request<Bytes> {
+    Request::get(path).body(Bytes::new()).unwrap()
+}
+
+/// Opens all connections that the client may keep.
+async fn open_all(client: &Client, address: SocketAddr) {
+    let (a, b, c) = tokio::join!(
+        client.send(address, get("/together"), LONG),
+        client.send(address, get("/together"), LONG),
+        client.send(address, get("/together"), LONG),
+    );
+    assert!(a.is_ok() && b.is_ok() && c.is_ok());
+}
+
+#[tokio::test]
+async fn one_timeout_is_enough_to_leave_all_silent_connections() {
+    let (_stop, stopped) = watch::channel(false);
+    let proxy = Proxy::start(serve(stopped).await).await;
+    let client = Client::new(CONNECTIONS);
+    open_all(&client, proxy.address).await;
+    assert_eq!(proxy.opened(), 3);
+    proxy.silence();
+    let late = client.send(proxy.address, get("/"), SHORT).await;
+    assert!(matches!(late, Err(Failure::Late)));
+    let answer = client.send(proxy.address, get("/"), LONG).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(proxy.opened(), 4);
+}
+
+#[tokio::test]
+async fn a_connection_that_answered_since_is_kept() {
+    let (_stop, stopped) = watch::channel(false);
+    let proxy = Proxy::start(serve(stopped).await).await;
+    let client = Client::new(CONNECTIONS);
+    client.send(proxy.address, get("/"), LONG).await.unwrap();
+    // One waits for others until it is late; the second is answered meanwhile.
+    let (late, answer) = tokio::join!(
+        client.send(proxy.address, get("/together"), SHORT),
+        client.send(proxy.address, get("/"), LONG),
+    );
+    assert!(matches!(late, Err(Failure::Late)));
+    assert!(answer.is_ok());
+    client.send(proxy.address, get("/"), LONG).await.unwrap();
+    assert_eq!(proxy.opened(), 2);
+}
--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -1,8 +1,11 @@
 //! The HTTP adapters over real loopback sockets.
 
 mod callers;
+mod client;
 mod minions;
 mod platform;
+#[path = "../support/proxy.rs"]
+mod proxy;
 mod recall;
 mod reuse;
 mod stopping;
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,4 +1,5 @@
-//! The mesh delivers at most once, drops what is cut and comes back after a lost link.
+//! The mesh delivers at most once, drops what is cut and comes back after a link that was lost or
+//! went silent.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -13,6 +14,10 @@
     time::timeout,
 };
 
+#[path = "../support/proxy.rs"]
+mod proxy;
+mod silent;
+
 const PATIENCE: Duration = Duration::from_secs(20);
 
 struct Peer {
@@ -26,14 +31,18 @@
     (listener, address)
 }
 
-fn start(node: NodeId, listener: TcpListener, peer: (NodeId, SocketAddr)) -> Peer {
+fn start(
+    node: NodeId,
+    listener: TcpListener,
+    peers: impl IntoIterator<Item = (NodeId, SocketAddr)>,
+) -> Peer {
     let (sender, inbox) = unbounded_channel();
     let receive = Arc::new(move |from, bytes| {
         let _ = sender.send((from, bytes));
     });
     let config = Config {
         node,
-        peers: vec![peer],
+        peers: peers.into_iter().collect(),
     };
     Peer {
         mesh: Mesh::start(config, listener, receive),
@@ -65,8 +74,8 @@
 async fn messages_arrive_with_their_sender() {
     let (la, a) = bind().await;
     let (lb, b) = bind().await;
-    let one = start(1, la, (2, b));
-    let mut two = start(2, lb, (1, a));
+    let one = start(1, la, [(2, b)]);
+    let mut two = start(2, lb, [(1, a)]);
     let got = until_delivered(&one.mesh, 2, &mut two.inbox).await;
     assert_eq!(got, (1, Bytes::from_static(b"hello")));
     assert!(
@@ -83,8 +92,8 @@
 async fn a_cut_link_drops_both_ways_and_heals() {
     let (la, a) = bind().await;
     let (lb, b) = bind().await;
-    let mut one = start(1, la, (2, b));
-    let mut two = start(2, lb, (1, a));
+    let mut one = start(1, la, [(2, b)]);
+    let mut two = start(2, lb, [(1, a)]);
     until_delivered(&one.mesh, 2, &mut two.inbox).await;
     until_delivered(&two.mesh, 1, &mut one.inbox).await;
     while two.inbox.try_recv().is_ok() {}
@@ -107,8 +116,8 @@
 async fn a_restarted_peer_is_dialled_again() {
     let (la, a) = bind().await;
     let (lb, b) = bind().await;
-    let one = start(1, la, (2, b));
-    let mut two = start(2, lb, (1, a));
+    let one = start(1, la, [(2, b)]);
+    let mut two = start(2, lb, [(1, a)]);
     until_delivered(&one.mesh, 2, &mut two.inbox).await;
     drop(two);
     let rebound = async {
@@ -122,6 +131,6 @@
     let lb = timeout(PATIENCE, rebound)
         .await
         .expect("the listener went with its mesh");
-    let mut two = start(2, lb, (1, a));
+    let mut two = start(2, lb, [(1, a)]);
     until_delivered(&one.mesh, 2, &mut two.inbox).await;
 }
