Notice within a second that a connection between nodes went silent

Cause: a connection that carries nothing any more, and isn't closed, was dropped only after 5 s without any message; one on which only the peer's own messages got through was kept for as long as they came; and a named peer was sent to over the connection that this node dials even while that was down.

Who dials pings every 400 ms, whatever else is sent, and drops the connection 1 s after the last answer; who was dialled pings no more and drops it 1 s after anything came. A link that went silent is dialled anew at once. While a dialled connection is down, the one that the peer dialled is taken. The client of agents leaves all kept connections that have brought no answer since an exchange began that was late.

Ruled out: pings of both ends (twice the price, shows no more); an answer counted by whatever the peer sends (a silence of one way isn't seen); a shorter limit (a packet lost twice, and a host that is late, would end good connections).

Price, computed: 8 bytes a ping and its answer, about 170 with the heads of TCP and IP, 2.5 times a second: 425 bytes a second and link, 18 KB a second at a control node that 42 entry nodes dial. Not measured apart.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -74,6 +74,10 @@
 
     /// Sends a request and reads its answer whole, waiting for a connection if need be.
     ///
+    /// A connection may have gone silent without an end, and others to its address with it. So one
+    /// exchange that is late is enough for all of them to be left that have brought no answer since
+    /// it began: the next goes out on a new one.
+    ///
     /// # Errors
     ///
     /// No answer came. Whether the request was carried out isn't known.
@@ -83,7 +87,7 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
-        let end = Instant::now() + limit;
+        let begun = Instant::now();
         let lane = self.lane(address);
         let exchange = async {
             let place = lane.places.acquire().await.map_err(io::Error::other)?;
@@ -96,9 +100,11 @@
             drop(place);
             Ok(answer)
         };
-        timeout_at(end, exchange)
-            .await
-            .unwrap_or(Err(Failure::Late))
+        let outcome = timeout_at(begun + limit, exchange).await;
+        outcome.unwrap_or_else(|_| {
+            lane.leave(begun);
+            Err(Failure::Late)
+        })
     }
 
     fn lane(&self, address: SocketAddr) -> Arc<Lane> {
@@ -127,6 +133,12 @@
         }
     }
 
+    /// Closes what was last heard on before that time.
+    fn leave(&self, begun: Instant) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|(_, since)| *since >= begun);
+    }
+
     fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.push((connection, Instant::now()));
--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -44,27 +44,37 @@
                     if let Some(sender) = sender.upgrade() {
                         shared.dialled(peer, sender);
                     }
-                    let ended = link::run(socket, peer, &mut queue, &shared).await;
-                    if expected.is_none() {
-                        shared.hung_up(peer);
-                    }
+                    let end = link::End::Dialler;
+                    let ended = link::run(socket, end, peer, &mut queue, &shared).await;
+                    shared.hung_up(peer);
                     match ended {
                         Ok(true) => return,
                         Ok(false) => log::info!(peer; "mesh link closed by its peer"),
-                        Err(error) => log::info!(peer, error:%; "mesh link lost"),
+                        Err(error) => {
+                            log::info!(peer, error:%; "mesh link lost");
+                            // It took long enough; whoever is there may be well.
+                            if matches!(error, MeshError::Stalled) {
+                                drain(&mut queue);
+                                continue;
+                            }
+                        }
                     }
                 }
                 Err(error) => log::debug!(address:%, error:%; "mesh dial failed"),
             }
             sleep(wait).await;
             wait = RETRY.1.min(wait * 2);
-            // What waited for the lost link is stale; its senders have given up on it or will
-            // repeat it.
-            while queue.try_recv().is_ok() {}
+            drain(&mut queue);
         }
     }
 }
 
+/// Drops what waited for a link that was lost: it is stale, and its senders have given up on it or
+/// will repeat it.
+fn drain(queue: &mut mpsc::Receiver<Bytes>) {
+    while queue.try_recv().is_ok() {}
+}
+
 async fn connect(
     shared: &Shared,
     address: SocketAddr,
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -2,6 +2,8 @@
 //!
 //! Both ends write and read at the same time: an end that only wrote until its peer had read would
 //! wait for ever for one that does the same.
+//!
+//! The end that dialled pings and counts on the answers; the other counts on the pings.
 
 use std::time::Duration;
 
@@ -11,15 +13,41 @@
     stream::{SplitSink, SplitStream},
 };
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, select, sync::mpsc, time::timeout};
+use tokio::{
+    net::TcpStream,
+    select,
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
+};
 use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
 
-use super::{IDLE, MeshError, PING, PROTOCOL, STALL, Shared};
+use super::{MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
 use crate::core::types::NodeId;
 
 /// A websocket between two nodes.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
+/// Which end of a connection this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// The one that dialled.
+    Dialler,
+    /// The one that was dialled.
+    Listener,
+}
+
+impl End {
+    /// Whether what came in shows that the connection works both ways, as far as this end has to
+    /// know. To the dialler the peer's own messages don't: they would come as well if nothing of
+    /// this end's got through. The listener counts on pings, so anything will do.
+    fn is_shown_by(self, message: &Message) -> bool {
+        match self {
+            Self::Dialler => matches!(message, Message::Pong(_)),
+            Self::Listener => true,
+        }
+    }
+}
+
 /// The first message in each direction: who is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -52,9 +80,12 @@
 ///
 /// It speaks another protocol, or the connection failed.
 pub(super) async fn greet(socket: &mut Socket) -> Result<NodeId, MeshError> {
-    let bytes = next(socket).await?.unwrap_or_default();
+    let hello = match socket.next().await.transpose()? {
+        Some(Message::Binary(bytes)) => bytes,
+        _ => Bytes::new(),
+    };
     let hello: Hello =
-        ciborium::from_reader(bytes.as_ref()).map_err(|error| MeshError::Handshake {
+        ciborium::from_reader(hello.as_ref()).map_err(|error| MeshError::Handshake {
             what: error.to_string(),
         })?;
     if hello.protocol != PROTOCOL {
@@ -69,44 +100,66 @@
 ///
 /// # Errors
 ///
-/// The connection failed or made no progress.
+/// The connection failed, went silent or made no progress.
 pub(super) async fn run(
     socket: Socket,
+    end: End,
     peer: NodeId,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
 ) -> Result<bool, MeshError> {
     let (sink, stream) = socket.split();
     select! {
-        written = write(sink, queue, shared) => written.map(|()| true),
-        read = read(stream, peer, shared) => read.map(|()| false),
+        written = write(sink, end, queue, shared) => written.map(|()| true),
+        read = read(stream, end, peer, shared) => read.map(|()| false),
     }
 }
 
 async fn read(
     mut stream: SplitStream<Socket>,
+    end: End,
     peer: NodeId,
     shared: &Shared,
 ) -> Result<(), MeshError> {
-    while let Some(bytes) = next(&mut stream).await? {
-        shared.traffic.count_received(bytes.len());
-        if !shared.faults.drops(peer) {
-            (shared.receive)(peer, bytes);
+    let mut shown = Instant::now();
+    loop {
+        let message = timeout_at(shown + SILENT, stream.next())
+            .await
+            .map_err(|_| MeshError::Stalled)?;
+        let Some(message) = message.transpose()? else {
+            return Ok(());
+        };
+        if end.is_shown_by(&message) {
+            shown = Instant::now();
+        }
+        match message {
+            Message::Binary(bytes) => {
+                shared.traffic.count_received(bytes.len());
+                if !shared.faults.drops(peer) {
+                    (shared.receive)(peer, bytes);
+                }
+            }
+            Message::Close(_) => return Ok(()),
+            _ => {}
         }
     }
-    Ok(())
 }
 
 async fn write(
     mut sink: SplitSink<Socket, Message>,
+    end: End,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
 ) -> Result<(), MeshError> {
+    let mut ping = interval_at(Instant::now() + PING, PING);
+    ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let message = match timeout(PING, queue.recv()).await {
-            Ok(Some(bytes)) => Message::Binary(bytes),
-            Ok(None) => return Ok(()),
-            Err(_) => Message::Ping(Bytes::new()),
+        let message = select! {
+            message = queue.recv() => match message {
+                Some(bytes) => Message::Binary(bytes),
+                None => return Ok(()),
+            },
+            _ = ping.tick(), if end == End::Dialler => Message::Ping(Bytes::new()),
         };
         within(STALL, write_all(&mut sink, message, queue, shared)).await?;
     }
@@ -129,23 +182,6 @@
     Ok(())
 }
 
-/// The next binary message, or `None` when the peer closed the connection.
-async fn next<S>(messages: &mut S) -> Result<Option<Bytes>, MeshError>
-where
-    S: StreamExt<Item = Result<Message, tokio_tungstenite::tungstenite::Error>> + Unpin,
-{
-    loop {
-        let message = timeout(IDLE, messages.next())
-            .await
-            .map_err(|_| MeshError::Stalled)?;
-        match message.transpose()? {
-            Some(Message::Binary(bytes)) => return Ok(Some(bytes)),
-            None | Some(Message::Close(_)) => return Ok(None),
-            Some(_) => {}
-        }
-    }
-}
-
 /// Gives up on what takes too long.
 ///
 /// # Errors
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -50,7 +50,7 @@
     let (socket, peer) = greeted.await?;
     let (sender, mut queue) = mpsc::channel(QUEUE);
     let serial = shared.accepted(peer, sender);
-    let ended = link::run(socket, peer, &mut queue, shared).await;
+    let ended = link::run(socket, link::End::Listener, peer, &mut queue, shared).await;
     shared.dropped(peer, serial);
     ended.map(|_| ())
 }
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -9,7 +9,13 @@
 //! only know the control nodes, and control nodes needn't dial entry hosts. Two peers that dial
 //! each other keep two connections: sharing one would halve the sockets, but needs a rule for
 //! which of two crossing dials survives, and that rule is one more thing that a half-open
-//! connection can break.
+//! connection can break. While one of the two is down, its peer's carries both ways.
+//!
+//! A connection may go silent without an end, both ways or one. Who dialled it pings, and drops it
+//! when no answer has come for `SILENT`: an answer alone shows that both ways work. Who was
+//! dialled drops it when nothing came for as long. Most links are idle and each ping is charged to
+//! small hosts, so only one end pings: 8 bytes for a ping and its answer, some 170 with the heads of
+//! TCP and IP and the acknowledgements, 2.5 times a second.
 
 mod dial;
 mod faults;
@@ -39,10 +45,13 @@
 const QUEUE: usize = 4096;
 /// The largest message, in bytes.
 pub(crate) const LARGEST: usize = 16 << 20;
-/// A connection on which nothing came for this long is dropped.
-pub(crate) const IDLE: Duration = Duration::from_secs(5);
-/// A sender with nothing to say pings this often.
-pub(crate) const PING: Duration = Duration::from_secs(1);
+/// A connection that has shown nothing of its peer for this long is dropped. Operators want all to
+/// work again 3 s after a silence: this leaves an election, and the leader's next word to the
+/// others. The last ping before it may be answered 600 ms late, which bears two losses of a packet
+/// in a row.
+pub(crate) const SILENT: Duration = Duration::from_millis(1000);
+/// From one ping to the next, whatever else is sent.
+pub(crate) const PING: Duration = Duration::from_millis(400);
 /// How long a dial, a handshake or a write may take.
 pub(crate) const STALL: Duration = Duration::from_secs(2);
 
@@ -96,10 +105,19 @@
 /// The ways to one peer.
 #[derive(Debug, Default)]
 struct Route {
-    /// The connection that this node dials.
+    /// The connection that this node dialled, while it is up.
     dialled: Option<mpsc::Sender<Bytes>>,
     /// The newest connection that the peer dialled, under its serial number.
     accepted: Option<(u64, mpsc::Sender<Bytes>)>,
+    /// Where messages to a peer that is always dialled wait for the next connection.
+    waiting: Option<mpsc::Sender<Bytes>>,
+}
+
+impl Route {
+    fn sender(&self) -> Option<&mpsc::Sender<Bytes>> {
+        let accepted = self.accepted.as_ref().map(|(_, sender)| sender);
+        self.dialled.as_ref().or(accepted).or(self.waiting.as_ref())
+    }
 }
 
 /// What all links of a mesh share.
@@ -113,6 +131,10 @@
 }
 
 impl Shared {
+    fn awaits(&self, peer: NodeId, sender: mpsc::Sender<Bytes>) {
+        self.change(peer, |route| route.waiting = Some(sender));
+    }
+
     fn dialled(&self, peer: NodeId, sender: mpsc::Sender<Bytes>) {
         self.change(peer, |route| route.dialled = Some(sender));
     }
@@ -139,18 +161,14 @@
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
         let route = routes.entry(peer).or_default();
         change(route);
-        if route.dialled.is_none() && route.accepted.is_none() {
+        if route.sender().is_none() {
             routes.remove(&peer);
         }
     }
 
     fn send(&self, to: NodeId, message: Bytes) -> bool {
         let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(route) = routes.get(&to) else {
-            return false;
-        };
-        let accepted = route.accepted.as_ref().map(|(_, sender)| sender);
-        let sender = route.dialled.as_ref().or(accepted);
+        let sender = routes.get(&to).and_then(Route::sender);
         sender.is_some_and(|sender| sender.try_send(message).is_ok())
     }
 }
@@ -192,7 +210,7 @@
         };
         for (peer, address) in config.peers {
             let sender = mesh.link(address, Some(peer));
-            mesh.shared.dialled(peer, sender);
+            mesh.shared.awaits(peer, sender);
         }
         mesh
     }
