--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -75,8 +75,9 @@
     /// Sends a request and reads its answer whole, waiting for a connection if need be.
     ///
     /// A connection may have gone silent without an end, and others to its address with it. So one
-    /// exchange that is late is enough for all of them to be left that have brought no answer since
-    /// it began: the next goes out on a new one.
+    /// exchange that is late is enough for all that are idle to be left, and the next goes out on a
+    /// new one. What was answered since it began shows nothing: an exchange that waits may have
+    /// begun before the silence.
     ///
     /// # Errors
     ///
@@ -87,7 +88,7 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
-        let begun = Instant::now();
+        let end = Instant::now() + limit;
         let lane = self.lane(address);
         let exchange = async {
             let place = lane.places.acquire().await.map_err(io::Error::other)?;
@@ -100,9 +101,9 @@
             drop(place);
             Ok(answer)
         };
-        let outcome = timeout_at(begun + limit, exchange).await;
+        let outcome = timeout_at(end, exchange).await;
         outcome.unwrap_or_else(|_| {
-            lane.leave(begun);
+            lane.leave();
             Err(Failure::Late)
         })
     }
@@ -133,10 +134,10 @@
         }
     }
 
-    /// Closes what was last heard on before that time.
-    fn leave(&self, begun: Instant) {
+    /// Closes what is idle.
+    fn leave(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(_, since)| *since >= begun);
+        idle.clear();
     }
 
     fn keep(&self, connection: Connection) {
