--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -74,6 +74,11 @@
 
     /// Sends a request and reads its answer whole, waiting for a connection if need be.
     ///
+    /// A connection may have gone silent without an end, and others to its address with it. So one
+    /// exchange that is late is enough for all that are idle to be left, and the next goes out on a
+    /// new one. What was answered since it began shows nothing: an exchange that waits may have
+    /// begun before the silence.
+    ///
     /// # Errors
     ///
     /// No answer came. Whether the request was carried out isn't known.
@@ -96,9 +101,11 @@
             drop(place);
             Ok(answer)
         };
-        timeout_at(end, exchange)
-            .await
-            .unwrap_or(Err(Failure::Late))
+        let outcome = timeout_at(end, exchange).await;
+        outcome.unwrap_or_else(|_| {
+            lane.leave();
+            Err(Failure::Late)
+        })
     }
 
     fn lane(&self, address: SocketAddr) -> Arc<Lane> {
@@ -127,6 +134,12 @@
         }
     }
 
+    /// Closes what is idle.
+    fn leave(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.push((connection, Instant::now()));
