Say why a leader stepped down, and which node a demonstration's step waited for

A leader that stepped down wrote the same line whether no quorum answered, its disk stalled, a later term came or it handed over, and one that stepped down before its first commit wrote none. Output::Resigned tells which; both control tasks log it. The demonstration now says which node last refused the change of a step that didn't end, and what every node says of itself then. No change of logic.

--- a/src/bench/control/voters.rs
+++ b/src/bench/control/voters.rs
@@ -222,7 +222,7 @@
                 }
             }
             Output::Rejected { proposal, .. } => self.tell(Told::Rejected(proposal)),
-            Output::Restore { .. } | Output::Placed { .. } => {}
+            Output::Restore { .. } | Output::Placed { .. } | Output::Resigned { .. } => {}
         }
     }
 
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -9,7 +9,7 @@
     leader::{HandOver, Joining, Progress},
     message::Message,
     node::{Node, Role},
-    seam::{Content, Index, Output},
+    seam::{Content, Index, Output, Resignation},
 };
 use crate::core::types::NodeId;
 
@@ -186,7 +186,7 @@
             leader.handing = None;
             self.outbox.send(to, Message::HandOver { term });
             if self.config.protections.recall {
-                self.step_down(term);
+                self.resign(Resignation::HandedOver);
             }
         } else if now >= until {
             leader.handing = None;
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -17,6 +17,7 @@
 //! - [`Output::Apply`] and [`Output::Restore`] go to the state machine, in order.
 //! - [`Output::Placed`] and [`Output::Rejected`] answer proposals. A placed one is committed when
 //!   an entry of its index *and term* is applied; with another term it never will be.
+//! - [`Output::Resigned`] tells why a leader stepped down, for a log line.
 //!
 //! Call [`Node::step`] with [`Input::Tick`] at least every 10 ms. A leader may act alone, or answer
 //! reads, only while the clock is before [`Node::lease_until`], asked anew after every wait.
@@ -87,5 +88,5 @@
     message::{Message, Position, Verdict},
     node::{Node, Standing},
     restored::{Restored, Snapshot},
-    seam::{Content, Entry, Index, Input, Output, Payload, Record, Term},
+    seam::{Content, Entry, Index, Input, Output, Payload, Record, Resignation, Term},
 };
--- a/src/core/consensus/node.rs
+++ b/src/core/consensus/node.rs
@@ -12,7 +12,7 @@
     message::Message,
     outbox::Outbox,
     restored::Restored,
-    seam::{Content, Entry, Index, Input, Output, Record, Term},
+    seam::{Content, Entry, Index, Input, Output, Record, Resignation, Term},
     snapshot::{Incoming, Part},
 };
 use crate::core::types::{NodeId, Now};
@@ -335,18 +335,27 @@
         if term > self.term {
             self.set_term(term, None);
         }
-        if let Role::Leader(leader) = &self.role {
-            let waiting = leader.joining.as_ref().map(|j| j.proposal);
-            self.leader = None;
-            self.postpone();
-            waiting
-                .into_iter()
-                .for_each(|proposal| self.reject(proposal));
-        }
+        self.resign(Resignation::Superseded);
         self.role = Role::Follower;
         self.leader = None;
     }
 
+    /// Leads no more, if it did, and follows in the same term or in one that it has just taken.
+    pub(super) fn resign(&mut self, why: Resignation) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let term = leader.term;
+        let waiting = leader.joining.as_ref().map(|j| j.proposal);
+        self.leader = None;
+        self.postpone();
+        waiting
+            .into_iter()
+            .for_each(|proposal| self.reject(proposal));
+        self.role = Role::Follower;
+        self.outbox.push(Output::Resigned { term, why });
+    }
+
     /// The other voters.
     pub(super) fn others(&self) -> Vec<NodeId> {
         let voters = self.voters().iter().copied();
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -5,7 +5,7 @@
     message::{Message, Position, Verdict},
     node::{Node, Role, Standing},
     restored::Snapshot,
-    seam::{Content, Entry, Index, Output, Payload, Record, Term},
+    seam::{Content, Entry, Index, Output, Payload, Record, Resignation, Term},
     snapshot::Transfer,
 };
 use crate::core::types::{NodeId, Now};
@@ -47,7 +47,11 @@
     pub(super) fn tick_leader(&mut self) {
         let unheard = self.config.protections.lease && self.is_unheard();
         if unheard || self.is_stalled() {
-            self.step_down(self.term);
+            self.resign(if unheard {
+                Resignation::Unheard
+            } else {
+                Resignation::Stalled
+            });
             return;
         }
         let now = self.now;
--- a/src/core/consensus/seam.rs
+++ b/src/core/consensus/seam.rs
@@ -138,6 +138,39 @@
         /// The node that leads, if known.
         leader: Option<NodeId>,
     },
+    /// This node led a term and leads no more. It needs no action; it is for those who look after
+    /// the cluster.
+    Resigned {
+        /// The term.
+        term: Term,
+        /// Why.
+        why: Resignation,
+    },
+}
+
+/// Why a leader stepped down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Resignation {
+    /// No quorum answered for as long as a lease lasts.
+    Unheard,
+    /// Its disk didn't answer for longer than an election takes.
+    Stalled,
+    /// Another node is in a later term.
+    Superseded,
+    /// It handed leadership over as planned.
+    HandedOver,
+}
+
+impl Resignation {
+    /// A fixed word, for logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Unheard => "no quorum answered",
+            Self::Stalled => "the disk stalled",
+            Self::Superseded => "a later term",
+            Self::HandedOver => "handed over",
+        }
+    }
 }
 
 /// One durable record.
--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -1,6 +1,6 @@
 //! The demonstration, step by step.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
@@ -69,11 +69,14 @@
         version: 0,
         stopped: Vec::new(),
         lost: None,
+        trouble: RefCell::new(None),
         end: began + longest,
         note,
     };
     // A step that didn't end in time is noted in the tally, and what builds on it is left out.
-    let _ = stage.play().await;
+    if stage.play().await.is_none() {
+        stage.tell_nodes().await;
+    }
     let tally = stage.count().await;
     Ok(Report::new(millis(began.elapsed()), tally))
 }
@@ -90,6 +93,8 @@
     version: Version,
     stopped: Vec<NodeId>,
     lost: Option<&'static str>,
+    /// Why the last change that was sent wasn't accepted, and by which node.
+    trouble: RefCell<Option<String>>,
     end: Instant,
     note: &'n mut dyn FnMut(&str),
 }
@@ -453,8 +458,14 @@
     /// Sends a change until it is accepted, always under the same id.
     async fn send(&self, node: NodeId, operation: &str, change: &Change) -> Option<Answer> {
         let address = self.network.operators(node);
-        let send = async || operators::change(address, operation, change.clone()).await;
-        self.wait(async || send().await.ok()).await
+        self.wait(async || {
+            let answer = operators::change(address, operation, change.clone()).await;
+            let trouble = answer.as_ref().err();
+            self.trouble
+                .replace(trouble.map(|error| format!("node {node} said of {operation}: {error}")));
+            answer.ok()
+        })
+        .await
     }
 
     /// The same as a step.
@@ -493,6 +504,9 @@
         let done = result.is_some();
         let end = if done { "" } else { ": NOT IN TIME" };
         (self.note)(&format!("{took:>6} ms  {what}{end}"));
+        if let Some(trouble) = self.trouble.take().filter(|_| !done) {
+            (self.note)(&format!("           {trouble}"));
+        }
         self.tally.steps.push(Step {
             what: what.into(),
             done,
@@ -501,6 +515,16 @@
         result
     }
 
+    /// Notes what each node says of itself, for whoever looks why a step didn't end.
+    async fn tell_nodes(&mut self) {
+        for node in self.running() {
+            let address = self.network.operators(node);
+            let page: Result<serde_json::Value, _> = operators::get(address, "/v1/node").await;
+            let page = page.map_or_else(|error| error.to_string(), |page| page.to_string());
+            (self.note)(&format!("           node {node} says: {page}"));
+        }
+    }
+
     fn enter(&self, phase: Phase) {
         if let Some(callers) = &self.callers {
             callers.enter(phase);
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -366,6 +366,9 @@
                     self.reply(asker, Reply::Unclear);
                 }
             }
+            Output::Resigned { term, why } => {
+                log::info!(term, why = why.label(); "this node stepped down");
+            }
             Output::Rejected { proposal, leader } => {
                 if let Some(asker) = self.waiting.rejected(proposal) {
                     if matches!(asker, Asker::Membership) {
--- a/src/node/control/run.rs
+++ b/src/node/control/run.rs
@@ -281,6 +281,9 @@
                 self.asks.placed(proposal, term, index);
             }
             Output::Rejected { proposal, leader } => self.rejected(proposal, leader),
+            Output::Resigned { term, why } => {
+                log::info!(node = self.node.id(), term, why = why.label(); "this node stepped down");
+            }
         }
     }
 
--- a/tests/consensus/elections.rs
+++ b/tests/consensus/elections.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use egretpin::core::{
-    consensus::{Config, Input, Output},
+    consensus::{Config, Input, Output, Resignation},
     types::NodeId,
 };
 use rand::SeedableRng;
@@ -48,6 +48,7 @@
     let leader = world.elect();
     world.cut(&[1, 2, 3], &[leader]);
     world.until(SECOND, |w| !w.node(leader).is_leader());
+    assert_eq!(world.resigned, [(leader, Resignation::Unheard)]);
     world.until(SECOND * 4, |w| w.leader().is_some_and(|l| l != leader));
 }
 
@@ -61,6 +62,7 @@
     world.propose(old, 2);
     let took = world.until(SECOND, |w| w.leader() == Some(to));
     assert!(took < SECOND / 10, "{took:?}");
+    assert_eq!(world.resigned, [(old, Resignation::HandedOver)]);
     assert_eq!(
         world
             .answers
@@ -79,6 +81,7 @@
     world.stuck.insert(old);
     world.propose(old, 1);
     world.until(SECOND * 5, |w| w.leader().is_some_and(|l| l != old));
+    assert_eq!(world.resigned, [(old, Resignation::Stalled)]);
     world.commit(2);
     world.run(SECOND * 10);
     assert_ne!(world.leader(), Some(old));
--- a/tests/consensus/model.rs
+++ b/tests/consensus/model.rs
@@ -541,7 +541,7 @@
                     self.violate("a snapshot differs from what was applied");
                 }
             }
-            Output::Placed { .. } | Output::Rejected { .. } => {}
+            Output::Placed { .. } | Output::Rejected { .. } | Output::Resigned { .. } => {}
         }
     }
 
--- a/tests/consensus/world.rs
+++ b/tests/consensus/world.rs
@@ -7,7 +7,8 @@
 
 use egretpin::core::{
     consensus::{
-        Config, Content, Entry, Index, Input, Message, Node, Output, Payload, Record, Restored,
+        Config, Content, Entry, Index, Input, Message, Node, Output, Payload, Record, Resignation,
+        Restored,
     },
     types::{NodeId, Now},
 };
@@ -63,6 +64,8 @@
     pub(crate) history: BTreeMap<Index, Entry>,
     /// Outputs to callers: proposals placed and rejected.
     pub(crate) answers: Vec<(NodeId, Output)>,
+    /// Leaders that stepped down and why, in order.
+    pub(crate) resigned: Vec<(NodeId, Resignation)>,
     /// Messages delivered, in order.
     pub(crate) sent: Vec<(NodeId, NodeId, Message)>,
     events: BTreeMap<(Now, u64), Event>,
@@ -93,6 +96,7 @@
             stuck: BTreeSet::new(),
             history: BTreeMap::new(),
             answers: Vec::new(),
+            resigned: Vec::new(),
             sent: Vec::new(),
             events: BTreeMap::new(),
             count: 0,
@@ -210,6 +214,7 @@
                 );
                 host.restored.push(index);
             }
+            Output::Resigned { why, .. } => self.resigned.push((id, why)),
             answer => self.answers.push((id, answer)),
         }
     }
