Show that a follower which is cut off names its old leader for good

Seen: the demonstration's cut-off data centre left 4 jobs unaccepted for 20 s. Hypotheses, before any change of logic: 1. A follower never forgets its leader by itself: only a feed changes what it names. One that nobody feeds any more goes on naming a leader that it hasn't heard, and whoever asks it (the demonstration's reachable(), the operators' page, a redirect) takes it for connected. The demonstration then waits at that node for the rest of its time. 2.

--- a/tests/consensus/followers.rs
+++ b/tests/consensus/followers.rs
@@ -77,6 +77,46 @@
     assert!(world.node(5).relay().is_some_and(|relay| relay <= 3));
 }
 
+#[test]
+fn a_follower_that_is_cut_off_names_no_leader() {
+    let mut world = world();
+    assert!(world.node(7).leader().is_some());
+    world.isolate(7);
+    world.until(SECOND * 2, |w| w.node(7).leader().is_none());
+    world.heal();
+    world.until(SECOND * 10, |w| w.node(7).leader() == w.leader());
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_names_no_leader_though_its_voter_was_passed_over() {
+    let places = ["lagos", "lagos", "ikeja", "ikeja", "lekki", "lekki"];
+    let voters: [NodeId; 3] = [1, 3, 5];
+    let place = |id: NodeId| {
+        let config = config(id, &voters).disk(voters.contains(&id));
+        let nodes = (1..=6).zip(places);
+        nodes.fold(config, |config, (node, centre)| config.place(node, centre))
+    };
+    let mut world = World::new((1..=6).map(place).collect());
+    world.elect();
+    world.run(SECOND * 5);
+    // A voter that is too busy to answer its neighbour, which turns to another data centre.
+    world.cut(&[1], &[2]);
+    world.run(SECOND * 2);
+    assert!(world.node(2).relay().is_some_and(|relay| relay > 2));
+    world.heal();
+    world.cut(&[1, 2], &[3, 4, 5, 6]);
+    world.cut(&[3, 4, 5, 6], &[1, 2]);
+    let cut = world.now;
+    world.until(SECOND * 20, |w| w.node(1).leader().is_none());
+    let voter = world.now - cut;
+    world.until(SECOND * 20, |w| w.node(2).leader().is_none());
+    println!(
+        "the voter after {voter:?}, the follower after {:?}",
+        world.now - cut
+    );
+    assert!(world.now - cut <= SECOND);
+}
+
 #[test]
 fn a_restarted_follower_catches_up_on_a_thousand_changes_in_a_few_round_trips() {
     let mut world = world();
