Have a follower that nobody feeds forget its leader

Cause: a follower's leader changed by feeds alone, so without a source it kept the last one; and a node that was merely tried and is itself out of touch with a leader was believed. Ruled out: a longer wait in the demonstration, which would only hide it, since the isolated follower never forgot.

Change: without a source, and without a leader heard within the feed timeout, a follower names none. It takes the name from its source, or from another that is in touch with a leader. Voters are as before: they forget when they campaign.

--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -89,6 +89,7 @@
             return;
         }
         self.expire_sources();
+        self.forget_leader();
         let interval = self.config.feed_timeout / KEEPALIVES;
         let asked = self.feed.asked;
         let due = asked.is_none_or(|asked| self.now >= asked + interval);
@@ -106,6 +107,16 @@
         !self.is_voter() || (self.leader.is_none() && self.now > heard + patience)
     }
 
+    /// A follower that nobody feeds knows of no leader. One that went on naming the last would be
+    /// taken for connected, and what is asked of it would wait for an answer that can't come.
+    fn forget_leader(&mut self) {
+        let patience = self.config.feed_timeout;
+        let heard = self.heard.is_some_and(|heard| self.now < heard + patience);
+        if !self.is_voter() && self.feed.source.is_none() && !heard {
+            self.leader = None;
+        }
+    }
+
     fn expire_subscribers(&mut self) {
         let ttl = self.config.feed_timeout * SUBSCRIPTION;
         let now = self.now;
@@ -238,13 +249,20 @@
             return;
         }
         self.rank_source(from, sent, lag);
-        if !self.is_voter() {
-            self.leader = leader;
-        }
+        self.learn_leader(from, lag, leader);
         self.feed.voters = voters;
         self.take(prev, entries);
     }
 
+    /// A follower names the leader that its source does. Others are believed only if they are in
+    /// touch with one: a node that is cut off can't tell, and mustn't be believed over the source.
+    fn learn_leader(&mut self, from: NodeId, lag: Now, leader: Option<NodeId>) {
+        let is_source = self.feed.source == Some(from);
+        if !self.is_voter() && (is_source || lag < self.config.feed_timeout) {
+            self.leader = leader;
+        }
+    }
+
     fn take(&mut self, prev: Index, entries: Vec<Entry>) {
         if prev > self.committed {
             return;
