Ask whoever leads at that look for a leader's measures

The demonstration asked once, at the node that led a moment before; that had needed 2.1 s to be agreed on, so leadership was changing, and a node that doesn't lead has neither figure. An answer without the figures ended the step all the same.

Change: the step asks all running nodes and ends when one tells both figures, that is, one that leads at that very look.

--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -1,6 +1,6 @@
 //! The demonstration, step by step.
 
-use std::{cell::RefCell, collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, io, time::Duration};
 
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
@@ -18,7 +18,7 @@
 use crate::{
     api::{
         Answer, Change, JobBody, millis,
-        view::{Job, Status, Waves},
+        view::{Job, Measures, Status, Waves},
     },
     core::{
         state::{Outcome, Reply},
@@ -368,15 +368,14 @@
     }
 
     async fn measure(&mut self) -> Option<()> {
-        let leader = self.leader().await?;
-        let address = self.network.operators(leader);
-        let status: Status = self
+        let (network, nodes) = (self.network, self.running());
+        let measures = self
             .until("the leader tells the measures", async || {
-                operators::get(address, "/v1/status").await.ok()
+                leaders_measures(network, &nodes).await
             })
             .await?;
-        self.tally.measures.buffer = status.local.measures.buffer;
-        self.tally.measures.moves = status.local.measures.moves;
+        self.tally.measures.buffer = measures.buffer;
+        self.tally.measures.moves = measures.moves;
         Some(())
     }
 
@@ -543,6 +542,19 @@
     ended.any(|found| found.wave == wave)
 }
 
+/// What the node that leads says. Leadership can change between any two looks, and a node that leads
+/// no more has no such figures, so whoever has them at one look is asked, not who led before.
+async fn leaders_measures(network: Network, nodes: &[NodeId]) -> Option<Measures> {
+    for node in nodes {
+        let page: io::Result<Status> = operators::get(network.operators(*node), "/v1/status").await;
+        let told = page.ok().map(|status| status.local.measures);
+        if let Some(told) = told.filter(|told| told.buffer.is_some() && told.moves.is_some()) {
+            return Some(told);
+        }
+    }
+    None
+}
+
 async fn succeeded(address: std::net::SocketAddr, jobs: &[JobId]) -> usize {
     let mut count = 0;
     for job in jobs {
