Send a demonstration's jobs on to another node if one doesn't take them

Node 4, a follower in the data centre cut off 1.9 s before, still named the leader when the demonstration looked who is reachable, once; leader 1 led in term 1 throughout, so it wasn't the leader that stepped down. From there every attempt went to node 4, and the steps after it, the leader's measures among them, were left out.

Change: the demonstration sends each attempt to the next of the reachable nodes under the same id, as the command line does with its addresses. Before that each job was tied to one node.

--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -174,10 +174,11 @@
         let nodes = self.reachable().await?;
         for number in 0..count {
             let operation = format!("job-{}", self.jobs.len());
-            let first = nodes[number % nodes.len()];
-            let second = nodes[(number + 1) % nodes.len()];
-            let job = self.submit_one(first, &operation).await?;
-            let again = self.submit_one(second, &operation).await?;
+            let mut turn = nodes.clone();
+            turn.rotate_left(number % nodes.len());
+            let job = self.submit_one(&turn, &operation).await?;
+            turn.rotate_left(1);
+            let again = self.submit_one(&turn, &operation).await?;
             self.tally.jobs.doubled += u64::from(again != job);
             self.jobs.push(job);
             self.tally.jobs.accepted += 1;
@@ -185,9 +186,9 @@
         Some(())
     }
 
-    async fn submit_one(&self, node: NodeId, operation: &str) -> Option<JobId> {
+    async fn submit_one(&self, nodes: &[NodeId], operation: &str) -> Option<JobId> {
         let answer = self
-            .send(node, operation, &Change::SubmitJob(job()))
+            .send(nodes, operation, &Change::SubmitJob(job()))
             .await?;
         match answer.reply {
             Reply::JobAccepted { job } => Some(job),
@@ -454,10 +455,13 @@
         (!reachable.is_empty()).then_some(reachable)
     }
 
-    /// Sends a change until it is accepted, always under the same id.
-    async fn send(&self, node: NodeId, operation: &str, change: &Change) -> Option<Answer> {
-        let address = self.network.operators(node);
+    /// Sends a change until it is accepted, to one node after the other and always under the same
+    /// id, as the operators' command line does: one that was reachable a moment ago may be cut off.
+    async fn send(&self, nodes: &[NodeId], operation: &str, change: &Change) -> Option<Answer> {
+        let turn = RefCell::new(nodes.iter().cycle());
         self.wait(async || {
+            let node = *turn.borrow_mut().next()?;
+            let address = self.network.operators(node);
             let answer = operators::change(address, operation, change.clone()).await;
             let trouble = answer.as_ref().err();
             self.trouble
@@ -476,7 +480,7 @@
         what: &str,
     ) -> Option<Answer> {
         let began = Instant::now();
-        let answer = self.send(node, operation, &change).await;
+        let answer = self.send(&[node], operation, &change).await;
         self.step(what, began, answer)
     }
 
