--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -1,6 +1,6 @@
 //! The demonstration, step by step.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, io, time::Duration};
 
 use snafu::ResultExt;
 use tokio::time::{Instant, sleep};
@@ -18,7 +18,7 @@
 use crate::{
     api::{
         Answer, Change, JobBody, millis,
-        view::{Job, Status, Waves},
+        view::{Job, Measures, Status, Waves},
     },
     core::{
         state::{Outcome, Reply},
@@ -69,11 +69,14 @@
         version: 0,
         stopped: Vec::new(),
         lost: None,
+        trouble: RefCell::new(None),
         end: began + longest,
         note,
     };
     // A step that didn't end in time is noted in the tally, and what builds on it is left out.
-    let _ = stage.play().await;
+    if stage.play().await.is_none() {
+        stage.tell_nodes().await;
+    }
     let tally = stage.count().await;
     Ok(Report::new(millis(began.elapsed()), tally))
 }
@@ -90,6 +93,8 @@
     version: Version,
     stopped: Vec<NodeId>,
     lost: Option<&'static str>,
+    /// Why the last change that was sent wasn't accepted, and by which node.
+    trouble: RefCell<Option<String>>,
     end: Instant,
     note: &'n mut dyn FnMut(&str),
 }
@@ -169,10 +174,11 @@
         let nodes = self.reachable().await?;
         for number in 0..count {
             let operation = format!("job-{}", self.jobs.len());
-            let first = nodes[number % nodes.len()];
-            let second = nodes[(number + 1) % nodes.len()];
-            let job = self.submit_one(first, &operation).await?;
-            let again = self.submit_one(second, &operation).await?;
+            let mut turn = nodes.clone();
+            turn.rotate_left(number % nodes.len());
+            let job = self.submit_one(&turn, &operation).await?;
+            turn.rotate_left(1);
+            let again = self.submit_one(&turn, &operation).await?;
             self.tally.jobs.doubled += u64::from(again != job);
             self.jobs.push(job);
             self.tally.jobs.accepted += 1;
@@ -180,9 +186,9 @@
         Some(())
     }
 
-    async fn submit_one(&self, node: NodeId, operation: &str) -> Option<JobId> {
+    async fn submit_one(&self, nodes: &[NodeId], operation: &str) -> Option<JobId> {
         let answer = self
-            .send(node, operation, &Change::SubmitJob(job()))
+            .send(nodes, operation, &Change::SubmitJob(job()))
             .await?;
         match answer.reply {
             Reply::JobAccepted { job } => Some(job),
@@ -363,15 +369,14 @@
     }
 
     async fn measure(&mut self) -> Option<()> {
-        let leader = self.leader().await?;
-        let address = self.network.operators(leader);
-        let status: Status = self
+        let (network, nodes) = (self.network, self.running());
+        let measures = self
             .until("the leader tells the measures", async || {
-                operators::get(address, "/v1/status").await.ok()
+                leaders_measures(network, &nodes).await
             })
             .await?;
-        self.tally.measures.buffer = status.local.measures.buffer;
-        self.tally.measures.moves = status.local.measures.moves;
+        self.tally.measures.buffer = measures.buffer;
+        self.tally.measures.moves = measures.moves;
         Some(())
     }
 
@@ -450,11 +455,20 @@
         (!reachable.is_empty()).then_some(reachable)
     }
 
-    /// Sends a change until it is accepted, always under the same id.
-    async fn send(&self, node: NodeId, operation: &str, change: &Change) -> Option<Answer> {
-        let address = self.network.operators(node);
-        let send = async || operators::change(address, operation, change.clone()).await;
-        self.wait(async || send().await.ok()).await
+    /// Sends a change until it is accepted, to one node after the other and always under the same
+    /// id, as the operators' command line does: one that was reachable a moment ago may be cut off.
+    async fn send(&self, nodes: &[NodeId], operation: &str, change: &Change) -> Option<Answer> {
+        let turn = RefCell::new(nodes.iter().cycle());
+        self.wait(async || {
+            let node = *turn.borrow_mut().next()?;
+            let address = self.network.operators(node);
+            let answer = operators::change(address, operation, change.clone()).await;
+            let trouble = answer.as_ref().err();
+            self.trouble
+                .replace(trouble.map(|error| format!("node {node} said of {operation}: {error}")));
+            answer.ok()
+        })
+        .await
     }
 
     /// The same as a step.
@@ -466,7 +480,7 @@
         what: &str,
     ) -> Option<Answer> {
         let began = Instant::now();
-        let answer = self.send(node, operation, &change).await;
+        let answer = self.send(&[node], operation, &change).await;
         self.step(what, began, answer)
     }
 
@@ -493,6 +507,9 @@
         let done = result.is_some();
         let end = if done { "" } else { ": NOT IN TIME" };
         (self.note)(&format!("{took:>6} ms  {what}{end}"));
+        if let Some(trouble) = self.trouble.take().filter(|_| !done) {
+            (self.note)(&format!("           {trouble}"));
+        }
         self.tally.steps.push(Step {
             what: what.into(),
             done,
@@ -501,6 +518,16 @@
         result
     }
 
+    /// Notes what each node says of itself, for whoever looks why a step didn't end.
+    async fn tell_nodes(&mut self) {
+        for node in self.running() {
+            let address = self.network.operators(node);
+            let page: Result<serde_json::Value, _> = operators::get(address, "/v1/node").await;
+            let page = page.map_or_else(|error| error.to_string(), |page| page.to_string());
+            (self.note)(&format!("           node {node} says: {page}"));
+        }
+    }
+
     fn enter(&self, phase: Phase) {
         if let Some(callers) = &self.callers {
             callers.enter(phase);
@@ -519,6 +546,19 @@
     ended.any(|found| found.wave == wave)
 }
 
+/// What the node that leads says. Leadership can change between any two looks, and a node that leads
+/// no more has no such figures, so whoever has them at one look is asked, not who led before.
+async fn leaders_measures(network: Network, nodes: &[NodeId]) -> Option<Measures> {
+    for node in nodes {
+        let page: io::Result<Status> = operators::get(network.operators(*node), "/v1/status").await;
+        let told = page.ok().map(|status| status.local.measures);
+        if let Some(told) = told.filter(|told| told.buffer.is_some() && told.moves.is_some()) {
+            return Some(told);
+        }
+    }
+    None
+}
+
 async fn succeeded(address: std::net::SocketAddr, jobs: &[JobId]) -> usize {
     let mut count = 0;
     for job in jobs {
