Give a control node's ports and the outputs of consensus modules of their own

An agent's last clear look is called so, beside the flag that it hasn't answered yet, which had almost the same name.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -63,7 +63,7 @@
     /// When the next renewal is due.
     pub(super) next: Now,
     /// When the last look was sent that showed what runs there, if none showed a stray attempt.
-    pub(super) seen: Option<Now>,
+    pub(super) looked: Option<Now>,
     /// The last of its ends that was proposed to the log.
     pub(super) proposed: u64,
     /// The last of its ends that it was told we know.
@@ -156,7 +156,7 @@
             lease: now,
             renewal: None,
             next: now,
-            seen: None,
+            looked: None,
             proposed: acked,
             told: acked,
             trouble: None,
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -254,7 +254,7 @@
         let strays = report.running.iter();
         let strays = strays.filter(|r| !known(&r.task, r.attempt));
         let strays: Vec<_> = strays.map(|r| (r.task, r.attempt)).collect();
-        agent.seen = strays.is_empty().then_some(sent);
+        agent.looked = strays.is_empty().then_some(sent);
         let to = agent.target();
         // A start that is sent meanwhile brings the next look forward.
         if agent.slots.is_empty() {
--- a/src/core/workload/scheduler/strays.rs
+++ b/src/core/workload/scheduler/strays.rs
@@ -33,6 +33,6 @@
     /// Whether something may run there that isn't placed there, with starts under way until then.
     pub(super) fn is_doubtful(&self, strays: Option<Now>) -> bool {
         let late = |seen| strays.is_some_and(|until| seen < until);
-        self.trouble.is_some() || self.seen.is_none_or(late)
+        self.trouble.is_some() || self.looked.is_none_or(late)
     }
 }
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -4,7 +4,7 @@
 //! step. Whatever came in while it was busy is taken in together and its writes go to the disk
 //! together: the busier the leader, the larger the groups.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -15,18 +15,17 @@
     ask::{Ask, Refused, Reply},
     frame::{AskId, Frame, View},
     membership::Members,
-    metrics::Metrics,
+    ports::{Config, Ports, Seat},
     waiting::{Asker, Waiting},
 };
 use crate::{
-    adapters::{disk::Disk, mesh::Mesh},
     core::{
-        consensus::{self, Content, Entry, Index, Node, Output, Restored},
+        consensus::{self, Index, Node},
         types::{DataCentreId, Map, NodeId, Now, Wall},
         workload::{
             catalog::Catalog,
             command::Command,
-            ledger::{Change, Ledger},
+            ledger::Ledger,
             scheduler::{Answer, Order, OrderId, Scheduler, Settings},
         },
     },
@@ -58,60 +57,6 @@
 /// changes of the voters.
 const LEAVE: Duration = Duration::from_millis(2500);
 
-/// Carries out an order; resolves when it is answered or given up.
-pub type Perform = Arc<dyn Fn(Order) -> Pin<Box<dyn Future<Output = Answer> + Send>> + Send + Sync>;
-/// Reads the text of a catalog; what is wrong with it if it can't be.
-pub type Decode = Arc<dyn Fn(&[u8]) -> Result<Catalog, String> + Send + Sync>;
-
-/// How a control node is set up.
-pub struct Config {
-    /// Its consensus.
-    pub consensus: consensus::Config,
-    /// What its disk held.
-    pub restored: Restored,
-    /// Its disk.
-    pub disk: Disk,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// The port of every node's mesh.
-    pub mesh_port: u16,
-    /// How many nodes should vote.
-    pub voters: usize,
-    /// How long a voter may be silent before another node takes its place.
-    pub silence: Duration,
-    /// The scheduler's.
-    pub scheduler: Settings,
-}
-
-/// What a control node is to the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Seat {
-    /// Who leads.
-    pub leader: Option<NodeId>,
-    /// Whether this node votes.
-    pub votes: bool,
-    /// Whether it is about to end.
-    pub leaving: bool,
-    /// Whether another could vote in its place then.
-    pub spare: bool,
-}
-
-/// What a control node speaks to.
-pub struct Ports {
-    /// The other nodes.
-    pub mesh: Arc<Mesh>,
-    /// Carries out orders.
-    pub perform: Perform,
-    /// Reads catalogs.
-    pub decode: Decode,
-    /// What is counted.
-    pub metrics: Arc<Metrics>,
-    /// Told what this node is to the others.
-    pub seat: watch::Sender<Seat>,
-    /// Told why the process must stop.
-    pub fatal: mpsc::UnboundedSender<String>,
-}
-
 /// An event of the task.
 enum Input {
     Frame(NodeId, Frame),
@@ -237,12 +182,12 @@
     pub(super) voters: usize,
     pub(super) silence: Duration,
     settings: Settings,
-    writes: Vec<Write>,
+    pub(super) writes: Vec<Write>,
     disk: std::sync::mpsc::Sender<Vec<Write>>,
     pub(super) full: bool,
-    compacted: Index,
+    pub(super) compacted: Index,
     /// Bytes applied since the last snapshot.
-    bytes: usize,
+    pub(super) bytes: usize,
     /// Whether this process is about to end.
     pub(super) leaving: bool,
     /// When the voters are to be looked at; at once if not given.
@@ -327,7 +272,7 @@
         }
     }
 
-    fn fail(&mut self, why: String) {
+    pub(super) fn fail(&mut self, why: String) {
         self.failed = true;
         // The receiver is the process's main task; if it is gone, so are we.
         let _ = self.ports.fatal.send(why);
@@ -343,135 +288,6 @@
         }
     }
 
-    fn carry_out(&mut self, output: Output) {
-        match output {
-            Output::Send { to, message } => {
-                self.ports.mesh.send(to, Frame::Log(message).encode());
-            }
-            Output::Write { write, record } => self.writes.push(Write { write, record }),
-            Output::Apply(entry) => self.apply(&entry),
-            Output::Restore { index, image } => match Ledger::from_image(&image) {
-                Ok(ledger) => {
-                    log::info!(index; "the ledger was restored from a snapshot");
-                    self.ledger = ledger;
-                    self.catalog = None;
-                    self.compacted = index;
-                    self.bytes = 0;
-                }
-                Err(error) => self.fail(format!("snapshot at {index}: {error}")),
-            },
-            Output::Placed {
-                proposal,
-                term,
-                index,
-            } => {
-                if let Some(asker) = self.waiting.placed(proposal, term, index) {
-                    self.reply(asker, Reply::Unclear);
-                }
-            }
-            Output::Resigned { term, why } => {
-                log::info!(term, why = why.label(); "this node stepped down");
-            }
-            Output::Rejected { proposal, leader } => {
-                if let Some(asker) = self.waiting.rejected(proposal) {
-                    // One that leads no more can't know why its change came to nothing.
-                    if matches!(asker, Asker::Membership) && self.node.is_leader() {
-                        self.members.came_to_nothing(self.epoch.elapsed());
-                    }
-                    let why = match leader {
-                        Some(leader) if leader == self.node.id() => Refused::Overloaded,
-                        leader => Refused::NotLeader(leader),
-                    };
-                    self.reply(asker, Reply::Refused(why));
-                }
-            }
-        }
-    }
-
-    fn apply(&mut self, entry: &Entry) {
-        let waiter = self.waiting.applied(entry.term, entry.index);
-        if let Content::Command(payload) = &entry.content {
-            self.bytes += payload.len();
-            match Command::decode(payload) {
-                Ok(command) => self.apply_command(entry.index, &command),
-                Err(error) => self.fail(format!("entry {}: {error}", entry.index)),
-            }
-        }
-        if let Some((asker, own)) = waiter {
-            if matches!(asker, Asker::Membership) {
-                // The next change need not wait: with a lost voter in it a longer list is weaker.
-                self.tend_due = None;
-                self.members.came_about();
-            }
-            let reply = if own {
-                Reply::Done
-            } else {
-                Reply::Refused(Refused::NotLeader(self.node.leader()))
-            };
-            self.reply(asker, reply);
-        }
-    }
-
-    fn apply_command(&mut self, index: Index, command: &Command) {
-        let changes = self.ledger.apply(index, command);
-        let now = self.now();
-        if changes.contains(&Change::Declared) {
-            self.catalog = None;
-            if self.scheduler.is_some() {
-                self.read_catalog();
-            }
-        }
-        if let Some(scheduler) = &mut self.scheduler {
-            scheduler.applied(now, wall(), &self.ledger, command, &changes);
-        }
-        if let Command::Submit(submission) = command {
-            let waiting = self.submitting.remove(&submission.job);
-            for asker in waiting.into_iter().flatten() {
-                self.reply(asker, Reply::Done);
-            }
-        }
-        for change in changes {
-            self.note(change);
-        }
-    }
-
-    /// Logs what a change means for callers and agents; the leader alone, as it decided it.
-    fn note(&self, change: Change) {
-        if self.scheduler.is_none() {
-            return;
-        }
-        match change {
-            Change::Gone(agent) => log::info!(agent:%; "an agent is over"),
-            Change::Accepted(id) => {
-                if let Some(job) = self.ledger.job(id) {
-                    log::info!(job:% = format_args!("{id:016x}"), queue:% = job.queue; "a job was accepted");
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Reads the catalog in force, if that wasn't done.
-    pub(super) fn read_catalog(&mut self) -> Option<Arc<Catalog>> {
-        if self.catalog.is_none() {
-            let document = self.ledger.document()?;
-            match (self.ports.decode)(&document.text) {
-                Ok(catalog) => {
-                    log::info!(version = document.version, queues = catalog.queues.len(); "a catalog is in force");
-                    let catalog = Arc::new(catalog);
-                    self.catalog = Some(Arc::clone(&catalog));
-                    let now = self.now();
-                    if let Some(scheduler) = &mut self.scheduler {
-                        scheduler.declare(now, catalog, &self.ledger);
-                    }
-                }
-                // It was read before it was committed, by this release or an earlier one.
-                Err(error) => log::error!(error; "the catalog in force can't be read"),
-            }
-        }
-        self.catalog.clone()
-    }
-
     /// What every batch of inputs may have made possible or due.
     fn settle(&mut self) {
         self.lead();
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -8,7 +8,8 @@
 //! - [`entry`]: finds the leader and asks it, again if need be;
 //! - [`ask`]: what may be asked, and what is answered;
 //! - [`identity`]: which node a data folder belongs to;
-//! - [`membership`]: which control nodes should vote.
+//! - [`membership`]: which control nodes should vote;
+//! - [`ports`]: what a control node is given.
 
 pub mod ask;
 pub mod control;
@@ -17,6 +18,8 @@
 pub mod identity;
 pub mod membership;
 pub mod metrics;
+mod outputs;
 mod peers;
+pub mod ports;
 mod questions;
 mod waiting;
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 
 use super::{
-    control::{Seat, TEND, Task, VIEW},
+    control::{TEND, Task, VIEW},
     frame::{Frame, View},
     identity::address,
     membership::Voting,
+    ports::Seat,
     waiting::Asker,
 };
 use crate::core::{
