Check for tasks that run twice in worlds with late leases and cuts as well

The suspected cause, a late renewal that outlives the lease that the leader counts, is by reading and stays open.

--- a/tests/workload/cancelled.rs
+++ b/tests/workload/cancelled.rs
@@ -49,7 +49,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x00ca_9ce1);
     let mut world = World::with_lease(8, seed, ms(10_000));
     world.protections = without;
-    world.lax = trouble.burials || (trouble.cuts && trouble.faults.lenient);
+    world.lax = trouble.burials;
     world.lead();
     for phase in 0..PHASES {
         world.faults = trouble.faults;
