Have a leader that was held up itself ask once more before it steps down

Cause: a leader that had no time to send heartbeats counted the silence that it had caused, and stepped down at its next tick while its voters still waited for it.

Change: if its last heartbeat is overdue by another heartbeat's time, the leader sends one and waits for a lease more, once between two answers of a quorum. Its lease isn't longer: lease_until() counts from what a quorum answered, so it neither acts nor reads meanwhile. Safety rests on terms and leases as before; the model checks are among the tests.

Whether it shortens an incident was not measured.

--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -118,6 +118,8 @@
     pub(super) former: Option<(NodeId, Now)>,
     /// When the next heartbeat is due.
     pub(super) beat: Now,
+    /// When it last asked once more, as it had been held up itself.
+    pub(super) excused: Option<Now>,
     /// The other voters, and a node that is about to become one.
     pub(super) peers: BTreeMap<NodeId, Progress>,
     /// The change of voters that waits for its new voter.
@@ -135,6 +137,7 @@
             elected: now,
             former,
             beat: now,
+            excused: None,
             peers,
             joining,
             handing,
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -45,7 +45,7 @@
 
     /// Heartbeats, and steps down when no quorum answers any more or the disk doesn't.
     pub(super) fn tick_leader(&mut self) {
-        let unheard = self.config.protections.lease && self.is_unheard();
+        let unheard = self.config.protections.lease && self.is_unheard() && !self.excuse();
         if unheard || self.is_stalled() {
             self.resign(if unheard {
                 Resignation::Unheard
@@ -83,10 +83,29 @@
         let Role::Leader(leader) = &self.role else {
             return false;
         };
-        let heard = self.quorum_heard().unwrap_or_default().max(leader.elected);
+        let heard = self.quorum_heard().max(leader.excused);
+        let heard = heard.unwrap_or_default().max(leader.elected);
         self.now >= heard + self.config.lease
     }
 
+    /// Whether a leader that no quorum answered may ask once more. If its last heartbeat is long
+    /// overdue it was held up itself, so silence says nothing about the others, who may still wait
+    /// for it: stepping down would cost an election for nothing. Its lease isn't longer for it, and
+    /// it is excused once between two answers of a quorum.
+    fn excuse(&mut self) -> bool {
+        let (now, heartbeat) = (self.now, self.config.heartbeat);
+        let heard = self.quorum_heard();
+        let Role::Leader(leader) = &mut self.role else {
+            return false;
+        };
+        let held_up = now >= leader.beat + heartbeat;
+        let answered = leader.excused.is_none() || heard > leader.excused;
+        if held_up && answered {
+            leader.excused = Some(now);
+        }
+        held_up && answered
+    }
+
     /// Hands new entries to the disk and the others. While writes are under way new entries
     /// gather, so that under load many share one write and one message.
     pub(super) fn replicate(&mut self) {
