End only when the list of voters without this node is settled

Cause: a node that stops waited until no other node could take its vote. While the newcomer was in the list and the old node not yet out of it, nobody was left to take it, so the old one ended inside a list of four; one more loss then left two of four for ever. Ruled out: the hand-over (the process had ended in its grace with another leader, or the kill that follows would have come later). Change: a list that is longer than wanted counts as a substitute that is on its way.

--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -91,7 +91,7 @@
             leader: self.node.leader(),
             votes: self.node.is_committed_voter(),
             leaving: self.leaving,
-            spare: self.leaving && self.members.has_spare(now, self.node.voters()),
+            spare: self.leaving && self.has_substitute(now),
         };
         self.ports.seat.send_if_modified(|shown| {
             let changed = *shown != seat;
@@ -100,6 +100,13 @@
         });
     }
 
+    /// Whether another node could vote in this one's place, or does already and the list wants
+    /// shortening: until then a majority of the longer list counts this node in.
+    fn has_substitute(&self, now: Now) -> bool {
+        let voters = self.node.voters();
+        voters.len() > self.voters || self.members.has_spare(now, voters)
+    }
+
     /// Sets the gauges.
     fn measure(&self) {
         let metrics = &self.ports.metrics;
--- a/src/manager/ports.rs
+++ b/src/manager/ports.rs
@@ -54,7 +54,7 @@
     pub votes: bool,
     /// Whether it is about to end.
     pub leaving: bool,
-    /// Whether another could vote in its place then.
+    /// Whether another could vote in its place then, or is about to.
     pub spare: bool,
 }
 
