Show that one list without a host ends a duty, and that work is started twice for it

Ruled out: pages read while hosts change aren't needed for it; the list was simply older than the wave. Added: worlds whose lists lack a host that is there (tests/workload/lists.rs), what each wave had maintained, and what was committed. A wave ends for a host that came after the last list; for one that a single list lacked; the same end is committed once a round (3 for 2 hosts); and an agent behind a cut that one list lacks has its task started a second time while it runs on. Conclusion: the same reading of one list stands in `judge`, where it costs more than in waves.

--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod leases;
 mod order;
 mod place;
+mod presence;
 mod ready;
 mod starts;
 mod strays;
@@ -363,7 +364,7 @@
         commands.extend(self.forget(now));
         self.expire_leases(now);
         self.forget_strays(now);
-        self.tend_hosts(now, wall, ledger, &mut commands);
+        self.tend_hosts(now, wall, ledger);
         if self.rounds < ROUNDS {
             let round = self.round(now, ledger);
             if !round.is_empty() {
@@ -390,6 +391,12 @@
         self.agents.values().map(|agent| agent.slots.len()).sum()
     }
 
+    /// How many agents don't answer.
+    pub fn silent(&self) -> usize {
+        let agents = self.agents.values();
+        agents.filter(|agent| agent.trouble.is_some()).count()
+    }
+
     fn order(&mut self, now: Now, about: About, what: What) -> OrderId {
         self.last_order += 1;
         let id = self.last_order;
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod incarnations;
 mod ledger;
+mod lists;
 mod promises;
 mod spec;
 mod world;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -179,6 +179,10 @@
     pub(crate) faults: Faults,
     /// Orders that were sent, by kind.
     pub(crate) sent: BTreeMap<&'static str, usize>,
+    /// Hosts that the provider's lists lack though they are there.
+    pub(crate) unlisted: BTreeSet<HostId>,
+    /// Hosts whose maintenance was begun, by wave.
+    pub(crate) maintained: BTreeSet<(WaveId, HostId)>,
     /// Hosts down for each wave now, and the most at once.
     down: BTreeMap<WaveId, BTreeSet<HostId>>,
     pub(crate) peak: usize,
@@ -212,6 +216,8 @@
     pub(crate) lax: bool,
     /// Which protections the next leader has.
     pub(crate) protections: Protections,
+    /// What was committed, in order.
+    pub(crate) committed: Vec<Command>,
 }
 
 impl World {
@@ -250,6 +256,8 @@
             hosts: BTreeMap::new(),
             faults: Faults::default(),
             sent: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
+            maintained: BTreeSet::new(),
             down: BTreeMap::new(),
             peak: 0,
             moves: 0,
@@ -276,6 +284,7 @@
             disturbed: Duration::ZERO,
             lax: false,
             protections: Protections::default(),
+            committed: Vec::new(),
         };
         for host in 0..hosts {
             world.host(&format!("h{host}"), POOL);
@@ -565,6 +574,7 @@
             self.index += 1;
             let changes = self.ledger.apply(self.index, &command);
             self.note_cancel(&command);
+            self.committed.push(command.clone());
             if let Some(scheduler) = &mut self.scheduler {
                 scheduler.applied(self.now, self.now, &self.ledger, &command, &changes);
             }
@@ -691,7 +701,8 @@
     fn arrive(&mut self, order: &Order, silent: bool) {
         match &order.what {
             What::Hosts => {
-                let hosts = self.hosts.values().cloned().collect();
+                let listed = |view: &&HostView| !self.unlisted.contains(&view.host);
+                let hosts = self.hosts.values().filter(listed).cloned().collect();
                 self.answer(order, Answer::Hosts(hosts));
                 return;
             }
@@ -706,11 +717,14 @@
                 let record = self.ledger.wave_record(*wave).expect("the wave is known");
                 let cap = usize::try_from(record.cap).unwrap();
                 let down = self.down.entry(*wave).or_default();
-                if !down.contains(host) {
+                if self.hosts.contains_key(host) && !down.contains(host) {
                     assert!(down.len() < cap, "at most {cap} hosts of a wave are down");
                     down.insert(host.clone());
                     self.peak = self.peak.max(down.len());
                 }
+                if self.hosts.contains_key(host) {
+                    self.maintained.insert((*wave, host.clone()));
+                }
                 let answer = self.duty(host, |_| (), HostState::Maintained);
                 self.answer(order, answer);
                 return;
