Let entries and heartbeats of another writer cost only themselves

Cause: one entry of the provider's list that couldn't be read made the whole list unread, so that no host was known while it stood there; a heartbeat without room, labels or number was taken as one of an agent with none, also over what a known agent had said; an unknown state counted as ready, an unknown state of a host as gone; hosts of pools that the catalog doesn't have could be chosen to be moved. Ruled out: keeping the last good list (a foreign entry may stand there for good). Change: entries are read one by one. Who can't be read names no host, or a host in an unknown state, from which nothing is concluded and which a readable entry of the same host overrides; bytes that are no text spoil their own names only.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -242,6 +242,11 @@
     pub fn queue(&self, name: &str) -> Option<&QueueSpec> {
         self.by_name.get(name).map(|ix| &self.queues[*ix])
     }
+
+    /// Whether it has a pool of that name.
+    pub fn has_pool(&self, name: &str) -> bool {
+        self.pools.iter().any(|pool| &*pool.name == name)
+    }
 }
 
 /// What the rest of a path names: nothing but hexadecimal digits, 16 of them, is a job.
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -114,8 +114,9 @@
     pub(super) fn is_useful(&self, view: &HostView) -> bool {
         let agent = view.agent.as_ref().and_then(|id| self.agents.get(id));
         let well = |agent: &Agent| !agent.record.leaving && agent.trouble.is_none();
+        let there = !matches!(view.state, HostState::Down | HostState::Unknown);
         // One that isn't known yet has just come.
-        view.state != HostState::Down && agent.is_none_or(well)
+        there && agent.is_none_or(well)
     }
 
     /// An empty host that another pool can spare: of the one that has the most to spare, and of
@@ -143,7 +144,8 @@
     /// Hosts that are up and run nothing, and since when.
     pub(super) fn empties(&self) -> impl Iterator<Item = (&HostId, &HostView, Now)> {
         self.hosts.views.iter().filter_map(|(host, view)| {
-            if view.state != HostState::Up || self.hosts.duties.contains_key(host) {
+            let free = view.state == HostState::Up && !self.hosts.duties.contains_key(host);
+            if !free || !self.catalog.has_pool(&view.pool) {
                 return None;
             }
             let Some(id) = &view.agent else {
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -150,7 +150,7 @@
                 agent.home = Some(view.host.clone());
             }
         }
-        self.hosts.views = views.into_iter().map(|v| (v.host.clone(), v)).collect();
+        self.hosts.views = by_host(views);
         self.judge(sent);
     }
 
@@ -166,6 +166,7 @@
             };
             let home = agent.home.as_ref();
             let over = match home.and_then(|host| self.hosts.views.get(host)) {
+                Some(view) if view.state == HostState::Unknown => false,
                 // What its host does now is said in so many words.
                 Some(view) => view.agent.as_ref() != Some(id) || view.state != HostState::Up,
                 None => self.hosts.agents.is_gone(id, since),
@@ -333,3 +334,14 @@
         }
     }
 }
+
+/// The hosts by their ids. What can be read goes before what can't.
+fn by_host(views: Vec<HostView>) -> BTreeMap<HostId, HostView> {
+    let mut hosts = BTreeMap::new();
+    for view in views {
+        if view.state != HostState::Unknown || !hosts.contains_key(&view.host) {
+            hosts.insert(view.host.clone(), view);
+        }
+    }
+    hosts
+}
--- a/src/core/workload/scheduler/order.rs
+++ b/src/core/workload/scheduler/order.rs
@@ -238,4 +238,6 @@
     Maintained,
     /// It is gone.
     Down,
+    /// What is said of it can't be read. It is there, and nothing may be concluded from it.
+    Unknown,
 }
--- a/src/manager/questions.rs
+++ b/src/manager/questions.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::workload::{
         catalog::{Place, QueueSpec},
-        command::{Command, Document, Submission},
+        command::{AgentRecord, Command, Document, Submission},
         spec::JobSpec,
     },
     node::clock::wall,
@@ -111,6 +111,10 @@
     }
 
     fn beat(&mut self, asker: Asker, beat: &Beat) {
+        if let Some(why) = self.is_foreign(&beat.agent) {
+            log::info!(agent:% = beat.agent.id, why; "a heartbeat was refused");
+            return self.reply(asker, Reply::Invalid(why));
+        }
         let now = self.now();
         let news = self
             .scheduler
@@ -121,4 +125,17 @@
             None => self.reply(asker, Reply::Done),
         }
     }
+
+    /// Why a heartbeat can't be of an agent of these pools, if it can't. An incarnation keeps its
+    /// pool, and one that is known may go on though its pool was taken from the catalog.
+    fn is_foreign(&mut self, record: &AgentRecord) -> Option<String> {
+        if let Some(known) = self.ledger.agent(&record.id) {
+            let same = known.pool == record.pool;
+            return (!same).then(|| format!("service: it was {} before", known.pool));
+        }
+        // Before the first catalog any pool may turn out to be one of it.
+        let catalog = self.read_catalog()?;
+        let known = catalog.has_pool(&record.pool);
+        (!known).then(|| format!("service: the catalog has no {}", record.pool))
+    }
 }
