Have a new leader wait only for the hosts that its predecessor touched

Cause: leaders must not take turns on one host within the provider's time, and nobody knew which hosts the last one had touched. Change: what a leader is about to order of a host is in a round of the log before the order goes out, with the time since its term began (`touched`, `touching`); the successor holds those hosts as long as their ages ask, counts them as away for their waves, and orders all others at once. The log is told of the time every 250 ms while touches are young. Without any record (a log of an earlier release) it waits for all of them, as before. Orders go out 10 ms later, which moved them over the border of the 0.9 s between lists (a test saw 5 s instead of 0.1 s); a list is now asked for when an agent comes while hosts are away. Ruled out: releasing hosts in the log one by one (more entries, no gain over ages). Tests: leaders_do_not_take_turns_on_a_host over 40 worlds with its twin without the record, which breaks; a_new_leader_moves_what_nobody_touched_at_once.

--- a/src/core/workload/command.rs
+++ b/src/core/workload/command.rs
@@ -9,6 +9,7 @@
     catalog::{CatalogVersion, JobId},
     job::TaskId,
     spec::JobSpec,
+    touched::Touch,
 };
 use crate::core::types::{
     Attempt, DataCentreId, HostId, MinionId, Name, PoolId, RackId, Resources, Wall, WaveId,
@@ -140,6 +141,9 @@
     pub failed: Vec<JobId>,
     /// New attempts.
     pub starts: Vec<Placed>,
+    /// Hosts that are about to get orders. Rounds of earlier releases hold none.
+    #[serde(default)]
+    pub touch: Option<Touch>,
 }
 
 impl Round {
@@ -149,6 +153,7 @@
             && self.freed.is_empty()
             && self.failed.is_empty()
             && self.starts.is_empty()
+            && self.touch.is_none()
     }
 }
 
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -40,6 +40,7 @@
     },
     job::{Job, JobState, StepId, Task, TaskId},
     spec::{StepIx, TaskIx},
+    touched::Touched,
 };
 use crate::core::{
     consensus::{Index, Payload},
@@ -112,6 +113,9 @@
     /// Incarnations that are over, the last one last. Older images hold none.
     #[serde(default)]
     over: VecDeque<Ended>,
+    /// Hosts that leaders gave orders about lately. Older images hold none.
+    #[serde(default)]
+    touched: Touched,
     /// Derived: jobs of each queue of which nothing has been started.
     #[serde(skip)]
     pending: BTreeMap<Name, u64>,
@@ -197,6 +201,11 @@
         self.waves.values()
     }
 
+    /// Hosts that leaders may have given orders about lately.
+    pub fn touched(&self) -> &Touched {
+        &self.touched
+    }
+
     /// The bytes of a snapshot.
     pub fn image(&self) -> Payload {
         let mut bytes = Vec::new();
@@ -304,6 +313,9 @@
         for start in &round.starts {
             self.place(start, changes);
         }
+        if let Some(touch) = &round.touch {
+            self.touched.apply(touch);
+        }
     }
 
     fn take_ends(&mut self, ends: &Ends, changes: &mut Vec<Change>) {
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -20,3 +20,4 @@
 pub mod ledger;
 pub mod scheduler;
 pub mod spec;
+pub mod touched;
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -52,7 +52,7 @@
     fn supply(&mut self, now: Now, needs: &Counts, have: &mut Counts, spare: Option<&PoolId>) {
         let mut short: BTreeSet<_> = needs.keys().cloned().collect();
         while let Some(pool) = shortest(needs, have, &short) {
-            let Some(host) = self.donor(needs, have, spare, &pool) else {
+            let Some(host) = self.donor(now, needs, have, spare, &pool) else {
                 short.remove(&pool);
                 continue;
             };
@@ -71,7 +71,7 @@
         }
         self.hosts.logged = now;
         let mut empties = Counts::new();
-        for (_, view, _) in self.empties() {
+        for (_, view, _) in self.empties(now) {
             *empties.entry(view.pool.clone()).or_default() += 1;
         }
         for (pool, need) in needs {
@@ -123,6 +123,7 @@
     /// the spares if there is none, since those cost nothing while they wait.
     pub(super) fn donor(
         &self,
+        now: Now,
         needs: &Counts,
         have: &Counts,
         spare: Option<&PoolId>,
@@ -132,7 +133,7 @@
             let have = have.get(pool).copied().unwrap_or_default();
             have.saturating_sub(needs.get(pool).copied().unwrap_or_default())
         };
-        let empties = self.empties().filter(|(_, view, _)| view.pool != *to);
+        let empties = self.empties(now).filter(|(_, view, _)| view.pool != *to);
         let able = empties.filter(|(_, view, _)| surplus(&view.pool) > 0);
         let best = able.max_by_key(|(host, view, _)| {
             let active = Some(&view.pool) != spare;
@@ -142,9 +143,10 @@
     }
 
     /// Hosts that are up and run nothing, and since when.
-    pub(super) fn empties(&self) -> impl Iterator<Item = (&HostId, &HostView, Now)> {
-        self.hosts.views.iter().filter_map(|(host, view)| {
-            let free = view.state == HostState::Up && !self.hosts.duties.contains_key(host);
+    pub(super) fn empties(&self, now: Now) -> impl Iterator<Item = (&HostId, &HostView, Now)> {
+        self.hosts.views.iter().filter_map(move |(host, view)| {
+            let idle = view.state == HostState::Up && !self.hosts.duties.contains_key(host);
+            let free = idle && !self.touching.is_held(now, host) && !self.is_refused(now, host);
             if !free || !self.catalog.has_pool(&view.pool) {
                 return None;
             }
@@ -159,7 +161,7 @@
     }
 
     pub(super) fn park(&mut self, now: Now, needs: &Counts, have: &mut Counts, spare: &PoolId) {
-        let idle = self.empties().filter(|(_, view, since)| {
+        let idle = self.empties(now).filter(|(_, view, since)| {
             view.pool != *spare && view.agent.is_some() && now >= *since + PARK
         });
         let idle: Vec<_> = idle
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -84,6 +84,8 @@
                 let mut agent = Agent::new(record.clone(), now);
                 agent.unseen = true;
                 self.agents.insert(id.clone(), agent);
+                // It may be of a host that is back, which only a list shows.
+                self.hosts.newcomer = true;
             }
         }
     }
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -33,12 +33,16 @@
     agents: Presence<MinionId>,
     /// Whether the next list decides about an agent that doesn't answer.
     suspected: bool,
+    /// Whether an agent has come since the last list was asked for.
+    pub(super) newcomer: bool,
     /// When the last list that was answered was asked for.
     pub(super) listed: Option<Now>,
     /// When the last list was asked for, and whether it is under way.
     asked: Option<Now>,
     asking: bool,
     pub(super) duties: BTreeMap<HostId, Duty>,
+    /// When an order about each host was refused last.
+    pub(super) refused: BTreeMap<HostId, Now>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
     /// Hosts that each pool has beyond what it keeps, as of the last look.
     pub(super) surplus: Counts,
@@ -78,8 +82,12 @@
 pub(super) enum Stage {
     /// Its agent is being emptied.
     Emptying,
-    /// The order is to be sent.
+    /// The order is to be sent, and the log to say so before.
     Due,
+    /// The log is being told.
+    Touching,
+    /// The log says so; the order goes out.
+    Touched,
     Ordered(OrderId),
     /// It was done, and the host isn't back.
     Away,
@@ -89,8 +97,7 @@
     /// Decides what is done with hosts.
     pub(super) fn tend_hosts(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
         self.list_hosts(now, ledger);
-        // Another leader may have given orders until a moment ago.
-        if self.hosts.listed.is_none() || now < self.began + self.settings.holder {
+        if self.hosts.listed.is_none() || self.touching.is_blind(now) {
             return;
         }
         self.welcome(now);
@@ -121,7 +128,11 @@
         let busy = doubted
             || !self.hosts.duties.is_empty()
             || ledger.waves().any(|wave| !wave.left.is_empty());
-        let pause = match (self.hosts.suspected, busy) {
+        let mut duties = self.hosts.duties.values();
+        let away = duties.any(|duty| duty.stage == Stage::Away);
+        // A host that is back is known a third of a second after its agent instead of up to 0.9 s.
+        let pressing = self.hosts.suspected || (self.hosts.newcomer && away);
+        let pause = match (pressing, busy) {
             (true, _) => SETTLE,
             (false, true) => LIST.0,
             (false, false) => LIST.1,
@@ -129,6 +140,7 @@
         if self.hosts.asked.is_none_or(|asked| now >= asked + pause) {
             self.hosts.asked = Some(now);
             self.hosts.asking = true;
+            self.hosts.newcomer = false;
             self.order(now, About::Hosts, What::Hosts);
         }
     }
@@ -217,6 +229,12 @@
         }
     }
 
+    /// Whether an order about a host was refused so short a time ago that the next would be, too.
+    pub(super) fn is_refused(&self, now: Now, host: &HostId) -> bool {
+        let refused = self.hosts.refused.get(host);
+        refused.is_some_and(|at| now < *at + LIST.0)
+    }
+
     pub(super) fn end_duty(&mut self, now: Now, host: &HostId) {
         let Some(duty) = self.hosts.duties.remove(host) else {
             return;
@@ -252,7 +270,7 @@
 
     pub(super) fn send_duties(&mut self, now: Now) {
         let due = self.hosts.duties.iter();
-        let due = due.filter(|(_, duty)| duty.stage == Stage::Due && now >= duty.since);
+        let due = due.filter(|(_, duty)| duty.stage == Stage::Touched);
         let due: Vec<_> = due
             .map(|(host, duty)| (host.clone(), duty.what.clone()))
             .collect();
@@ -319,6 +337,7 @@
             }
             _ => {
                 log::info!(host:%, what:? = duty.what, answer:?; "an order about a host was refused");
+                self.hosts.refused.insert(host.clone(), now);
                 if let (
                     Purpose::Maintain(wave),
                     Answer::Refused {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -41,6 +41,7 @@
 mod starts;
 mod strays;
 mod throttle;
+mod touching;
 mod waves;
 
 use std::{
@@ -59,6 +60,7 @@
     hosts::Hosts,
     learned::Learned,
     ready::{Queue, Ready},
+    touching::Touching,
 };
 use super::{
     catalog::{Catalog, JobId},
@@ -141,6 +143,8 @@
     pub lease: bool,
     /// A new leader gives up what its predecessors placed only once the agent has seen its term.
     pub inherit: bool,
+    /// What is about to be ordered of a host is in the log before, for the next leader to wait.
+    pub touches: bool,
     /// A host is maintained only when it is empty, or when all that it runs may be away.
     pub budget: bool,
     /// Agents that nothing is placed at are looked at while something may run there.
@@ -153,6 +157,7 @@
             strays: true,
             lease: true,
             inherit: true,
+            touches: true,
             budget: true,
             looks: true,
         }
@@ -198,6 +203,7 @@
     /// Rounds that were proposed and aren't applied.
     rounds: usize,
     hosts: Hosts,
+    touching: Touching,
     eligible: Eligible,
     /// How long the tasks of each pool take.
     learned: BTreeMap<PoolId, Learned>,
@@ -261,6 +267,7 @@
             strays: BTreeMap::new(),
             rounds: 0,
             hosts: Hosts::default(),
+            touching: Touching::new(now, settings.holder, ledger.touched()),
             eligible: Eligible::default(),
             learned: BTreeMap::new(),
             maintained: Vec::new(),
@@ -343,6 +350,7 @@
             for start in &round.starts {
                 self.check_start(now, ledger, start);
             }
+            self.touch_applied(now, round);
         }
     }
 
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -21,6 +21,7 @@
             freed: std::mem::take(&mut self.freed),
             failed,
             starts: Vec::new(),
+            touch: self.touch(now),
         };
         for pool in self.ready.pools() {
             self.fill(now, ledger, &pool, &mut round.starts);
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Agent, HostState, Map, Now, Phase, Scheduler, StepId, TaskId, Wall,
-    hosts::{Duty, Purpose, Stage, WaveTime},
+    hosts::{Duty, Hosts, Purpose, Stage, WaveTime},
 };
 use crate::core::{
     types::{HostId, WaveId},
@@ -51,6 +51,7 @@
     /// Has hosts of a wave emptied and maintained.
     pub(super) fn tend_wave(&mut self, now: Now, wall: Wall, ledger: &Ledger, wave: &WaveRecord) {
         let cap = usize::try_from(wave.cap).unwrap_or(usize::MAX);
+        self.let_go(now, wave);
         // The clock of the day may jump, so it is looked at once.
         let due = now + wave.until.saturating_sub(wall);
         let time = self.hosts.waves.entry(wave.wave);
@@ -60,16 +61,36 @@
         let turns = wave.left.len().div_ceil(cap.max(1));
         let needed = TURN * u32::try_from(turns).unwrap_or(u32::MAX);
         let late = needed >= left;
-        let away = self.away(wave.wave);
+        let away = self.away(now, wave);
         self.admit(now, ledger, wave.wave, cap.saturating_sub(away), late);
     }
 
+    /// Takes the hosts off a wave that aren't there any more.
+    ///
+    /// Lists alone don't show that. A host that they lack is ordered like the others; if the provider
+    /// refuses, and lists that were asked for after that lack it still, it is gone for good.
+    fn let_go(&mut self, now: Now, wave: &WaveRecord) {
+        let Hosts {
+            views,
+            presence,
+            refused,
+            ..
+        } = &mut self.hosts;
+        for host in wave.left.iter().filter(|host| !views.contains_key(*host)) {
+            let Some(at) = refused.get_mut(host) else {
+                continue;
+            };
+            if presence.is_gone(host, *at) {
+                log::info!(wave = wave.wave, host:%; "a host of a wave isn't there any more");
+                self.maintained.push((wave.wave, host.clone()));
+                // Not again while that is being committed.
+                *at = now;
+            }
+        }
+    }
+
     /// Begins to empty hosts of a wave: those that no pool needs at once, and others only as fast as
     /// the wave's time asks, since each host that is emptied is missed by its pool.
-    ///
-    /// Those that aren't there any more go first. They are ordered like the others: only the
-    /// provider's answer that there is no such host ends the wave for them, however many lists
-    /// lack them.
     fn empty_more(&mut self, now: Now, wave: &WaveRecord, cap: usize, since: Now, left: Duration) {
         let mine = |duty: &&Duty| duty.what == Purpose::Maintain(wave.wave);
         let mut under = self.hosts.duties.values().filter(mine).count();
@@ -79,6 +100,7 @@
             .left
             .iter()
             .filter(|host| !self.hosts.duties.contains_key(*host))
+            .filter(|host| !self.is_refused(now, host))
             .filter_map(|host| Some((self.burden(host, since)?, host.clone())))
             .collect();
         candidates.sort_unstable();
@@ -116,7 +138,8 @@
     /// isn't up, or may be there though it isn't listed.
     fn burden(&self, host: &HostId, since: Now) -> Option<Burden> {
         let Some(view) = self.hosts.views.get(host) else {
-            let gone = self.hosts.presence.is_gone(host, since);
+            let refused = self.hosts.refused.contains_key(host);
+            let gone = !refused && self.hosts.presence.is_gone(host, since);
             return gone.then(Burden::default);
         };
         if view.state != HostState::Up {
@@ -141,20 +164,19 @@
     }
 
     /// Hosts that are down for a wave, or may be.
-    pub(super) fn away(&self, wave: WaveId) -> usize {
+    fn away(&self, now: Now, wave: &WaveRecord) -> usize {
         let duties = self.hosts.duties.iter();
         let own = duties.filter(|(_, duty)| {
-            duty.what == Purpose::Maintain(wave)
-                && matches!(duty.stage, Stage::Ordered(_) | Stage::Away | Stage::Due)
+            duty.what == Purpose::Maintain(wave.wave) && duty.stage != Stage::Emptying
         });
-        let own: BTreeSet<_> = own.map(|(host, _)| host).collect();
-        // An earlier leader may have ordered others.
-        let others = self
-            .hosts
-            .views
-            .values()
-            .filter(|view| view.state == HostState::Maintained && !own.contains(&view.host));
-        own.len() + others.count()
+        // An earlier leader may have ordered others, a moment ago or before.
+        let held = wave.left.iter();
+        let held = held.filter(|host| self.touching.is_held(now, host));
+        let views = self.hosts.views.iter();
+        let down = views.filter(|(_, view)| view.state == HostState::Maintained);
+        let all = own.map(|(host, _)| host);
+        let all: BTreeSet<_> = all.chain(held).chain(down.map(|(host, _)| host)).collect();
+        all.len()
     }
 
     /// Lets hosts be maintained that are empty, or all but empty if the wave would be late.
--- a/tests/workload/cancelled.rs
+++ b/tests/workload/cancelled.rs
@@ -27,6 +27,8 @@
     cuts: bool,
     /// Agents are taken for gone, and known again with their next heartbeat.
     burials: bool,
+    /// No list shows a host, so that none is moved: a move ends what runs on where nobody looks.
+    still: bool,
 }
 
 fn job(rng: &mut Pcg64Mcg) -> JobSpec {
@@ -52,6 +54,9 @@
     world.lax = trouble.burials;
     world.lead();
     for phase in 0..PHASES {
+        if trouble.still {
+            world.unlisted = world.hosts.keys().cloned().collect();
+        }
         world.faults = trouble.faults;
         let first = phase * 16 + 1;
         for id in first..first + 16 {
@@ -96,6 +101,9 @@
             world.crash(&agent);
             let host = 100 + world.hosts.len();
             world.host(&format!("h{host}"), POOL);
+            if trouble.still {
+                world.unlisted.insert(format!("h{host}").into());
+            }
         }
         _ => {}
     }
@@ -198,6 +206,17 @@
         takeovers: true,
         cuts: true,
         burials: true,
+        still: false,
+    });
+}
+
+#[test]
+fn nor_when_hosts_stay_where_they_are() {
+    play_all(Trouble {
+        faults: late(),
+        burials: true,
+        still: true,
+        ..Trouble::default()
     });
 }
 
@@ -210,6 +229,7 @@
     let trouble = Trouble {
         faults: late(),
         burials: true,
+        still: true,
         ..Trouble::default()
     };
     assert!(failing(without, trouble).next().is_some());
--- a/tests/workload/lists.rs
+++ b/tests/workload/lists.rs
@@ -67,6 +67,20 @@
     maintains(&mut world, &["h1"]);
 }
 
+#[test]
+fn a_wave_ends_for_a_host_that_was_removed_after_few_orders() {
+    let mut world = World::new(3, 3);
+    world.pass(ms(2000));
+    world.wave(1, &["h0", "h1"], 1, ms(20_000));
+    let agent = world.hosts[&HostId::from("h1")].agent.clone().unwrap();
+    world.crash(&agent);
+    world.hosts.remove("h1");
+    world.removed.insert("h1".into());
+    maintains(&mut world, &["h0"]);
+    assert!(world.now < ms(14_000), "{:?}", world.now);
+    assert!(world.sent["maintain"] <= 2, "{:?}", world.sent);
+}
+
 #[test]
 fn work_at_a_silent_agent_that_one_list_lacks_is_not_started_again() {
     for seed in 0..8 {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -10,4 +10,5 @@
 mod lists;
 mod promises;
 mod spec;
+mod touched;
 mod world;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -181,6 +181,12 @@
     pub(crate) sent: BTreeMap<&'static str, usize>,
     /// Hosts that the provider's lists lack though they are there.
     pub(crate) unlisted: BTreeSet<HostId>,
+    /// Hosts that were removed for good.
+    pub(crate) removed: BTreeSet<HostId>,
+    /// The last term in which each host got an order, and when.
+    ordered: BTreeMap<HostId, (u64, Now)>,
+    /// How long the orders of two leaders about one host must be apart.
+    pub(crate) holder: Duration,
     /// Hosts whose maintenance was begun, by wave.
     pub(crate) maintained: BTreeSet<(WaveId, HostId)>,
     /// Hosts down for each wave now, and the most at once.
@@ -257,6 +263,9 @@
             faults: Faults::default(),
             sent: BTreeMap::new(),
             unlisted: BTreeSet::new(),
+            removed: BTreeSet::new(),
+            ordered: BTreeMap::new(),
+            holder: ms(100),
             maintained: BTreeSet::new(),
             down: BTreeMap::new(),
             peak: 0,
@@ -365,7 +374,7 @@
         let settings = Settings {
             lease: self.lease,
             silence: ms(4000),
-            holder: ms(100),
+            holder: self.holder,
             retention: RETENTION,
             protections: self.protections,
         };
@@ -597,6 +606,7 @@
     }
 
     fn send(&mut self, order: Order) {
+        self.check_holder(&order);
         let kind = metrics::order(&order.what);
         *self.sent.entry(kind).or_default() += 1;
         let wait = match &order.what {
@@ -632,6 +642,21 @@
         );
     }
 
+    /// Two leaders don't take turns on one host.
+    fn check_holder(&mut self, order: &Order) {
+        let (What::Move { host, .. } | What::Maintain { host, .. }) = &order.what else {
+            return;
+        };
+        if let Some((term, at)) = self.ordered.insert(host.clone(), (order.term, self.now)) {
+            let apart = self.now.saturating_sub(at);
+            assert!(
+                term == order.term || apart >= self.holder,
+                "{host} got orders of terms {term} and {} within {apart:?}",
+                order.term
+            );
+        }
+    }
+
     fn take(&mut self, event: Event) {
         match event {
             Event::Arrive { order, silent } => self.arrive(&order, silent),
@@ -857,7 +882,12 @@
     ) -> Answer {
         let clock = Duration::ZERO;
         let Some(view) = self.hosts.get_mut(host) else {
-            let why = Refusal::Invalid;
+            // The provider remembers those that it had.
+            let why = if self.removed.contains(host) {
+                Refusal::Busy
+            } else {
+                Refusal::Invalid
+            };
             return Answer::Refused { why, clock: None };
         };
         if view.state != HostState::Up {
