Empty busy hosts beyond their pool's need for a pool that lacks hosts

Hypothesis: worst windows are the first seconds of a turn, since the neighbour's hosts are each half full and become empty one by one while new work goes on being placed in the gaps. Ruled out: moving by ending tasks (a move costs 1.5 s and all that runs there). Change: `vacating`: where a pool lacks hosts for what is there, the hosts of others beyond their present need that will be empty within a move's time get nothing new and move once empty. Given back when the pool doesn't need them any more or they aren't empty after 3 s. Tests: hosts_beyond_a_pools_need_are_emptied_for_another (red without it: 1 host instead of 4 or more), no_task_is_ended_for_it, a_host_that_is_needed_again_is_kept.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -242,6 +242,11 @@
         }
     }
 
+    /// About when it will be empty by itself, if it runs something and none of it lasts.
+    pub(super) fn empties(&self) -> Option<Now> {
+        (self.lasting == 0 && !self.slots.is_empty()).then_some(self.ends)
+    }
+
     /// Whether anything that it runs serves.
     pub(super) fn serves(&self) -> bool {
         self.slots.values().any(|slot| slot.tail.is_some())
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -30,9 +30,11 @@
         let needs = self.needs(now, span);
         let mut have = self.have();
         self.log_pools(now, &needs, &have);
+        self.settle_vacating(now, &needs, &mut have);
         let present: Counts = needs.iter().map(|(p, n)| (p.clone(), n.now)).collect();
         let kept: Counts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         self.supply(now, &present, &mut have, spare.as_ref());
+        self.vacate(now, &present, &mut have);
         self.supply(now, &kept, &mut have, spare.as_ref());
         // Until a first turn nothing is known of where hosts will be needed, and while one begins
         // its pool will soon need those that are idle elsewhere.
@@ -179,7 +181,7 @@
 }
 
 /// Of some pools, the one that has the smallest part of what it needs, if it lacks any.
-fn shortest(needs: &Counts, have: &Counts, among: &BTreeSet<PoolId>) -> Option<PoolId> {
+pub(super) fn shortest(needs: &Counts, have: &Counts, among: &BTreeSet<PoolId>) -> Option<PoolId> {
     let part = |pool: &PoolId| {
         let need = needs.get(pool).copied().unwrap_or_default();
         let have = have.get(pool).copied().unwrap_or_default();
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -15,7 +15,7 @@
 /// The time over which the growth of what is at work or ready is averaged.
 const GROWTH: Duration = Duration::from_millis(300);
 /// How far ahead growth is carried on: the time that a move takes.
-const AHEAD: Duration = Duration::from_millis(1500);
+pub(super) const AHEAD: Duration = Duration::from_millis(1500);
 /// At most so many times as much is expected as there is.
 const MOST: f64 = 3.0;
 /// A pool's need falls by half in this time. Noise comes and goes faster; hosts that are kept for
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod strays;
 mod throttle;
 mod touching;
+mod vacating;
 mod waves;
 
 use std::{
--- /dev/null
+++ b/src/core/workload/scheduler/vacating.rs
@@ -0,0 +1,107 @@
+//! Hosts that are emptied for another pool.
+//!
+//! A rush that ends leaves its pool with hosts that are each half full: they become empty one by one,
+//! as the longest task on each ends, and what comes meanwhile is placed in the gaps. If another pool
+//! lacks hosts by then, those that its neighbours have beyond their present need get nothing new and
+//! move as soon as they are empty. No task is ended for it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    HostState, Now, PoolId, Scheduler,
+    balance::{Counts, shortest},
+    demand::{AHEAD, Need},
+    hosts::{Purpose, Stage},
+};
+use crate::core::types::HostId;
+
+/// How long a host may take to become empty: as long as a move takes, since one that takes longer
+/// comes too late for the need that it is emptied for.
+const SOON: Duration = AHEAD;
+/// How long it is waited for at most, where tasks take longer than they should.
+const PATIENCE: Duration = Duration::from_millis(3000);
+
+impl Scheduler {
+    /// Has busy hosts emptied for the pools that have fewer than they need, where others have more.
+    pub(super) fn vacate(&mut self, now: Now, needs: &Counts, have: &mut Counts) {
+        let mut short: BTreeSet<_> = needs.keys().cloned().collect();
+        while let Some(pool) = shortest(needs, have, &short) {
+            let Some((host, from)) = self.emptiest(now, needs, have, &pool) else {
+                short.remove(&pool);
+                continue;
+            };
+            *have.entry(from).or_default() -= 1;
+            *have.entry(pool.clone()).or_default() += 1;
+            self.begin_duty(now, &host, Purpose::Move(pool));
+        }
+    }
+
+    /// The host that will be empty first, of the pools that have more than they need now.
+    fn emptiest(
+        &self,
+        now: Now,
+        needs: &Counts,
+        have: &Counts,
+        to: &PoolId,
+    ) -> Option<(HostId, PoolId)> {
+        let spares = |pool: &PoolId| {
+            let need = needs.get(pool);
+            let have = have.get(pool).copied().unwrap_or_default();
+            need.is_some_and(|need| have > *need)
+        };
+        let free = self.hosts.views.values().filter(|view| {
+            view.state == HostState::Up
+                && view.pool != *to
+                && spares(&view.pool)
+                && !self.hosts.duties.contains_key(&view.host)
+                && !self.touching.is_held(now, &view.host)
+                && !self.is_refused(now, &view.host)
+        });
+        let soon = free.filter_map(|view| {
+            let agent = self.agents.get(view.agent.as_ref()?)?;
+            let well = !agent.record.leaving && !agent.cordoned && agent.trouble.is_none();
+            let empty = agent.empties().filter(|at| well && *at <= now + SOON)?;
+            Some((empty, view))
+        });
+        let first = soon.min_by_key(|(empty, view)| (*empty, view.host.clone()));
+        first.map(|(_, view)| (view.host.clone(), view.pool.clone()))
+    }
+
+    /// Moves what has become empty, and gives back what isn't needed there any more or doesn't
+    /// become empty.
+    pub(super) fn settle_vacating(
+        &mut self,
+        now: Now,
+        needs: &BTreeMap<PoolId, Need>,
+        have: &mut Counts,
+    ) {
+        let mut kept = Vec::new();
+        for (host, duty) in &mut self.hosts.duties {
+            let Purpose::Move(to) = &duty.what else {
+                continue;
+            };
+            if duty.stage != Stage::Emptying {
+                continue;
+            }
+            let agent = duty.agent.as_ref().and_then(|id| self.agents.get(id));
+            let need = needs.get(to).map_or(0, |need| need.now);
+            let count = have.entry(to.clone()).or_default();
+            if agent.is_none_or(|agent| agent.slots.is_empty()) {
+                duty.stage = Stage::Due;
+                duty.since = now;
+            } else if *count > need || now >= duty.since + PATIENCE {
+                *count -= 1;
+                kept.push(host.clone());
+            }
+        }
+        for host in kept {
+            if let Some(view) = self.hosts.views.get(&host) {
+                *have.entry(view.pool.clone()).or_default() += 1;
+            }
+            self.end_duty(now, &host);
+        }
+    }
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -11,4 +11,5 @@
 mod promises;
 mod spec;
 mod touched;
+mod vacating;
 mod world;
