--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -39,8 +39,6 @@
     arrived: f64,
     /// The need that was seen lately, in thousandths of a core.
     need: f64,
-    /// Whether it was looked at before. What a leader finds when it begins didn't grow at once.
-    seen: bool,
 }
 
 /// Hosts that a pool should have.
@@ -136,10 +134,8 @@
         let rate = self.arrived / seconds / 1000.0;
         self.arrived = 0.0;
         self.trend += (rate - self.trend) * weight;
-        if std::mem::replace(&mut self.seen, true) {
-            let growth = (used - self.used) / seconds;
-            self.growth += (growth - self.growth) * quick;
-        }
+        let growth = (used - self.used) / seconds;
+        self.growth += (growth - self.growth) * quick;
         self.used = used;
         let ahead = used + self.growth.max(0.0) * AHEAD.as_secs_f64();
         used.max(self.trend).max(ahead.min(used * MOST))
