Look at no agent for tasks that fit nowhere

Cause, profiled in a world of 300 agents with a backlog: two thirds of the leader's time went into asking, for each waiting step, each agent of its pool whether it has room (is_eligible 28%, choose 19%, the agents' iterator 17%, comparing names 16%). Change: a round first takes the most that any agent of the pool has left, and passes over the steps whose tasks don't fit it; where a step may run is looked up only for queues that ask for it. Ruled out: skipping pools without free cores alone (lasting and best-effort work needs memory, too).

--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -9,7 +9,10 @@
     ATTEMPTS, About, Agent, Ends, GAP, Ledger, Name, Now, Phase, Placed, PoolId, RETRY, Round,
     STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, What, place,
 };
-use crate::core::workload::{catalog::JobId, command::Ending};
+use crate::core::{
+    types::Resources,
+    workload::{catalog::JobId, command::Ending},
+};
 
 impl Scheduler {
     /// What one round commits: ends and frees, and starts for what is ready.
@@ -61,6 +64,9 @@
         pool: &PoolId,
         starts: &mut Vec<Placed>,
     ) {
+        // Under overload hundreds of steps wait and no agent has room; looking at each agent for each
+        // of them took two thirds of the leader's time with 300 agents (profiled in a world of tests).
+        let mut widest = self.widest(now, pool);
         for rank in self.ready.order(now, pool) {
             if starts.len() >= STARTS {
                 return;
@@ -68,7 +74,11 @@
             let Some(ready) = self.ready.get(rank.step()) else {
                 continue;
             };
+            if !widest.fits(&ready.spec.room()) {
+                continue;
+            }
             let spec = ready.spec.clone();
+            let asked = ready.eligibility.is_some();
             if spec.gang {
                 self.place_gang(now, ledger, rank.step(), &spec, starts);
                 self.ask_eligible(now, pool, rank.step(), &spec);
@@ -81,8 +91,9 @@
                     task,
                 };
                 let able = self.able(now, pool);
-                let able = able.filter(|agent| self.is_eligible(now, rank.step(), agent));
+                let able = able.filter(|agent| !asked || self.is_eligible(now, rank.step(), agent));
                 let Some(agent) = place::choose(now, able, &spec, rank.step()) else {
+                    widest = self.widest(now, pool);
                     break;
                 };
                 let placed = Placed {
@@ -145,6 +156,17 @@
         starts.push(placed);
     }
 
+    /// The most that any agent of a pool has left of each kind, of those that may get something new.
+    /// Room only shrinks while a round is filled, so that what doesn't fit it fits nowhere.
+    fn widest(&self, now: Now, pool: &PoolId) -> Resources {
+        let able = self.able(now, pool).map(Agent::free);
+        able.fold(Resources::default(), |widest, free| Resources {
+            millicores: widest.millicores.max(free.millicores),
+            memory: widest.memory.max(free.memory),
+            accelerators: widest.accelerators.max(free.accelerators),
+        })
+    }
+
     /// The agents of a pool that may get something new.
     pub(super) fn able(&self, now: Now, pool: &PoolId) -> impl Iterator<Item = &Agent> {
         let silence = self.settings.silence;
