Look at duties and waves every 20 ms, and sort only what fits

Change: duties and waves are looked at every 20 ms; the order is made of the steps that fit into what an agent has left; leases, starts and lists are looked up only where one is due.

--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -21,6 +21,9 @@
 const RETRY: Duration = Duration::from_millis(400);
 /// A list that was asked for later than this after an order shows what came of it.
 const SETTLE: Duration = Duration::from_millis(300);
+/// From one look at duties and waves to the next. A busy leader plans a thousand times a second, and
+/// each host of a wave is looked at; a hundredth of what a maintenance takes delays none.
+const TEND: Duration = Duration::from_millis(20);
 /// From one look at the pools to the next.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,8 @@
     pub(super) waves: BTreeMap<WaveId, WaveTime>,
     pub(super) turns: Turns,
     pub(super) looked: Now,
+    /// When duties and waves were looked at last.
+    tended: Now,
     /// When what pools need was logged last.
     pub(super) logged: Now,
 }
@@ -100,23 +105,32 @@
         if self.hosts.listed.is_none() || self.touching.is_blind(now) {
             return;
         }
-        self.welcome(now);
-        for wave in ledger.waves() {
-            if !wave.left.is_empty() {
-                self.tend_wave(now, wall, ledger, wave);
-            }
+        if now >= self.hosts.tended + TEND {
+            self.hosts.tended = now;
+            self.tend_duties(now, wall, ledger);
         }
         if now >= self.hosts.looked + LOOK {
             let span = now.saturating_sub(self.hosts.looked);
             self.hosts.looked = now;
             self.balance(now, span);
         }
-        self.empty(now, ledger);
         self.send_duties(now);
     }
 
+    /// Looks what is to be done next with the hosts of waves, and what has been done with others.
+    fn tend_duties(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
+        self.welcome(now);
+        for wave in ledger.waves() {
+            if !wave.left.is_empty() {
+                self.tend_wave(now, wall, ledger, wave);
+            }
+        }
+        self.empty(now, ledger);
+    }
+
     pub(super) fn list_hosts(&mut self, now: Now, ledger: &Ledger) {
-        if self.hosts.asking {
+        let early = self.hosts.asked.is_some_and(|asked| now < asked + SETTLE);
+        if self.hosts.asking || early {
             return;
         }
         let doubted = self.agents.values().any(|agent| {
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -14,13 +14,17 @@
         let lease = self.settings.lease;
         let mut due = Vec::new();
         for (id, agent) in &mut self.agents {
+            // Most agents, most of the time: nothing is looked up for them.
+            if agent.renewal.is_some() || now < agent.next {
+                continue;
+            }
             let acked = agent.record.acked;
             let idle = agent.slots.is_empty();
             let strays = self.strays.get(id).copied();
             let doubtful = self.settings.protections.looks && agent.is_doubtful(strays);
             let sought = agent.unseen && now < agent.heard + self.settings.silence;
             let wanted = !idle || acked != agent.told || doubtful || sought;
-            if agent.renewal.is_some() || now < agent.next || !wanted {
+            if !wanted {
                 continue;
             }
             let extend = !idle
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::core::{
-    types::{Now, PoolId},
+    types::{Now, PoolId, Resources},
     workload::{
         catalog::{Eligibility, JobId},
         job::StepId,
@@ -121,11 +121,13 @@
         }
     }
 
-    /// The steps of a pool with free tasks, in the order to be served.
-    pub(super) fn order(&self, now: Now, pool: &PoolId) -> Vec<Rank> {
+    /// The steps of a pool with free tasks that fit into some room, in the order to be served.
+    pub(super) fn order(&self, now: Now, pool: &PoolId, room: &Resources) -> Vec<Rank> {
         let steps = self.steps.iter();
         let mut ranks: Vec<_> = steps
-            .filter(|(_, ready)| ready.pool == *pool && !ready.free.is_empty())
+            .filter(|(_, ready)| {
+                !ready.free.is_empty() && ready.pool == *pool && room.fits(&ready.spec.room())
+            })
             .map(|(step, ready)| ready.rank(now, *step))
             .collect();
         ranks.sort_unstable();
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -67,7 +67,7 @@
         // Under overload hundreds of steps wait and no agent has room; looking at each agent for each
         // of them took two thirds of the leader's time with 300 agents (profiled in a world of tests).
         let mut widest = self.widest(now, pool);
-        for rank in self.ready.order(now, pool) {
+        for rank in self.ready.order(now, pool, &widest) {
             if starts.len() >= STARTS {
                 return;
             }
@@ -189,7 +189,6 @@
             if agent.trouble.is_some() {
                 continue;
             }
-            let target = agent.target();
             let tasks = agent.slots.iter().filter(|(_, slot)| {
                 let pause = if slot.tries == 0 {
                     Duration::ZERO
@@ -203,7 +202,7 @@
                 let Some(until) = agent.grant(now, lease) else {
                     break;
                 };
-                due.push((id.clone(), target.clone(), task, attempt, until));
+                due.push((id.clone(), agent.target(), task, attempt, until));
             }
         }
         for (id, to, task, attempt, until) in due {
