Give no work to a host whose order waits, and end none that it got meanwhile

A host that the predecessor had moved came back right before the election; a wave took it before its agent's first heartbeat, found it empty, and had to wait 3 s for the order, as it was touched. Its agent was then heard of and not cordoned, got 8 tasks, and the order ended them, one more of a step than may be away. Ruled out: the budgets' count (it was right when the host was admitted, 3 s before). Change: hosts that must be waited for aren't admitted to their wave before that; an agent that is heard of first while something is to be done with its host is cordoned; and what has got work since it was found empty is emptied again before the log is told of its order.

--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -83,6 +83,9 @@
             None => {
                 let mut agent = Agent::new(record.clone(), now);
                 agent.unseen = true;
+                // Its host may be listed, and be chosen for something, before its first heartbeat.
+                let mut duties = self.hosts.duties.values();
+                agent.cordoned = duties.any(|duty| duty.agent.as_ref() == Some(id));
                 self.agents.insert(id.clone(), agent);
                 // It may be of a host that is back, which only a list shows.
                 self.hosts.newcomer = true;
--- a/src/core/workload/scheduler/touching.rs
+++ b/src/core/workload/scheduler/touching.rs
@@ -70,6 +70,12 @@
     pub(super) fn touch(&mut self, now: Now) -> Option<Touch> {
         let mut hosts = Vec::new();
         for (host, duty) in &mut self.hosts.duties {
+            let agent = duty.agent.as_ref().and_then(|id| self.agents.get(id));
+            if duty.stage == Stage::Due && agent.is_some_and(|a| !a.slots.is_empty() && !a.ending) {
+                // It has got something since it was found empty.
+                duty.stage = Stage::Emptying;
+                continue;
+            }
             let due = duty.stage == Stage::Due && now >= duty.since;
             if due && !self.touching.is_held(now, host) {
                 if !self.settings.protections.touches {
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -202,7 +202,9 @@
                 let may_end = late && self.may_end(ledger, agent);
                 agent.slots.is_empty() || may_end || !self.settings.protections.budget
             });
-            if room == 0 || !ready {
+            // Until an order may go out nothing stands still: what runs there goes on, and what else of
+            // its steps is away by then counts then.
+            if room == 0 || !ready || self.touching.is_held(now, &host) {
                 continue;
             }
             room -= 1;
--- a/tests/workload/touched.rs
+++ b/tests/workload/touched.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::world::{OTHER, POOL, QUEUE, SECOND, World, ms, step};
+use crate::world::{OTHER, POOL, QUEUE, SECOND, World, lasting, ms, step};
 
 /// Worlds that are played with each set of protections.
 const SEEDS: u64 = 40;
@@ -87,6 +87,36 @@
     assert!(broken.count() > 0, "some leaders take turns");
 }
 
+/// A host that its predecessor moved comes back while nobody leads, is named by a wave, and is heard
+/// of only after the new leader has begun with it, which then has to wait.
+#[test]
+fn a_host_that_must_be_waited_for_gets_no_work_that_is_then_ended() {
+    for seed in 0..16 {
+        let mut world = World::new(2, seed);
+        for host in 10..14 {
+            world.host(&format!("h{host}"), OTHER);
+        }
+        world.holder = ms(3000);
+        world.lead();
+        world.pass(ms(4000));
+        for job in 1..=6 {
+            world.submit(job, JobSpec::new("x", vec![step(4, 4, 1500)]));
+        }
+        world.until("hosts are moved", ms(1000), |world| world.moves >= 2);
+        world.depose();
+        world.pass(ms(1900));
+        world.wave(1, &["h11", "h12", "h13"], 6, ms(8_000));
+        let agents: Vec<_> = world.agents.keys().cloned().collect();
+        agents.iter().for_each(|agent| world.cut(agent, ms(50)));
+        world.lead();
+        for job in 100..112 {
+            world.submit(job, JobSpec::new("x", vec![lasting(3, 1)]));
+        }
+        world.pass(ms(3800));
+        assert_eq!(world.ended, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_new_leader_moves_what_nobody_touched_at_once() {
     let mut world = World::new(2, 4);
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -181,6 +181,8 @@
     pub(crate) sent: BTreeMap<&'static str, usize>,
     /// Hosts that the provider's lists lack though they are there.
     pub(crate) unlisted: BTreeSet<HostId>,
+    /// Runs that orders about their hosts ended.
+    pub(crate) ended: usize,
     /// Hosts that were removed for good.
     pub(crate) removed: BTreeSet<HostId>,
     /// The last term in which each host got an order, and when.
@@ -263,6 +265,7 @@
             faults: Faults::default(),
             sent: BTreeMap::new(),
             unlisted: BTreeSet::new(),
+            ended: 0,
             removed: BTreeSet::new(),
             ordered: BTreeMap::new(),
             holder: ms(100),
@@ -895,8 +898,8 @@
         }
         change(view);
         view.state = state;
-        if let Some(agent) = view.agent.take() {
-            self.agents.remove(&agent);
+        if let Some(agent) = view.agent.take().and_then(|id| self.agents.remove(&id)) {
+            self.ended += agent.running.len();
         }
         let host = host.clone();
         self.at(self.now + AWAY, Event::Back { host });
