Have one loop move hosts between pools, and one check say which may move

Cause: read as a newcomer, the emptying of busy hosts repeated the loop that supplies pools with empty ones, the count of a pool's surplus, the conditions under which a host may be ordered at all, and what a well agent is (three times). Ruled out: a list of hosts read without a tree of values between (it would lose the field's name in the log, or ask a feature of the codec); one type for the room of agents and of tasks (the latter leave fields out). Change: `supply` takes how a host is chosen; `is_movable`, `surplus` and `Agent::is_well` stand once; an unused Default is gone. Decisions are the same.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -242,6 +242,11 @@
         }
     }
 
+    /// Whether it answers and isn't about to leave.
+    pub(super) fn is_well(&self) -> bool {
+        !self.record.leaving && self.trouble.is_none()
+    }
+
     /// About when it will be empty by itself, if it runs something and none of it lasts.
     pub(super) fn empties(&self) -> Option<Now> {
         (self.lasting == 0 && !self.slots.is_empty()).then_some(self.ends)
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -33,9 +33,16 @@
         self.settle_vacating(now, &needs, &mut have);
         let present: Counts = needs.iter().map(|(p, n)| (p.clone(), n.now)).collect();
         let kept: Counts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
-        self.supply(now, &present, &mut have, spare.as_ref());
-        self.vacate(now, &present, &mut have);
-        self.supply(now, &kept, &mut have, spare.as_ref());
+        let spares = spare.as_ref();
+        let empty = |this: &Self, needs: &Counts, have: &Counts, to: &PoolId| {
+            this.donor(now, needs, have, spares, to)
+        };
+        let busy = |this: &Self, needs: &Counts, have: &Counts, to: &PoolId| {
+            this.emptiest(now, needs, have, to)
+        };
+        self.supply(now, &present, &mut have, empty);
+        self.supply(now, &present, &mut have, busy);
+        self.supply(now, &kept, &mut have, empty);
         // Until a first turn nothing is known of where hosts will be needed, and while one begins
         // its pool will soon need those that are idle elsewhere.
         let last = self.hosts.turns.last();
@@ -50,11 +57,18 @@
         self.hosts.surplus = kept.into_iter().map(surplus).collect();
     }
 
-    /// Moves hosts to the pools that have fewer than they need, from those that have more.
-    fn supply(&mut self, now: Now, needs: &Counts, have: &mut Counts, spare: Option<&PoolId>) {
+    /// Moves hosts to the pools that have fewer than they need, from those that have more; `choose`
+    /// says which, given what is needed and had, for a pool.
+    fn supply(
+        &mut self,
+        now: Now,
+        needs: &Counts,
+        have: &mut Counts,
+        choose: impl Fn(&Self, &Counts, &Counts, &PoolId) -> Option<HostId>,
+    ) {
         let mut short: BTreeSet<_> = needs.keys().cloned().collect();
         while let Some(pool) = shortest(needs, have, &short) {
-            let Some(host) = self.donor(now, needs, have, spare, &pool) else {
+            let Some(host) = choose(self, needs, have, &pool) else {
                 short.remove(&pool);
                 continue;
             };
@@ -115,10 +129,9 @@
     /// Whether a host can get something new, or could once it is in another pool.
     pub(super) fn is_useful(&self, view: &HostView) -> bool {
         let agent = view.agent.as_ref().and_then(|id| self.agents.get(id));
-        let well = |agent: &Agent| !agent.record.leaving && agent.trouble.is_none();
         let there = !matches!(view.state, HostState::Down | HostState::Unknown);
         // One that isn't known yet has just come.
-        there && agent.is_none_or(well)
+        there && agent.is_none_or(Agent::is_well)
     }
 
     /// An empty host that another pool can spare: of the one that has the most to spare, and of
@@ -131,25 +144,29 @@
         spare: Option<&PoolId>,
         to: &PoolId,
     ) -> Option<HostId> {
-        let surplus = |pool: &PoolId| {
-            let have = have.get(pool).copied().unwrap_or_default();
-            have.saturating_sub(needs.get(pool).copied().unwrap_or_default())
-        };
         let empties = self.empties(now).filter(|(_, view, _)| view.pool != *to);
-        let able = empties.filter(|(_, view, _)| surplus(&view.pool) > 0);
+        let able = empties.filter(|(_, view, _)| surplus(needs, have, &view.pool) > 0);
         let best = able.max_by_key(|(host, view, _)| {
             let active = Some(&view.pool) != spare;
-            (active, surplus(&view.pool), (*host).clone())
+            (active, surplus(needs, have, &view.pool), (*host).clone())
         });
         best.map(|(host, ..)| host.clone())
     }
 
+    /// Whether an order may be given about a host that is up, and nothing is being done with it.
+    pub(super) fn is_movable(&self, now: Now, view: &HostView) -> bool {
+        let host = &view.host;
+        view.state == HostState::Up
+            && !self.hosts.duties.contains_key(host)
+            && !self.touching.is_held(now, host)
+            && !self.is_refused(now, host)
+            && self.catalog.has_pool(&view.pool)
+    }
+
     /// Hosts that are up and run nothing, and since when.
     pub(super) fn empties(&self, now: Now) -> impl Iterator<Item = (&HostId, &HostView, Now)> {
         self.hosts.views.iter().filter_map(move |(host, view)| {
-            let idle = view.state == HostState::Up && !self.hosts.duties.contains_key(host);
-            let free = idle && !self.touching.is_held(now, host) && !self.is_refused(now, host);
-            if !free || !self.catalog.has_pool(&view.pool) {
+            if !self.is_movable(now, view) {
                 return None;
             }
             let Some(id) = &view.agent else {
@@ -157,7 +174,7 @@
                 return Some((host, view, Now::ZERO));
             };
             let agent = self.agents.get(id)?;
-            let free = agent.slots.is_empty() && !agent.record.leaving && agent.trouble.is_none();
+            let free = agent.slots.is_empty() && agent.is_well();
             free.then_some((host, view, agent.idle))
         })
     }
@@ -180,8 +197,14 @@
     }
 }
 
+/// Hosts that a pool has beyond what it needs.
+pub(super) fn surplus(needs: &Counts, have: &Counts, pool: &PoolId) -> usize {
+    let have = have.get(pool).copied().unwrap_or_default();
+    have.saturating_sub(needs.get(pool).copied().unwrap_or_default())
+}
+
 /// Of some pools, the one that has the smallest part of what it needs, if it lacks any.
-pub(super) fn shortest(needs: &Counts, have: &Counts, among: &BTreeSet<PoolId>) -> Option<PoolId> {
+fn shortest(needs: &Counts, have: &Counts, among: &BTreeSet<PoolId>) -> Option<PoolId> {
     let part = |pool: &PoolId| {
         let need = needs.get(pool).copied().unwrap_or_default();
         let have = have.get(pool).copied().unwrap_or_default();
--- a/src/core/workload/scheduler/touching.rs
+++ b/src/core/workload/scheduler/touching.rs
@@ -23,7 +23,7 @@
 const STAMP: Duration = Duration::from_millis(250);
 
 /// What this leader may order, and what it said of it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Touching {
     /// Until when nothing may be ordered of any host: nobody said what was touched before.
     blind: Now,
--- a/src/core/workload/scheduler/vacating.rs
+++ b/src/core/workload/scheduler/vacating.rs
@@ -5,14 +5,11 @@
 //! lacks hosts by then, those that its neighbours have beyond their present need get nothing new and
 //! move as soon as they are empty. No task is ended for it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    HostState, Now, PoolId, Scheduler,
-    balance::{Counts, shortest},
+    Now, PoolId, Scheduler,
+    balance::{Counts, surplus},
     demand::{AHEAD, Need},
     hosts::{Purpose, Stage},
 };
@@ -25,49 +22,28 @@
 const PATIENCE: Duration = Duration::from_millis(3000);
 
 impl Scheduler {
-    /// Has busy hosts emptied for the pools that have fewer than they need, where others have more.
-    pub(super) fn vacate(&mut self, now: Now, needs: &Counts, have: &mut Counts) {
-        let mut short: BTreeSet<_> = needs.keys().cloned().collect();
-        while let Some(pool) = shortest(needs, have, &short) {
-            let Some((host, from)) = self.emptiest(now, needs, have, &pool) else {
-                short.remove(&pool);
-                continue;
-            };
-            *have.entry(from).or_default() -= 1;
-            *have.entry(pool.clone()).or_default() += 1;
-            self.begin_duty(now, &host, Purpose::Move(pool));
-        }
-    }
-
-    /// The host that will be empty first, of the pools that have more than they need now.
-    fn emptiest(
+    /// The busy host that will be empty first, of the pools that have more than they need now.
+    pub(super) fn emptiest(
         &self,
         now: Now,
         needs: &Counts,
         have: &Counts,
         to: &PoolId,
-    ) -> Option<(HostId, PoolId)> {
-        let spares = |pool: &PoolId| {
-            let need = needs.get(pool);
-            let have = have.get(pool).copied().unwrap_or_default();
-            need.is_some_and(|need| have > *need)
-        };
-        let free = self.hosts.views.values().filter(|view| {
-            view.state == HostState::Up
-                && view.pool != *to
-                && spares(&view.pool)
-                && !self.hosts.duties.contains_key(&view.host)
-                && !self.touching.is_held(now, &view.host)
-                && !self.is_refused(now, &view.host)
+    ) -> Option<HostId> {
+        let views = self.hosts.views.values();
+        let free = views.filter(|view| {
+            view.pool != *to
+                && needs.contains_key(&view.pool)
+                && surplus(needs, have, &view.pool) > 0
+                && self.is_movable(now, view)
         });
         let soon = free.filter_map(|view| {
             let agent = self.agents.get(view.agent.as_ref()?)?;
-            let well = !agent.record.leaving && !agent.cordoned && agent.trouble.is_none();
-            let empty = agent.empties().filter(|at| well && *at <= now + SOON)?;
-            Some((empty, view))
+            let able = agent.is_well() && !agent.cordoned;
+            let empty = agent.empties().filter(|at| able && *at <= now + SOON)?;
+            Some((empty, view.host.clone()))
         });
-        let first = soon.min_by_key(|(empty, view)| (*empty, view.host.clone()));
-        first.map(|(_, view)| (view.host.clone(), view.pool.clone()))
+        soon.min().map(|(_, host)| host)
     }
 
     /// Moves what has become empty, and gives back what isn't needed there any more or doesn't
