--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -183,7 +183,7 @@
     /// Decides by the list which agents that don't answer are over.
     fn judge(&mut self, sent: Now) {
         self.hosts.suspected = false;
-        for (id, agent) in &self.agents {
+        for (id, agent) in self.agents.iter() {
             // A list from before the trouble says nothing about it, and one may be older than an
             // agent that has yet to answer and that nothing hangs on.
             let new = agent.unseen && agent.slots.is_empty();
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -13,7 +13,7 @@
     pub(super) fn renew(&mut self, now: Now) {
         let lease = self.settings.lease;
         let mut due = Vec::new();
-        for (id, agent) in &mut self.agents {
+        for (id, agent) in self.agents.iter_mut() {
             // Most agents, most of the time: nothing is looked up for them.
             if agent.renewal.is_some() || now < agent.next {
                 continue;
@@ -70,7 +70,7 @@
     /// Frees what was at agents whose leases have surely run out.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let stray = STRAY + self.settings.lease;
-        for (id, agent) in &mut self.agents {
+        for (id, agent) in self.agents.iter_mut() {
             let leased = now < agent.lease && self.settings.protections.lease;
             if agent.trouble.is_none() || leased {
                 continue;
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -24,6 +24,7 @@
 //! were known there before.
 
 mod agent;
+mod agents;
 mod answers;
 mod balance;
 mod changes;
@@ -57,6 +58,7 @@
 };
 use self::{
     agent::{Agent, Phase, Slot},
+    agents::Agents,
     eligible::{Eligible, Question},
     hosts::Hosts,
     learned::Learned,
@@ -172,6 +174,10 @@
     pub commands: Vec<Command>,
     /// To be sent at once.
     pub orders: Vec<Order>,
+    /// For each attempt that is placed, how long ago its agent was heard.
+    pub ages: Vec<Duration>,
+    /// How many agents, and steps that wait, were looked at for it.
+    pub looks: usize,
 }
 
 /// The decisions of one leader.
@@ -181,7 +187,7 @@
     term: Term,
     began: Now,
     catalog: Arc<Catalog>,
-    agents: BTreeMap<MinionId, Agent>,
+    agents: Agents,
     ready: Queue,
     /// Occurrences that aren't due yet.
     timed: BTreeSet<(Wall, JobId, Occurrence)>,
@@ -211,6 +217,8 @@
     /// Hosts whose maintenance has begun, by wave.
     maintained: Vec<(WaveId, HostId)>,
     orders: Vec<Order>,
+    /// How long ago the agents were heard that got something since the last plan.
+    ages: Vec<Duration>,
     /// Whether an agent has seen a later leader.
     superseded: bool,
 }
@@ -255,7 +263,7 @@
             term,
             began: now,
             catalog,
-            agents: BTreeMap::new(),
+            agents: Agents::default(),
             ready: Queue::default(),
             timed: BTreeSet::new(),
             over: VecDeque::new(),
@@ -273,6 +281,7 @@
             learned: BTreeMap::new(),
             maintained: Vec::new(),
             orders: Vec::new(),
+            ages: Vec::new(),
             superseded: false,
         };
         for record in ledger.agents() {
@@ -387,6 +396,8 @@
         Plan {
             commands,
             orders: std::mem::take(&mut self.orders),
+            ages: std::mem::take(&mut self.ages),
+            looks: self.agents.take_looks() + self.ready.take_looks(),
         }
     }
 
@@ -400,6 +411,11 @@
         self.agents.values().map(|agent| agent.slots.len()).sum()
     }
 
+    /// How many orders wait for their answers.
+    pub fn under_way(&self) -> usize {
+        self.pending.len()
+    }
+
     /// How many agents don't answer.
     pub fn silent(&self) -> usize {
         let agents = self.agents.values();
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -5,6 +5,7 @@
 //! too.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -82,6 +83,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     steps: BTreeMap<StepId, Ready>,
+    /// How many steps were looked at by walks.
+    looks: Cell<usize>,
 }
 
 impl Queue {
@@ -123,7 +126,7 @@
 
     /// The steps of a pool with free tasks that fit into some room, in the order to be served.
     pub(super) fn order(&self, now: Now, pool: &PoolId, room: &Resources) -> Vec<Rank> {
-        let steps = self.steps.iter();
+        let steps = self.steps.iter().inspect(|_| self.look());
         let mut ranks: Vec<_> = steps
             .filter(|(_, ready)| {
                 !ready.free.is_empty() && ready.pool == *pool && room.fits(&ready.spec.room())
@@ -136,12 +139,23 @@
 
     /// The pools with free tasks.
     pub(super) fn pools(&self) -> BTreeSet<PoolId> {
-        let ready = self.steps.values().filter(|r| !r.free.is_empty());
+        let steps = self.steps.values().inspect(|_| self.look());
+        let ready = steps.filter(|r| !r.free.is_empty());
         ready.map(|r| r.pool.clone()).collect()
     }
 
     /// All steps that are ready.
     pub(super) fn iter(&self) -> impl Iterator<Item = (StepId, &Ready)> {
-        self.steps.iter().map(|(id, ready)| (*id, ready))
+        let steps = self.steps.iter().inspect(|_| self.look());
+        steps.map(|(id, ready)| (*id, ready))
+    }
+
+    /// How many steps were looked at by walks since this was asked last.
+    pub(super) fn take_looks(&self) -> usize {
+        self.looks.take()
+    }
+
+    fn look(&self) {
+        self.looks.set(self.looks.get() + 1);
     }
 }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -151,6 +151,7 @@
         let task = placed.task;
         self.ready.take(task.step, task.task);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
+            self.ages.push(now.saturating_sub(agent.heard));
             agent.add(task, Slot::new(spec, placed.attempt, Phase::Proposed, now));
         }
         starts.push(placed);
@@ -185,7 +186,7 @@
     pub(super) fn send_starts(&mut self, now: Now, ledger: &Ledger) {
         let lease = self.settings.lease;
         let mut due = Vec::new();
-        for (id, agent) in &mut self.agents {
+        for (id, agent) in self.agents.iter_mut() {
             if agent.trouble.is_some() {
                 continue;
             }
@@ -234,7 +235,7 @@
 
     pub(super) fn send_stops(&mut self, now: Now) {
         let mut due = Vec::new();
-        for (id, agent) in &self.agents {
+        for (id, agent) in self.agents.iter() {
             for (task, slot) in &agent.slots {
                 let pause = if slot.tries == 0 {
                     Duration::ZERO
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -14,7 +14,9 @@
 use super::{
     ask::{Ask, Refused, Reply},
     frame::{AskId, Frame, View},
+    load::Load,
     membership::Members,
+    metrics::Part,
     ports::{Config, Ports, Seat},
     waiting::{Asker, Waiting},
 };
@@ -66,15 +68,30 @@
     Leave,
 }
 
+/// An event, and when it came.
+struct Queued {
+    came: Instant,
+    input: Input,
+}
+
+impl From<Input> for Queued {
+    fn from(input: Input) -> Self {
+        Self {
+            came: Instant::now(),
+            input,
+        }
+    }
+}
+
 /// Speaks to the task, which ends when every handle is gone.
 #[derive(Clone)]
-pub struct Control(mpsc::Sender<Input>);
+pub struct Control(mpsc::Sender<Queued>);
 
 impl Control {
     /// Asks; what can't be asked in time is refused.
     pub async fn ask(&self, ask: Ask) -> Reply {
         let (reply, answer) = oneshot::channel();
-        match self.0.try_send(Input::Ask(ask, reply)) {
+        match self.0.try_send(Input::Ask(ask, reply).into()) {
             // A task that ended may have proposed it.
             Ok(()) => answer.await.unwrap_or(Reply::Unclear),
             Err(_) => Reply::Refused(Refused::Overloaded),
@@ -84,7 +101,7 @@
     /// Hands over what the mesh brought; lost if the task is too far behind.
     pub fn frame(&self, from: NodeId, frame: Frame) {
         // Peers repeat what matters.
-        let _ = self.0.try_send(Input::Frame(from, frame));
+        let _ = self.0.try_send(Input::Frame(from, frame).into());
     }
 
     /// Gives up leadership and vote, and waits a while for others to take them, so that a node
@@ -92,7 +109,7 @@
     pub async fn leave(&self, mut seat: watch::Receiver<Seat>, me: NodeId, limit: Duration) {
         let free = async {
             // A task that has ended leads and votes no more.
-            if self.0.send(Input::Leave).await.is_err() {
+            if self.0.send(Input::Leave.into()).await.is_err() {
                 return;
             }
             let free = seat.wait_for(|seat| {
@@ -118,7 +135,7 @@
     let disk = disk::spawn(config.disk, move |event| {
         if let Some(inbox) = weak.upgrade() {
             // The task takes events in for as long as it runs.
-            let _ = inbox.blocking_send(Input::Disk(event));
+            let _ = inbox.blocking_send(Input::Disk(event).into());
         }
     })?;
     let epoch = Instant::now();
@@ -151,6 +168,7 @@
         view: None,
         failed: false,
         sender: sender.downgrade(),
+        load: Load::new(Arc::clone(&ports.metrics)),
         ports,
     };
     task.consensus(consensus::Input::Tick);
@@ -196,12 +214,13 @@
     pub(super) view_due: Option<Now>,
     pub(super) view: Option<View>,
     failed: bool,
-    sender: mpsc::WeakSender<Input>,
+    sender: mpsc::WeakSender<Queued>,
+    load: Load,
     pub(super) ports: Ports,
 }
 
 impl Task {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Input>) {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Queued>) {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut inputs = Vec::with_capacity(BATCH);
@@ -214,13 +233,28 @@
                 }
                 _ = tick.tick() => self.consensus(consensus::Input::Tick),
             }
-            for input in inputs.drain(..) {
-                self.take(input);
-            }
-            self.settle();
+            self.turn(inputs.drain(..));
         }
     }
 
+    /// Takes in what has come, and decides once.
+    fn turn(&mut self, inputs: impl ExactSizeIterator<Item = Queued>) {
+        self.load.begin(inputs.len());
+        for Queued { came, input } in inputs {
+            self.load.waited(came);
+            self.take(input);
+        }
+        let taking = self.load.done(Part::Take);
+        self.lead();
+        self.plan();
+        let planning = self.load.done(Part::Plan);
+        self.settle();
+        let rest = self.load.done(Part::Rest);
+        self.load.end(taking + planning + rest);
+        let under_way = self.scheduler.as_ref().map_or(0, Scheduler::under_way);
+        self.load.close(under_way);
+    }
+
     pub(super) fn now(&self) -> Now {
         self.epoch.elapsed()
     }
@@ -288,10 +322,8 @@
         }
     }
 
-    /// What every batch of inputs may have made possible or due.
+    /// What every batch of inputs may have made due besides what the leader decides.
     fn settle(&mut self) {
-        self.lead();
-        self.plan();
         self.compact();
         self.tend();
         self.tell();
@@ -349,6 +381,11 @@
             return;
         };
         let plan = scheduler.plan(now, wall(), &self.ledger);
+        self.load
+            .decided(plan.orders.len(), plan.commands.len(), plan.looks);
+        for age in &plan.ages {
+            self.ports.metrics.placed_after(*age);
+        }
         for command in plan.commands {
             self.propose(Asker::Nobody, &command);
         }
@@ -373,7 +410,7 @@
             let answer = answer.await;
             metrics.ordered(&what, &answer, begun.elapsed());
             // A task that has ended needs no answer.
-            let _ = inbox.send(Input::Answered(id, tenure, answer)).await;
+            let _ = inbox.send(Input::Answered(id, tenure, answer).into()).await;
         });
     }
 
@@ -389,6 +426,7 @@
     pub(super) fn propose(&mut self, asker: Asker, command: &Command) {
         let proposal = self.waiting.propose(asker);
         let payload = command.encode();
+        self.load.proposed(payload.len());
         self.consensus(consensus::Input::Propose { proposal, payload });
     }
 
--- /dev/null
+++ b/src/manager/load.rs
@@ -0,0 +1,155 @@
+//! How far behind the control task is, and what its time goes into.
+//!
+//! The task takes in whatever has come while it was busy, decides once, and looks again. A *turn* is
+//! one such round. While it keeps up, an input waits for the turn before it and no longer; once it
+//! doesn't, inputs wait for many turns, and what the leader believes grows old. Neither shows in the
+//! processor time of a whole day, since one leader follows the other. So each wait and each turn is
+//! measured, and a window in which either was too long is logged as a whole, with what was done in it.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{runtime::Handle, time::Instant};
+
+use super::metrics::{Metrics, Part};
+
+/// From one look at the sums to the next: short enough to show the seconds of a rush, long enough for
+/// a line each time to be bounded.
+const WINDOW: Duration = Duration::from_secs(1);
+/// An input that waited for longer came too late for what it was about: half of what an agent may
+/// take to answer.
+const BEHIND: Duration = Duration::from_millis(250);
+/// A thread that is busy for more than this part of a window has no time left for a rush.
+const FULL: f64 = 0.9;
+
+/// What was measured since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    turns: usize,
+    inputs: usize,
+    batch: usize,
+    wait: Duration,
+    turn: Duration,
+    taking: Duration,
+    planning: Duration,
+    rest: Duration,
+    orders: usize,
+    commands: usize,
+    bytes: usize,
+    looks: usize,
+}
+
+/// Measures the turns of one control task.
+#[derive(Debug)]
+pub(super) struct Load {
+    metrics: Arc<Metrics>,
+    began: Instant,
+    sums: Sums,
+    /// For how long the thread had been busy when the window began.
+    busy: Duration,
+    /// When the last part of a turn ended.
+    mark: Instant,
+}
+
+impl Load {
+    pub(super) fn new(metrics: Arc<Metrics>) -> Self {
+        let now = Instant::now();
+        Self {
+            metrics,
+            began: now,
+            sums: Sums::default(),
+            busy: busy(),
+            mark: now,
+        }
+    }
+
+    /// A turn begins with so many inputs.
+    pub(super) fn begin(&mut self, inputs: usize) {
+        self.mark = Instant::now();
+        self.sums.turns += 1;
+        self.sums.inputs += inputs;
+        self.sums.batch = self.sums.batch.max(inputs);
+        self.metrics.batched(inputs);
+    }
+
+    /// An input of this turn came then.
+    pub(super) fn waited(&mut self, came: Instant) {
+        let wait = self.mark.saturating_duration_since(came);
+        self.sums.wait = self.sums.wait.max(wait);
+        self.metrics.waited(wait);
+    }
+
+    /// A part of the turn is done; returns how long it took.
+    pub(super) fn done(&mut self, part: Part) -> Duration {
+        let now = Instant::now();
+        let took = now - self.mark;
+        self.mark = now;
+        let sum = match part {
+            Part::Take => &mut self.sums.taking,
+            Part::Plan => &mut self.sums.planning,
+            Part::Rest => &mut self.sums.rest,
+        };
+        *sum += took;
+        self.metrics.turned(part, took);
+        took
+    }
+
+    /// The turn took so long in all.
+    pub(super) fn end(&mut self, took: Duration) {
+        self.sums.turn = self.sums.turn.max(took);
+    }
+
+    /// What the turn decided: orders, commands and their bytes, and agents that were looked at for it.
+    pub(super) fn decided(&mut self, orders: usize, commands: usize, looks: usize) {
+        self.sums.orders += orders;
+        self.sums.commands += commands;
+        self.sums.looks += looks;
+    }
+
+    /// So many bytes were proposed to the log.
+    pub(super) fn proposed(&mut self, bytes: usize) {
+        self.sums.bytes += bytes;
+    }
+
+    /// Closes the window if it is over, and logs it if the task was behind in it or its thread full.
+    ///
+    /// `under_way` is how many orders wait for their answers.
+    pub(super) fn close(&mut self, under_way: usize) {
+        let window = self.mark - self.began;
+        if window < WINDOW {
+            return;
+        }
+        let total = busy();
+        let share = (total - self.busy).as_secs_f64() / window.as_secs_f64();
+        let sums = std::mem::take(&mut self.sums);
+        self.began = self.mark;
+        self.busy = total;
+        self.metrics.busy.set(share);
+        if sums.wait < BEHIND && share < FULL {
+            return;
+        }
+        let Sums {
+            turns,
+            inputs,
+            batch,
+            wait,
+            turn,
+            taking,
+            planning,
+            rest,
+            orders,
+            commands,
+            bytes,
+            looks,
+        } = sums;
+        log::warn!(
+            busy = share, turns, inputs, batch, wait:?, turn:?, taking:?, planning:?, rest:?,
+            orders, under_way, commands, bytes, looks;
+            "the control task is behind"
+        );
+    }
+}
+
+/// For how long the thread of the tasks has been busy, since the process began.
+fn busy() -> Duration {
+    Handle::current().metrics().worker_total_busy_duration(0)
+}
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -3,7 +3,7 @@
 //! Every reason has its counter from the start, at zero, so that a rate can be taken over the first
 //! one. Labels come from the enums that decide, never from text of their own.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -38,6 +38,34 @@
     order: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Share {
+    part: &'static str,
+}
+
+/// The parts of a turn of the control task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Inputs are taken in, and what is committed is applied.
+    Take,
+    /// The leader decides and gives its orders.
+    Plan,
+    /// Snapshots, voters, views and writes.
+    Rest,
+}
+
+impl Part {
+    /// The word for it.
+    fn word(self) -> &'static str {
+        match self {
+            Self::Take => "take",
+            Self::Plan => "plan",
+            Self::Rest => "rest",
+        }
+    }
+}
+
 /// The counters, gauges and histograms of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -65,6 +93,14 @@
     pub waiting: Gauge,
     /// Attempts that are placed; the leader's alone.
     pub placed: Gauge,
+    /// Orders that wait for their answers; the leader's alone.
+    pub under_way: Gauge,
+    /// The part of the last second that the thread of the tasks was busy.
+    pub busy: Gauge<f64, AtomicU64>,
+    input_wait: Histogram,
+    batch: Histogram,
+    turn_time: Family<Share, Histogram>,
+    beat_age: Histogram,
 }
 
 impl Default for Metrics {
@@ -85,6 +121,12 @@
             agents: Gauge::default(),
             waiting: Gauge::default(),
             placed: Gauge::default(),
+            under_way: Gauge::default(),
+            busy: Gauge::default(),
+            input_wait: times(),
+            batch: Histogram::new(exponential_buckets(1.0, 2.0, 9)),
+            turn_time: Family::new_with_constructor(times),
+            beat_age: times(),
         };
         metrics.register();
         metrics
@@ -149,10 +191,40 @@
                 &self.waiting,
             ),
             ("tasks_placed", "Attempts that are placed", &self.placed),
+            (
+                "orders_under_way",
+                "Orders that wait for their answers",
+                &self.under_way,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "busy_ratio",
+            "The part of the last second that the thread of the tasks was busy",
+            self.busy.clone(),
+        );
+        registry.register(
+            "input_wait_seconds",
+            "From an input of the control task to the turn that took it",
+            self.input_wait.clone(),
+        );
+        registry.register(
+            "batch_inputs",
+            "Inputs that one turn of the control task took",
+            self.batch.clone(),
+        );
+        registry.register(
+            "turn_seconds",
+            "How long the parts of a turn of the control task took",
+            self.turn_time.clone(),
+        );
+        registry.register(
+            "heard_age_seconds",
+            "How long ago an agent was heard when something was placed there",
+            self.beat_age.clone(),
+        );
     }
 
     /// Counts what was replied, and how long it took.
@@ -176,6 +248,28 @@
         time.observe(took.as_secs_f64());
     }
 
+    /// An input waited so long for its turn.
+    pub fn waited(&self, wait: Duration) {
+        self.input_wait.observe(wait.as_secs_f64());
+    }
+
+    /// A turn took so many inputs.
+    pub fn batched(&self, inputs: usize) {
+        self.batch.observe(inputs as f64);
+    }
+
+    /// A part of a turn took so long.
+    pub fn turned(&self, part: Part, took: Duration) {
+        let part = part.word();
+        let time = self.turn_time.get_or_create(&Share { part });
+        time.observe(took.as_secs_f64());
+    }
+
+    /// Something was placed at an agent that had been heard so long ago.
+    pub fn placed_after(&self, age: Duration) {
+        self.beat_age.observe(age.as_secs_f64());
+    }
+
     /// All of them as text.
     ///
     /// # Errors
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -16,6 +16,7 @@
 pub mod entry;
 pub mod frame;
 pub mod identity;
+mod load;
 pub mod membership;
 pub mod metrics;
 mod outputs;
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -124,6 +124,9 @@
         metrics
             .placed
             .set(size(scheduler.map_or(0, Scheduler::placed)));
+        metrics
+            .under_way
+            .set(size(scheduler.map_or(0, Scheduler::under_way)));
     }
 
     fn dial(&self, node: NodeId) {
