Show that a turn of the leader costs as much as its fleet and its backlog are large

Ruled out: nothing yet. Change: two tests that count looks at agents and at steps that wait, in worlds of 30 and 300 hosts and of 50 and 1,000 jobs that fit nowhere; the world of the tests can give its leader a processor that takes time, which a test to come uses.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -8,6 +8,7 @@
 mod incarnations;
 mod ledger;
 mod lists;
+mod overload;
 mod promises;
 mod spec;
 mod touched;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -52,7 +52,7 @@
 const HOP: Duration = Duration::from_millis(1);
 /// How long the leader waits for an answer beyond what it asked to wait.
 const TIMEOUT: Duration = Duration::from_millis(500);
-/// A stop takes so long.
+/// A stop takes so long, unless a world says otherwise.
 const STOP: Duration = Duration::from_millis(300);
 /// How long a host is away for its maintenance or a move.
 const AWAY: Duration = Duration::from_millis(1800);
@@ -90,6 +90,26 @@
     pub(crate) ghosts: f64,
 }
 
+/// What the leader's processor takes for what it does, as measured where one was full with 350 agents.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Processor {
+    /// Taking an input in, or applying a commit.
+    pub(crate) input: Duration,
+    /// Looking at an agent, or at a step that waits.
+    pub(crate) look: Duration,
+    /// Sending an order and reading its answer.
+    pub(crate) order: Duration,
+}
+
+/// Inputs that a leader with a processor takes in before it decides.
+const BATCH: usize = 256;
+
+/// What waits for a leader with a processor.
+enum Input {
+    Answer(u64, OrderId, Answer),
+    Beat(Box<AgentRecord>, AgentTime),
+}
+
 struct Run {
     attempt: u32,
     /// When it began.
@@ -107,6 +127,12 @@
     serves: bool,
 }
 
+impl Run {
+    fn is_at_work(&self) -> bool {
+        self.percent == 100 && !self.stopping
+    }
+}
+
 pub(crate) struct Agent {
     pub(crate) record: AgentRecord,
     pub(crate) host: HostId,
@@ -183,6 +209,13 @@
     pub(crate) unlisted: BTreeSet<HostId>,
     /// Runs that orders about their hosts ended.
     pub(crate) ended: usize,
+    /// How long a stop takes.
+    pub(crate) stopping: Duration,
+    /// Lasting tasks that orders ended and that aren't at work again.
+    taken: BTreeSet<TaskId>,
+    /// Lasting tasks that were ended at work while as many others of their steps were away as may
+    /// be, and when.
+    pub(crate) overdrawn: Vec<(TaskId, Now)>,
     /// Hosts that were removed for good.
     pub(crate) removed: BTreeSet<HostId>,
     /// The last term in which each host got an order, and when.
@@ -226,6 +259,14 @@
     pub(crate) protections: Protections,
     /// What was committed, in order.
     pub(crate) committed: Vec<Command>,
+    /// What the leader's processor takes; no time at all if not given.
+    pub(crate) processor: Option<Processor>,
+    inbox: VecDeque<Input>,
+    /// Until when the leader is busy.
+    busy: Now,
+    /// Agents and waiting steps that the leader looked at, and turns in which it decided.
+    pub(crate) looks: usize,
+    pub(crate) turns: usize,
 }
 
 impl World {
@@ -266,6 +307,9 @@
             sent: BTreeMap::new(),
             unlisted: BTreeSet::new(),
             ended: 0,
+            stopping: STOP,
+            taken: BTreeSet::new(),
+            overdrawn: Vec::new(),
             removed: BTreeSet::new(),
             ordered: BTreeMap::new(),
             holder: ms(100),
@@ -297,6 +341,11 @@
             lax: false,
             protections: Protections::default(),
             committed: Vec::new(),
+            processor: None,
+            inbox: VecDeque::new(),
+            busy: Duration::ZERO,
+            looks: 0,
+            turns: 0,
         };
         for host in 0..hosts {
             world.host(&format!("h{host}"), POOL);
@@ -579,28 +628,87 @@
             let agents: Vec<_> = self.agents.keys().cloned().collect();
             agents.iter().for_each(|id| self.beat(id));
         }
-        while self.log.front().is_some_and(|(at, _)| *at <= self.now) {
-            let Some((_, command)) = self.log.pop_front() else {
-                break;
-            };
-            self.index += 1;
-            let changes = self.ledger.apply(self.index, &command);
-            self.note_cancel(&command);
-            self.committed.push(command.clone());
-            if let Some(scheduler) = &mut self.scheduler {
-                scheduler.applied(self.now, self.now, &self.ledger, &command, &changes);
+        match self.processor {
+            None => {
+                while self.commit() {}
+                self.decide();
             }
+            Some(processor) => self.work(processor),
         }
+    }
+
+    /// Applies the next command, if it is committed by now.
+    fn commit(&mut self) -> bool {
+        let due = self.log.front().is_some_and(|(at, _)| *at <= self.now);
+        let Some((_, command)) = due.then(|| self.log.pop_front()).flatten() else {
+            return false;
+        };
+        self.index += 1;
+        let changes = self.ledger.apply(self.index, &command);
+        self.note_cancel(&command);
+        self.committed.push(command.clone());
+        if let Some(scheduler) = &mut self.scheduler {
+            scheduler.applied(self.now, self.now, &self.ledger, &command, &changes);
+        }
+        true
+    }
+
+    /// Has the leader decide; returns how many agents and steps it looked at, and its orders.
+    fn decide(&mut self) -> (usize, usize) {
         let Some(scheduler) = &mut self.scheduler else {
-            return;
+            return (0, 0);
         };
         let plan = scheduler.plan(self.now, self.now, &self.ledger);
+        let (looks, orders) = (plan.looks, plan.orders.len());
+        self.looks += looks;
+        self.turns += 1;
         for command in plan.commands {
             self.propose(command);
         }
         for order in plan.orders {
             self.send(order);
         }
+        (looks, orders)
+    }
+
+    /// Lets the leader work until now, one batch of what waits after the other.
+    fn work(&mut self, processor: Processor) {
+        self.busy = self.busy.max(self.now.saturating_sub(STEP));
+        while self.busy < self.now {
+            let mut inputs = 0;
+            while inputs < BATCH && (self.commit() || self.take_input()) {
+                inputs += 1;
+            }
+            let (looks, orders) = self.decide();
+            let times = |span: Duration, count: usize| span * u32::try_from(count).unwrap();
+            self.busy += times(processor.input, inputs)
+                + times(processor.look, looks)
+                + times(processor.order, orders);
+            if inputs == 0 {
+                // It waits for the next input.
+                self.busy = self.busy.max(self.now);
+            }
+        }
+    }
+
+    fn take_input(&mut self) -> bool {
+        let Some(input) = self.inbox.pop_front() else {
+            return false;
+        };
+        match input {
+            Input::Answer(term, order, answer) => self.answered(term, order, answer),
+            Input::Beat(record, clock) => self.heard(&record, clock),
+        }
+        true
+    }
+
+    /// The leader takes an answer in, if it was one to its own order.
+    fn answered(&mut self, term: u64, order: OrderId, answer: Answer) {
+        if term == self.term
+            && let Some(scheduler) = &mut self.scheduler
+        {
+            scheduler.answered(self.now, order, answer);
+        }
     }
 
     fn at(&mut self, at: Now, event: Event) {
@@ -673,13 +781,10 @@
                 term,
                 order,
                 answer,
-            } => {
-                if term == self.term
-                    && let Some(scheduler) = &mut self.scheduler
-                {
-                    scheduler.answered(self.now, order, answer);
-                }
-            }
+            } => match self.processor {
+                None => self.answered(term, order, answer),
+                Some(_) => self.inbox.push_back(Input::Answer(term, order, answer)),
+            },
             Event::Back { host } => {
                 for down in self.down.values_mut() {
                     down.remove(&host);
@@ -898,8 +1003,12 @@
         }
         change(view);
         view.state = state;
-        if let Some(agent) = view.agent.take().and_then(|id| self.agents.remove(&id)) {
-            self.ended += agent.running.len();
+        let agent = view.agent.take().and_then(|id| self.agents.remove(&id));
+        for (task, run) in agent.iter().flat_map(|agent| &agent.running) {
+            self.ended += 1;
+            if run.is_at_work() {
+                self.spend(*task);
+            }
         }
         let host = host.clone();
         self.at(self.now + AWAY, Event::Back { host });
@@ -1014,17 +1123,36 @@
             return Answer::Silent;
         };
         let clock = agent.clock(now);
-        if let Some(run) = agent.running.get_mut(&task)
-            && run.attempt == attempt
-        {
-            run.ends = run.ends.min(now + STOP);
-            run.stopping = true;
-        }
         let over = agent.over.entry(task).or_default();
         *over = (*over).max(attempt);
+        let run = agent.running.get_mut(&task);
+        if let Some(run) = run.filter(|run| run.attempt == attempt) {
+            let at_work = run.is_at_work();
+            run.ends = run.ends.min(now + self.stopping);
+            run.stopping = true;
+            if at_work {
+                self.spend(task);
+            }
+        }
         Answer::Done { clock }
     }
 
+    /// An order ends a task that is at work: within the budget of its step, if it lasts and its job
+    /// goes on.
+    fn spend(&mut self, task: TaskId) {
+        let job = self.ledger.job(task.step.job).filter(|job| !job.is_over());
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+        let Some(spec) = spec.filter(|spec| spec.lasting) else {
+            return;
+        };
+        let away = self.taken.iter();
+        let away = away.filter(|other| other.step == task.step && **other != task);
+        if away.count() >= usize::try_from(spec.budget.max(1)).unwrap() {
+            self.overdrawn.push((task, self.now));
+        }
+        self.taken.insert(task);
+    }
+
     fn renew(&mut self, id: &MinionId, acked: u64, until: Option<AgentTime>, late: bool) {
         let now = self.now;
         let (longest, fresh) = (self.lease, late && self.faults.lenient);
@@ -1075,8 +1203,11 @@
                 .filter(|(_, run)| lapsed || run.ends <= now)
                 .map(|(task, _)| *task)
                 .collect();
-            for run in agent.running.values_mut() {
+            for (task, run) in &mut agent.running {
                 run.percent = 100;
+                if !run.stopping {
+                    self.taken.remove(task);
+                }
             }
             for task in over {
                 let Some(run) = agent.running.remove(&task) else {
@@ -1126,8 +1257,19 @@
         self.hear(&record, clock);
     }
 
-    /// The leader, if there is one, takes a heartbeat in.
+    /// A heartbeat reaches the leader.
     fn hear(&mut self, record: &AgentRecord, clock: AgentTime) {
+        match self.processor {
+            None => self.heard(record, clock),
+            Some(_) => {
+                let record = Box::new(record.clone());
+                self.inbox.push_back(Input::Beat(record, clock));
+            }
+        }
+    }
+
+    /// The leader, if there is one, takes a heartbeat in.
+    fn heard(&mut self, record: &AgentRecord, clock: AgentTime) {
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
