--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use tokio::{net::TcpStream, sync::mpsc, time::sleep};
-use tokio_tungstenite::{client_async_with_config, tungstenite::protocol::WebSocketConfig};
+use tokio_tungstenite::client_async_with_config;
 
-use super::{LARGEST, MeshError, STALL, Shared, link};
+use super::{MeshError, STALL, Shared, link};
 use crate::core::types::NodeId;
 
 /// The wait before the first dial that follows a failure, and its bound after more of them.
@@ -83,9 +83,8 @@
     let dial = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let limits = WebSocketConfig::default().max_message_size(Some(LARGEST));
         let url = format!("ws://{address}/mesh");
-        let (mut socket, _) = client_async_with_config(url, stream, Some(limits)).await?;
+        let (mut socket, _) = client_async_with_config(url, stream, Some(link::config())).await?;
         link::introduce(&mut socket, shared.node).await?;
         let peer = link::greet(&mut socket).await?;
         if expected.is_some_and(|e| e != peer) {
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -19,11 +19,20 @@
     sync::mpsc,
     time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
 };
-use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
+use tokio_tungstenite::{
+    WebSocketStream,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
 
-use super::{MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
+use super::{LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
 use crate::core::types::NodeId;
 
+/// Bytes that are read at once. The library fills what a read leaves of them with zeros, each time,
+/// and nearly all messages are of a few hundred bytes: with its default of 128 KiB that was a fifth of
+/// the processor time of all nodes together, with 50 of them (sampled). An entry of the log of 16 KiB
+/// takes two reads.
+const READ: usize = 8 << 10;
+
 /// A websocket between two nodes.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
@@ -48,6 +57,13 @@
     }
 }
 
+/// How both ends are set up.
+pub(super) fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(LARGEST))
+        .read_buffer_size(READ)
+}
+
 /// The first message in each direction: who is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -7,9 +7,9 @@
     sync::mpsc,
     task::JoinSet,
 };
-use tokio_tungstenite::{accept_async_with_config, tungstenite::protocol::WebSocketConfig};
+use tokio_tungstenite::accept_async_with_config;
 
-use super::{LARGEST, MeshError, QUEUE, STALL, Shared, link};
+use super::{MeshError, QUEUE, STALL, Shared, link};
 
 /// Accepts peers until `stopped` closes.
 pub(super) async fn run(
@@ -41,8 +41,7 @@
 async fn serve(stream: TcpStream, shared: &Shared) -> Result<(), MeshError> {
     stream.set_nodelay(true)?;
     let greeted = link::within(STALL, async {
-        let limits = WebSocketConfig::default().max_message_size(Some(LARGEST));
-        let mut socket = accept_async_with_config(stream, Some(limits)).await?;
+        let mut socket = accept_async_with_config(stream, Some(link::config())).await?;
         let peer = link::greet(&mut socket).await?;
         link::introduce(&mut socket, shared.node).await?;
         Ok((socket, peer))
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -18,14 +18,16 @@
 
 use super::agent::Agent;
 use crate::core::{
-    types::{MinionId, Now, PoolId},
+    types::{Map, MinionId, Now, PoolId},
     workload::command::AgentRecord,
 };
 
 /// The agents by their ids.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Agents {
-    known: BTreeMap<MinionId, Entry>,
+    /// Walks go by their ids, so that what is decided doesn't hang on the hasher.
+    known: Map<MinionId, Entry>,
+    ids: BTreeSet<MinionId>,
     /// The agents of each pool by the thousandths of a core that are free there, as of the last
     /// [`Agents::index`].
     pools: BTreeMap<PoolId, BTreeSet<(u64, MinionId)>>,
@@ -91,6 +93,7 @@
             free,
         };
         self.stirred.push(id.clone());
+        self.ids.insert(id.clone());
         self.known.insert(id, entry);
     }
 
@@ -101,6 +104,7 @@
         else {
             return;
         };
+        self.ids.remove(id);
         if let Some(pool) = self.pools.get_mut(&agent.record.pool) {
             pool.remove(&(free, id.clone()));
         }
@@ -112,7 +116,8 @@
 
     /// All of them.
     pub(super) fn iter(&self) -> impl Iterator<Item = (&MinionId, &Agent)> {
-        let known = self.known.iter().map(|(id, entry)| (id, &entry.agent));
+        let known = self.ids.iter();
+        let known = known.filter_map(|id| Some((id, self.get(id)?)));
         known.inspect(|_| self.look())
     }
 
@@ -178,8 +183,8 @@
 
     /// Stirs all, as if each had changed; what is decided then must be the same.
     pub(super) fn stir_all(&mut self) {
-        for (id, entry) in &mut self.known {
-            if !entry.stirred {
+        for id in &self.ids {
+            if let Some(entry) = self.known.get_mut(id).filter(|entry| !entry.stirred) {
                 entry.stirred = true;
                 self.stirred.push(id.clone());
             }
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use super::{Agent, HostState, HostView, Now, PoolId, Scheduler, demand::Need, hosts::Purpose};
+use super::{
+    Agent, HostState, HostView, Now, PoolId, Scheduler, demand::Need, hosts::Purpose,
+    vacating::emptiest,
+};
 use crate::core::types::HostId;
 
 /// A host that was empty for so long goes to the spares: by then it has cost what two moves do.
@@ -34,15 +37,17 @@
         let present: Counts = needs.iter().map(|(p, n)| (p.clone(), n.now)).collect();
         let kept: Counts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         let spares = spare.as_ref();
-        let empty = |this: &Self, needs: &Counts, have: &Counts, to: &PoolId| {
-            this.donor(now, needs, have, spares, to)
-        };
-        let busy = |this: &Self, needs: &Counts, have: &Counts, to: &PoolId| {
-            this.emptiest(now, needs, have, to)
-        };
-        self.supply(now, &present, &mut have, empty);
-        self.supply(now, &present, &mut have, busy);
-        self.supply(now, &kept, &mut have, empty);
+        let mut free = self.free_hosts(now);
+        self.supply(now, &present, &mut have, |needs, have, to| {
+            donor(&mut free, needs, have, spares, to)
+        });
+        let mut soon = self.empty_soon(now);
+        self.supply(now, &present, &mut have, |needs, have, to| {
+            emptiest(&mut soon, needs, have, to)
+        });
+        self.supply(now, &kept, &mut have, |needs, have, to| {
+            donor(&mut free, needs, have, spares, to)
+        });
         // Until a first turn nothing is known of where hosts will be needed, and while one begins
         // its pool will soon need those that are idle elsewhere.
         let last = self.hosts.turns.last();
@@ -58,17 +63,17 @@
     }
 
     /// Moves hosts to the pools that have fewer than they need, from those that have more; `choose`
-    /// says which, given what is needed and had, for a pool.
+    /// takes one of those that may be moved, given what is needed and had, for a pool.
     fn supply(
         &mut self,
         now: Now,
         needs: &Counts,
         have: &mut Counts,
-        choose: impl Fn(&Self, &Counts, &Counts, &PoolId) -> Option<HostId>,
+        mut choose: impl FnMut(&Counts, &Counts, &PoolId) -> Option<HostId>,
     ) {
         let mut short: BTreeSet<_> = needs.keys().cloned().collect();
         while let Some(pool) = shortest(needs, have, &short) {
-            let Some(host) = choose(self, needs, have, &pool) else {
+            let Some(host) = choose(needs, have, &pool) else {
                 short.remove(&pool);
                 continue;
             };
@@ -134,23 +139,15 @@
         there && agent.is_none_or(Agent::is_well)
     }
 
-    /// An empty host that another pool can spare: of the one that has the most to spare, and of
-    /// the spares if there is none, since those cost nothing while they wait.
-    pub(super) fn donor(
-        &self,
-        now: Now,
-        needs: &Counts,
-        have: &Counts,
-        spare: Option<&PoolId>,
-        to: &PoolId,
-    ) -> Option<HostId> {
-        let empties = self.empties(now).filter(|(_, view, _)| view.pool != *to);
-        let able = empties.filter(|(_, view, _)| surplus(needs, have, &view.pool) > 0);
-        let best = able.max_by_key(|(host, view, _)| {
-            let active = Some(&view.pool) != spare;
-            (active, surplus(needs, have, &view.pool), (*host).clone())
-        });
-        best.map(|(host, ..)| host.clone())
+    /// The empty hosts of each pool, found once for all that a look at the pools decides: there may be
+    /// as many moves to decide as there are hosts.
+    fn free_hosts(&self, now: Now) -> BTreeMap<PoolId, BTreeSet<HostId>> {
+        let mut free: BTreeMap<PoolId, BTreeSet<HostId>> = BTreeMap::new();
+        for (host, view, _) in self.empties(now) {
+            let hosts = free.entry(view.pool.clone()).or_default();
+            hosts.insert(host.clone());
+        }
+        free
     }
 
     /// Whether an order may be given about a host that is up, and nothing is being done with it.
@@ -197,6 +194,25 @@
     }
 }
 
+/// Takes an empty host that another pool can spare: of the one that has the most to spare, and of the
+/// spares if there is none, since those cost nothing while they wait.
+fn donor(
+    free: &mut BTreeMap<PoolId, BTreeSet<HostId>>,
+    needs: &Counts,
+    have: &Counts,
+    spare: Option<&PoolId>,
+    to: &PoolId,
+) -> Option<HostId> {
+    let pools = free.iter().filter(|(pool, _)| *pool != to);
+    let able = pools.filter_map(|(pool, hosts)| {
+        let surplus = surplus(needs, have, pool);
+        let host = hosts.last().filter(|_| surplus > 0)?;
+        Some(((Some(pool) != spare, surplus, host), pool))
+    });
+    let pool = able.max().map(|(_, pool)| pool.clone())?;
+    free.get_mut(&pool)?.pop_last()
+}
+
 /// Hosts that a pool has beyond what it needs.
 pub(super) fn surplus(needs: &Counts, have: &Counts, pool: &PoolId) -> usize {
     let have = have.get(pool).copied().unwrap_or_default();
--- a/src/core/workload/scheduler/vacating.rs
+++ b/src/core/workload/scheduler/vacating.rs
@@ -21,29 +21,23 @@
 /// How long it is waited for at most, where tasks take longer than they should.
 const PATIENCE: Duration = Duration::from_millis(3000);
 
+/// A busy host, about when it will be empty, and its pool.
+pub(super) type Soon = (Now, HostId, PoolId);
+
 impl Scheduler {
-    /// The busy host that will be empty first, of the pools that have more than they need now.
-    pub(super) fn emptiest(
-        &self,
-        now: Now,
-        needs: &Counts,
-        have: &Counts,
-        to: &PoolId,
-    ) -> Option<HostId> {
+    /// The busy hosts that will be empty soon, the first one first.
+    pub(super) fn empty_soon(&self, now: Now) -> Vec<Soon> {
         let views = self.hosts.views.values();
-        let free = views.filter(|view| {
-            view.pool != *to
-                && needs.contains_key(&view.pool)
-                && surplus(needs, have, &view.pool) > 0
-                && self.is_movable(now, view)
-        });
-        let soon = free.filter_map(|view| {
+        let soon = views.filter_map(|view| {
             let agent = self.agents.get(view.agent.as_ref()?)?;
             let able = agent.is_well() && !agent.cordoned;
             let empty = agent.empties().filter(|at| able && *at <= now + SOON)?;
-            Some((empty, view.host.clone()))
+            let movable = self.is_movable(now, view);
+            movable.then(|| (empty, view.host.clone(), view.pool.clone()))
         });
-        soon.min().map(|(_, host)| host)
+        let mut soon: Vec<_> = soon.collect();
+        soon.sort_unstable();
+        soon
     }
 
     /// Moves what has become empty, and gives back what isn't needed there any more or doesn't
@@ -81,3 +75,16 @@
         }
     }
 }
+
+/// Takes the busy host that will be empty first, of the pools that have more than they need now.
+pub(super) fn emptiest(
+    soon: &mut Vec<Soon>,
+    needs: &Counts,
+    have: &Counts,
+    to: &PoolId,
+) -> Option<HostId> {
+    let found = soon.iter().position(|(_, _, pool)| {
+        pool != to && needs.contains_key(pool) && surplus(needs, have, pool) > 0
+    });
+    found.map(|at| soon.remove(at).1)
+}
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -48,6 +48,8 @@
     busy: Duration,
     /// When the last part of a turn ended.
     mark: Instant,
+    /// The longest that an input of this turn waited.
+    wait: Duration,
 }
 
 impl Load {
@@ -59,6 +61,7 @@
             sums: Sums::default(),
             busy: busy(),
             mark: now,
+            wait: Duration::ZERO,
         }
     }
 
@@ -74,8 +77,7 @@
     /// An input of this turn came then.
     pub(super) fn waited(&mut self, came: Instant) {
         let wait = self.mark.saturating_duration_since(came);
-        self.sums.wait = self.sums.wait.max(wait);
-        self.metrics.waited(wait);
+        self.wait = self.wait.max(wait);
     }
 
     /// A part of the turn is done; returns how long it took.
@@ -96,6 +98,9 @@
     /// The turn took so long in all.
     pub(super) fn end(&mut self, took: Duration) {
         self.sums.turn = self.sums.turn.max(took);
+        let wait = std::mem::take(&mut self.wait);
+        self.sums.wait = self.sums.wait.max(wait);
+        self.metrics.waited(wait);
     }
 
     /// What the turn decided: orders, commands and their bytes, and agents that were looked at for it.
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -207,7 +207,7 @@
         );
         registry.register(
             "input_wait_seconds",
-            "From an input of the control task to the turn that took it",
+            "The longest that an input of a turn of the control task waited for it",
             self.input_wait.clone(),
         );
         registry.register(
@@ -248,7 +248,7 @@
         time.observe(took.as_secs_f64());
     }
 
-    /// An input waited so long for its turn.
+    /// An input waited so long for its turn, the longest of them.
     pub fn waited(&self, wait: Duration) {
         self.input_wait.observe(wait.as_secs_f64());
     }
