Show that less is in time the more is asked of a full leader, and that a dead one's budget is spent again

Change: two tests, no logic. A leader whose processor takes the time that was measured gets a rush of 200 to 1,600 jobs a second. And a new leader comes within the second in which two lasting tasks are being stopped.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,6 @@
 //! Jobs, their ledger and the leader's scheduler, on logical time.
 
+mod budgets;
 mod cancelled;
 mod catalog;
 mod eligible;
--- a/tests/workload/overload.rs
+++ b/tests/workload/overload.rs
@@ -6,14 +6,24 @@
 //! that went into walks over all agents and over all that waited, some twenty a turn. Cause: an event
 //! cost as much as the fleet and the backlog are large. So a leader that fell behind got slower, and
 //! what it got done fell when more was asked of it. Proof: the counts of looks, which no clock or
-//! load can change.
+//! load can change, and a leader here whose processor takes the time that was measured there.
 
-use egretpin::core::workload::spec::JobSpec;
+use std::{collections::VecDeque, time::Duration};
 
-use crate::world::{World, ms, step};
+use egretpin::core::workload::{job::JobState, spec::JobSpec};
+
+use crate::world::{Processor, World, ms, step};
 
 /// Hosts of the two fleets that are compared.
 const FLEETS: (usize, usize) = (30, 300);
+/// What the leader's processor takes, as measured with 350 agents where it was full.
+const PROCESSOR: Processor = Processor {
+    input: Duration::from_micros(25),
+    look: Duration::from_nanos(45),
+    order: Duration::from_micros(100),
+};
+/// How long a job of the rush may take: what its queue asks, and a look.
+const OBJECTIVE: Duration = ms(1150);
 /// Tasks of each job.
 const TASKS: u32 = 8;
 
@@ -47,6 +57,34 @@
     world.looks / world.turns
 }
 
+/// Tasks done in each second of a rush that brings so many jobs a second: all, and those of jobs that
+/// were through in time.
+fn done_a_second(jobs: u64) -> (u64, u64) {
+    const SECONDS: u64 = 6;
+    const STEPS: u64 = 20;
+    let mut world = World::new(FLEETS.1, 3);
+    world.processor = Some(PROCESSOR);
+    world.pass(ms(2000));
+    let mut open = VecDeque::new();
+    let (mut next, mut done, mut timely) = (1, 0, 0);
+    for tick in 1..=SECONDS * STEPS {
+        while next <= jobs * tick / STEPS {
+            world.submit(next, JobSpec::new("x", vec![step(TASKS, 1, 400)]));
+            open.push_back((next, world.now));
+            next += 1;
+        }
+        world.pass(ms(1000 / STEPS));
+        open.retain(|(job, since)| {
+            let over = world.state(*job) == Some(JobState::Completed);
+            done += u64::from(over);
+            timely += u64::from(over && world.now <= *since + OBJECTIVE);
+            !over
+        });
+    }
+    let a_second = |jobs: u64| jobs * u64::from(TASKS) / SECONDS;
+    (a_second(done), a_second(timely))
+}
+
 #[test]
 fn a_turn_costs_what_it_touches_and_not_the_fleet() {
     let (few, many) = (looks_of_calm(FLEETS.0), looks_of_calm(FLEETS.1));
@@ -68,3 +106,16 @@
         "{long} looks a turn with 1,000 jobs waiting, {short} with 50"
     );
 }
+
+#[test]
+fn what_gets_done_levels_off_under_overload() {
+    let done: Vec<_> = [200, 400, 800, 1600].map(done_a_second).into();
+    eprintln!("{done:?}");
+    let level = |done: Vec<u64>| {
+        let most = done.iter().copied().max().unwrap_or_default();
+        let last = done.last().copied().unwrap_or_default();
+        assert!(last * 10 >= most * 9, "{done:?} a second as more is asked");
+    };
+    level(done.iter().map(|(all, _)| *all).collect());
+    level(done.iter().map(|(_, timely)| *timely).collect());
+}
