Count as away what a predecessor may have told to stop, until it can't be

A stop is in nobody's log, and a list of what runs doesn't say what is being stopped. The class: a leader acts by what it has heard, where its predecessor may have ordered otherwise. Ruled out: to put each stop into the log first, as with hosts: it costs a commit for each; the agents can say it themselves. Once an agent has seen the term it takes no earlier order, and a stop takes a bounded time by its clock. Change: a lasting task that was inherited counts as at work only by a look that its agent answered so long after it had seen this term; looks there wait no longer than until then. The time is the settings'. The same cause elsewhere: a host that a predecessor touched keeps its tasks away for budgets as long as it is held, which only the wave's cap knew; an agent that doesn't answer counts as away; and best-effort tasks that a predecessor had throttled to nothing stood still for good, as the successor took them for running at full speed: it begins at two fifths now and goes by the tails from there.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -69,6 +69,9 @@
     pub(super) proposed: u64,
     /// The last of its ends that it was told we know.
     pub(super) told: u64,
+    /// What its clock said when it was first seen to know this term. It has taken no order of an
+    /// earlier one since.
+    pub(super) fenced: Option<AgentTime>,
     /// Since when its renewals fail.
     pub(super) trouble: Option<Now>,
     /// The host that a list has shown it at.
@@ -115,6 +118,8 @@
     pub(super) lasting: bool,
     /// Whether it was last seen to do all that it should.
     pub(super) at_work: bool,
+    /// Whether an earlier leader placed it, and may have told it to stop.
+    pub(super) inherited: bool,
     /// About how long it takes at most, where it is.
     pub(super) estimate: Duration,
 }
@@ -162,6 +167,7 @@
             looked: None,
             proposed: acked,
             told: acked,
+            fenced: None,
             trouble: None,
             home: None,
             aside: now,
@@ -190,6 +196,17 @@
         }
     }
 
+    /// How long it still is until all that earlier leaders told it to stop has ended there, if it
+    /// runs something lasting that may have been and a stop takes so long.
+    pub(super) fn settles(&self, now: Now, stop: Duration) -> Option<Duration> {
+        let mut slots = self.slots.values();
+        if !slots.any(|slot| slot.inherited && slot.lasting) {
+            return None;
+        }
+        let (clock, seen) = self.clock?;
+        Some((self.fenced? + stop).saturating_sub(clock + now.saturating_sub(seen)))
+    }
+
     /// A time of its clock that lies `lease` ahead; `None` if its clock isn't known.
     ///
     /// Notes by when such a lease has surely run out here, whether or not the order arrives.
@@ -317,6 +334,7 @@
             best_effort: spec.best_effort,
             lasting: spec.lasting,
             at_work: false,
+            inherited: false,
             estimate: if spec.data_rack.is_some() || spec.one_rack {
                 spec.estimate * FAR
             } else {
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -2,15 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::agent::LAGGING;
 use super::{
     ACK_DELAY, About, Answer, End, Ends, GAP, MinionId, Now, OrderId, Pending, Phase, Placed,
-    RENEW_RETRY, RETRY, Refusal, Report, Scheduler, Slot, TRIES, TaskId, UNWELL, What,
+    RENEW_RETRY, RETRY, Refusal, Report, Scheduler, Settings, Slot, TRIES, TaskId, UNWELL, What,
 };
+use super::{agent::LAGGING, throttle::UNTOLD};
 use crate::core::workload::command::Ending;
 
-/// No share of a task's speed; what it was told may not have arrived.
-const UNTOLD: u8 = u8::MAX;
 /// What a lasting task says that is at work, in hundredths.
 const WHOLE: u32 = 100;
 
@@ -204,16 +202,23 @@
 
     fn take_report(&mut self, now: Now, sent: Now, id: &MinionId, report: &Report) {
         self.take_ends(now, id, report);
+        let Settings {
+            stop, protections, ..
+        } = self.settings;
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
+        let fenced = *agent.fenced.get_or_insert(report.clock);
+        let settled = report.clock >= fenced + stop || !protections.spent;
         let ended: BTreeSet<_> = report.ended.iter().map(|e| (e.task, e.attempt)).collect();
         let running = report.running.iter();
         let running: BTreeMap<_, _> = running.map(|r| ((r.task, r.attempt), r)).collect();
         for (task, slot) in &mut agent.slots {
             let key = (*task, slot.attempt);
             let seen = running.get(&key);
-            slot.at_work = seen.is_some_and(|r| r.percent >= WHOLE);
+            // A list doesn't say what is being stopped, so what may be is away until it can't be.
+            slot.inherited &= !settled;
+            slot.at_work = !slot.inherited && seen.is_some_and(|r| r.percent >= WHOLE);
             let here = seen.is_some();
             if here && slot.phase == Phase::Unsure {
                 slot.unanswered = None;
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -5,6 +5,7 @@
 use super::{
     Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Scheduler, Slot,
     StepSpec, TaskId, Wall,
+    throttle::{INHERITED, UNTOLD},
 };
 
 impl Scheduler {
@@ -28,6 +29,8 @@
             let mut slot = Slot::new(spec, attempt, Phase::Unsure, now);
             // What the earlier leader sent last may still be under way.
             slot.unanswered = Some(now);
+            slot.inherited = true;
+            slot.share = UNTOLD;
             if self.settings.protections.inherit {
                 agent.add(task, slot);
             } else {
@@ -38,6 +41,9 @@
                 });
             }
         }
+        if agent.has_best_effort() {
+            agent.share = INHERITED;
+        }
         if !agent.slots.is_empty() {
             agent.lease = now + self.settings.lease.mul_f64(1.03) + Duration::from_millis(300);
         }
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -51,6 +51,8 @@
             } else {
                 WAIT.0
             };
+            let settles = agent.settles(now, self.settings.stop);
+            let wait = settles.map_or(wait, |left| wait.min(left));
             due.push((id.clone(), agent.target(), acked, until, wait));
         }
         for (agent, to, acked, until, wait) in due {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -22,6 +22,13 @@
 //! they are for, and another refuses them. A heartbeat alone ends nobody, as it may be late. Whoever
 //! is heard for the first time gets nothing until it has answered, and its answer ends those that
 //! were known there before.
+//!
+//! # What a predecessor ordered
+//!
+//! An order is in nobody's log but for what the next leader couldn't find out: that a host was
+//! touched. All else a successor learns from those that got the orders, and until it has, it takes
+//! them for given. Once an agent has seen this term no earlier order is taken there, and what was told
+//! to stop before has ended when the time of a stop is over: what its agent lists after that wasn't.
 
 mod agent;
 mod agents;
@@ -119,6 +126,8 @@
     pub silence: Duration,
     /// From the last order of one leader about a host to the first of another.
     pub holder: Duration,
+    /// The longest that an agent takes to carry out a stop.
+    pub stop: Duration,
     /// How long a job that is over is remembered at least.
     pub retention: Duration,
     /// Which protections are on; for tests.
@@ -131,6 +140,7 @@
             lease: Duration::from_secs(6),
             silence: Duration::from_secs(4),
             holder: Duration::from_secs(3),
+            stop: Duration::from_secs(1),
             retention: Duration::from_secs(180),
             protections: Protections::default(),
         }
@@ -151,6 +161,9 @@
     pub touches: bool,
     /// A host is maintained only when it is empty, or when all that it runs may be away.
     pub budget: bool,
+    /// What a predecessor may have told to stop counts as away, until an agent has shown that it
+    /// wasn't.
+    pub spent: bool,
     /// Agents that nothing is placed at are looked at while something may run there.
     pub looks: bool,
 }
@@ -163,6 +176,7 @@
             inherit: true,
             touches: true,
             budget: true,
+            spent: true,
             looks: true,
         }
     }
--- a/src/core/workload/scheduler/throttle.rs
+++ b/src/core/workload/scheduler/throttle.rs
@@ -27,6 +27,11 @@
 const VERY_WELL: f64 = 0.4;
 /// Work at full speed.
 pub(super) const FULL: u8 = 100;
+/// No share: what a task was told isn't known, or may not have arrived.
+pub(super) const UNTOLD: u8 = u8::MAX;
+/// The share that a new leader begins with: what a cut leaves of full speed. What its predecessor told
+/// isn't known, and tasks that it had throttled to nothing would stay so.
+pub(super) const INHERITED: u8 = 40;
 
 /// The share that best-effort tasks should work at, given the share now and the highest tail as a
 /// part of its target.
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -199,7 +199,7 @@
         for (host, id) in emptying {
             let agent = id.as_ref().and_then(|id| self.agents.get(id));
             let ready = agent.is_none_or(|agent| {
-                let may_end = late && self.may_end(ledger, agent);
+                let may_end = late && self.may_end(now, ledger, agent);
                 agent.slots.is_empty() || may_end || !self.settings.protections.budget
             });
             // Until an order may go out nothing stands still: what runs there goes on, and what else of
@@ -220,17 +220,17 @@
     }
 
     /// Whether all that an agent runs may be ended, at the price of the work done.
-    pub(super) fn may_end(&self, ledger: &Ledger, agent: &Agent) -> bool {
+    pub(super) fn may_end(&self, now: Now, ledger: &Ledger, agent: &Agent) -> bool {
         let lasting = agent.slots.iter().filter(|(_, slot)| slot.lasting);
         let mut steps = BTreeSet::new();
         lasting.into_iter().all(|(task, _)| {
             // Two of one step at once would count against each other.
-            steps.insert(task.step) && self.may_stop(ledger, *task)
+            steps.insert(task.step) && self.may_stop(now, ledger, *task)
         })
     }
 
     /// Whether the budget of its step lets a lasting task be stopped.
-    pub(super) fn may_stop(&self, ledger: &Ledger, task: TaskId) -> bool {
+    pub(super) fn may_stop(&self, now: Now, ledger: &Ledger, task: TaskId) -> bool {
         let Some(job) = ledger.job(task.step.job) else {
             return true;
         };
@@ -247,7 +247,12 @@
                 task: *ix,
             };
             let agent = other.agent.as_ref().and_then(|id| self.agents.get(id));
-            let agent = agent.filter(|agent| !agent.ending);
+            // Its host may be about to get an order, or have got one of an earlier leader; and of one
+            // that doesn't answer nothing is known.
+            let held = |host| self.touching.is_held(now, host);
+            let agent = agent.filter(|agent| {
+                !agent.ending && agent.trouble.is_none() && !agent.home.as_ref().is_some_and(held)
+            });
             let slot = agent.and_then(|agent| agent.slots.get(&id));
             !slot.is_some_and(|slot| slot.phase == Phase::Running && slot.at_work)
         });
@@ -268,7 +273,7 @@
             let lasting = lasting.filter(|(_, slot)| slot.lasting && slot.phase == Phase::Running);
             let lasting: Vec<_> = lasting.map(|(task, _)| *task).collect();
             for task in lasting {
-                if self.may_stop(ledger, task) {
+                if self.may_stop(now, ledger, task) {
                     log::info!(agent:% = id, task:%; "a lasting task is stopped to empty its host");
                     self.stop(now, &id, task);
                 }
--- a/tests/workload/budgets.rs
+++ b/tests/workload/budgets.rs
@@ -8,9 +8,13 @@
 //! its predecessor may have ordered. Proof: the first test, which puts a new leader into that second.
 
 use egretpin::core::workload::{scheduler::Protections, spec::JobSpec};
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_pcg::Pcg64Mcg;
 
 use crate::world::{World, lasting, ms};
 
+/// Worlds that are played with each set of protections.
+const SEEDS: u64 = 40;
 const HOSTS: [&str; 10] = ["h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"];
 
 /// Ten hosts, and a step of six lasting tasks of which two may be away.
@@ -26,6 +30,32 @@
     world
 }
 
+/// Waves that empty one host each, while leaders come and go, most of them soon after a stop.
+fn play(seed: u64, protections: Protections) -> World {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut world = world(seed, protections);
+    let mut hosts = HOSTS;
+    hosts.shuffle(&mut rng);
+    let mut waves = (1..).zip(hosts);
+    for _ in 0..30 {
+        if let Some((wave, host)) = waves.next() {
+            world.wave(wave, &[host], 1, ms(6_000));
+        }
+        let before = stops(&world);
+        for _ in 0..rng.random_range(5..400) {
+            world.pass(ms(5));
+            if stops(&world) > before && rng.random_bool(0.01) {
+                world.depose();
+                world.pass(ms(rng.random_range(0..300)));
+                world.lead();
+                break;
+            }
+        }
+    }
+    world.pass(ms(10_000));
+    world
+}
+
 fn stops(world: &World) -> usize {
     world.sent.get("stop").copied().unwrap_or_default()
 }
@@ -58,3 +88,54 @@
     world.pass(ms(2000));
     assert_eq!(world.overdrawn, [], "at most two are away");
 }
+
+#[test]
+fn leaders_that_come_and_go_keep_budgets() {
+    let mut count = 0;
+    for seed in 0..SEEDS {
+        let world = play(seed, Protections::default());
+        assert_eq!(world.overdrawn, [], "seed {seed}");
+        count += stops(&world);
+    }
+    assert!(count > 200, "{count} stops put it to the test");
+}
+
+#[test]
+fn without_waiting_for_stops_they_do_not() {
+    let broken = (0..SEEDS).filter(|seed| {
+        let protections = Protections {
+            spent: false,
+            ..Protections::default()
+        };
+        !play(*seed, protections).overdrawn.is_empty()
+    });
+    let broken = broken.count();
+    assert!(
+        broken >= 10,
+        "the check notices: {broken} of {SEEDS} worlds"
+    );
+}
+
+#[test]
+fn work_that_a_dead_leader_had_standing_still_goes_on() {
+    // One host, so that they can't keep apart.
+    let mut world = World::new(1, 10);
+    let mut serving = lasting(1, 2);
+    serving.tail = Some(ms(50));
+    let mut filling = lasting(1, 2);
+    filling.best_effort = true;
+    world.submit(1, JobSpec::new("x", vec![serving, filling]));
+    world.until("both run", ms(2000), |world| world.runs(1).len() == 2);
+    let tail = |world: &World| world.agents.values().next().map(|a| a.tail(world.harm));
+    world.harm = 1000.0;
+    world.until("it stands still", ms(4000), |world| {
+        tail(world) < Some(50.0)
+    });
+    world.depose();
+    world.harm = 1.0;
+    world.pass(ms(200));
+    world.lead();
+    world.until("it has its full speed again", ms(10_000), |world| {
+        tail(world) > Some(10.9)
+    });
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -430,6 +430,7 @@
             lease: self.lease,
             silence: ms(4000),
             holder: self.holder,
+            stop: self.stopping,
             retention: RETENTION,
             protections: self.protections,
         };
