Try: let work go last that can't be in time given what starting it and hearing of it takes

Work is served by its deadline as long as it can be in time, which was reckoned without what the leader itself takes: commit, start, look, commit. It is some hundredths of a second in calm. In a rush that the leader can't keep up with, all that it serves is served when it can only just be in time, and is late by that. Change: each step's remaining time has the pool's lag added for it and each that follows.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -104,6 +104,8 @@
     pub(super) phase: Phase,
     /// Since when it is in this phase.
     pub(super) since: Now,
+    /// When it was decided, or this leader took it over.
+    pub(super) placed: Now,
     /// When a start that got no answer was sent last. It may still be carried out.
     pub(super) unanswered: Option<Now>,
     /// How often its start was sent.
@@ -327,6 +329,7 @@
             room: spec.room(),
             phase,
             since: now,
+            placed: now,
             unanswered: None,
             tries: 0,
             tail: spec.tail,
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -290,12 +290,15 @@
             let mut took = None;
             if let Some(slot) = agent.slots.get_mut(&ended.task).filter(same) {
                 let ran = slot.phase == Phase::Running && ended.how == Ending::Done;
-                took = ran.then(|| (now.saturating_sub(slot.since), slot.estimate));
+                let ages = (slot.since, slot.placed);
+                took = ran.then_some((ages, slot.estimate));
                 slot.enter(now, Phase::Ended);
             }
-            if let Some((took, estimate)) = took {
+            if let Some(((since, placed), estimate)) = took {
+                let took = now.saturating_sub(since);
                 let learned = self.learned.entry(agent.record.pool.clone()).or_default();
                 learned.note(took, estimate);
+                learned.note_lag(now.saturating_sub(placed), estimate);
                 if let Some(ratio) = learned.ratio(took, estimate) {
                     agent.note_pace(now, ratio);
                 }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId,
-    StepIx, StepSpec, TaskIx, Wall,
+    Command, Job, JobId, JobState, Learned, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler,
+    StepId, StepIx, StepSpec, TaskIx, Wall,
 };
 
 impl Scheduler {
@@ -80,7 +80,12 @@
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
         let pool = self.pool(job);
-        let remaining = job.spec.remaining(|step| self.estimate(&pool, step));
+        let lag = self
+            .learned
+            .get(&pool)
+            .map(Learned::lag)
+            .unwrap_or_default();
+        let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
         Ready {
             pool,
             spec: spec.clone(),
--- a/src/core/workload/scheduler/learned.rs
+++ b/src/core/workload/scheduler/learned.rs
@@ -8,6 +8,13 @@
 
 /// How much of an average one task is.
 const WEIGHT: f64 = 0.05;
+/// How much of the averaged lag one task is: it follows the load within a second, over tasks of which
+/// a third is off by as much as the lag itself.
+const LAG_WEIGHT: f64 = 0.01;
+/// How many times the mean deviation of the lag is added to it: a step is through with its last task,
+/// and the last of some is later than the mean by twice the mean deviation of one, if they are spread
+/// evenly.
+const JITTERS: f64 = 2.0;
 /// Estimates that are off by more than this on average (as a logarithm: by four tenths) are no use.
 const USELESS: f64 = 0.35;
 /// Tasks that must have been seen before anything is made of them.
@@ -33,6 +40,11 @@
     off: f64,
     /// Seconds of the longest task lately.
     longest: f64,
+    /// Seconds from the decision to start a task until its end is known, beyond what it was estimated
+    /// to take, averaged.
+    lag: f64,
+    /// How far off that is, averaged.
+    jitter: f64,
 }
 
 impl Learned {
@@ -52,6 +64,21 @@
         self.longest = self.longest.max(took);
     }
 
+    /// From the decision to start a task until its end was known it took so long.
+    pub(super) fn note_lag(&mut self, took: Duration, estimate: Duration) {
+        let lag = took.as_secs_f64() - self.estimate(estimate).as_secs_f64();
+        self.jitter += ((lag - self.lag).abs() - self.jitter) * LAG_WEIGHT;
+        self.lag += (lag - self.lag) * LAG_WEIGHT;
+    }
+
+    /// What starting a task and hearing of its end takes, with what it takes longer now and then.
+    ///
+    /// It is a few hundredths of a second while the leader keeps up. Once it doesn't, work that is
+    /// served by its deadline is served when it can only just be in time, and is late by this.
+    pub(super) fn lag(&self) -> Duration {
+        Duration::from_secs_f64((self.lag + self.jitter * JITTERS).max(0.0))
+    }
+
     /// Whether estimates are of use, as far as is known.
     pub(super) fn is_reliable(&self) -> bool {
         self.count < LEAST || self.off <= USELESS
