Have a leader not read what it wrote itself

Cause: of a full leader's time a thirtieth went into reading its own commands when they were applied, and some into writing an agent's address into a header for each order and into sorting the stirred agents twice. Ruled out: the command that is kept with a proposal is used only where term and index are its own; any other entry is read. Change: that, a host header for each address, and leases that run out are sought among those in trouble.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -59,6 +59,9 @@
 /// The connections to one address.
 #[derive(Debug)]
 struct Lane {
+    address: SocketAddr,
+    /// The address as requests name it, written once.
+    host: HeaderValue,
     places: Semaphore,
     idle: Mutex<Vec<(Connection, Instant)>>,
 }
@@ -89,14 +92,14 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let end = Instant::now() + limit;
-        let lane = self.lane(address);
+        let lane = self.lane(address)?;
         let exchange = async {
             let place = lane.places.acquire().await.map_err(io::Error::other)?;
             let connection = match lane.idle().await {
                 Some(connection) => connection,
-                None => open(address).await?,
+                None => open(lane.address).await?,
             };
-            let (connection, answer) = exchange(connection, address, request).await?;
+            let (connection, answer) = exchange(connection, &lane.host, request).await?;
             lane.keep(connection);
             drop(place);
             Ok(answer)
@@ -108,15 +111,19 @@
         })
     }
 
-    fn lane(&self, address: SocketAddr) -> Arc<Lane> {
+    fn lane(&self, address: SocketAddr) -> io::Result<Arc<Lane>> {
         let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
-        let lane = lanes.entry(address).or_insert_with(|| {
-            Arc::new(Lane {
-                places: Semaphore::new(self.connections),
-                idle: Mutex::default(),
-            })
+        if let Some(lane) = lanes.get(&address) {
+            return Ok(Arc::clone(lane));
+        }
+        let lane = Arc::new(Lane {
+            address,
+            host: host(address)?,
+            places: Semaphore::new(self.connections),
+            idle: Mutex::default(),
         });
-        Arc::clone(lane)
+        lanes.insert(address, Arc::clone(&lane));
+        Ok(lane)
     }
 }
 
@@ -154,7 +161,7 @@
 pub async fn send(address: SocketAddr, request: Request<Bytes>) -> io::Result<Response<Bytes>> {
     timeout(TIMEOUT, async {
         let connection = open(address).await?;
-        let (_, answer) = exchange(connection, address, request).await?;
+        let (_, answer) = exchange(connection, &host(address)?, request).await?;
         Ok(answer)
     })
     .await?
@@ -188,13 +195,17 @@
     Ok(sender)
 }
 
+/// An address as a request names it.
+fn host(address: SocketAddr) -> io::Result<HeaderValue> {
+    HeaderValue::from_str(&address.to_string()).map_err(io::Error::other)
+}
+
 async fn exchange(
     mut connection: Connection,
-    address: SocketAddr,
+    host: &HeaderValue,
     mut request: Request<Bytes>,
 ) -> io::Result<(Connection, Response<Bytes>)> {
-    let host = HeaderValue::from_str(&address.to_string()).map_err(io::Error::other)?;
-    request.headers_mut().insert(HOST, host);
+    request.headers_mut().insert(HOST, host.clone());
     let answer = connection
         .send_request(request.map(Full::new))
         .await
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -141,6 +141,14 @@
         ids.filter_map(|id| self.get(id)).inspect(|_| self.look())
     }
 
+    /// The ids of those that were stirred and don't answer, in order.
+    pub(super) fn stirred_troubled(&self) -> Vec<MinionId> {
+        let stirred = |id: &&MinionId| self.known.get(*id).is_some_and(|entry| entry.stirred);
+        let ids: Vec<_> = self.troubled.iter().filter(stirred).cloned().collect();
+        self.looks.set(self.looks.get() + ids.len());
+        ids
+    }
+
     /// Stirs those whose time has come.
     pub(super) fn stir_due(&mut self, now: Now) {
         while self.agenda.first().is_some_and(|(due, _)| *due <= now) {
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -75,13 +75,10 @@
 
     /// Frees what was at agents whose leases have surely run out.
     pub(super) fn expire_leases(&mut self, now: Now) {
-        for id in &self.agents.stirred() {
+        for id in &self.agents.stirred_troubled() {
             let Some(agent) = self.agents.get_mut(id) else {
                 continue;
             };
-            if agent.trouble.is_none() {
-                continue;
-            }
             let lease = agent.lease;
             for (task, slot) in &mut agent.slots {
                 let lapse = slot.lapse(lease, &self.settings);
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -387,7 +387,7 @@
             self.ports.metrics.placed_after(*age);
         }
         for command in plan.commands {
-            self.propose(Asker::Nobody, &command);
+            self.propose(Asker::Nobody, command);
         }
         // Asked anew: a process can freeze between two steps.
         if !self.leads() {
@@ -423,9 +423,9 @@
         }
     }
 
-    pub(super) fn propose(&mut self, asker: Asker, command: &Command) {
-        let proposal = self.waiting.propose(asker);
+    pub(super) fn propose(&mut self, asker: Asker, command: Command) {
         let payload = command.encode();
+        let proposal = self.waiting.propose(asker, Some(command));
         self.load.proposed(payload.len());
         self.consensus(consensus::Input::Propose { proposal, payload });
     }
--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -70,9 +70,12 @@
 
     fn apply(&mut self, entry: &Entry) {
         let waiter = self.waiting.applied(entry.term, entry.index);
+        let (waiter, command) = waiter.map_or((None, None), |applied| {
+            (Some((applied.asker, applied.own)), applied.command)
+        });
         if let Content::Command(payload) = &entry.content {
             self.bytes += payload.len();
-            match Command::decode(payload) {
+            match command.map_or_else(|| Command::decode(payload), Ok) {
                 Ok(command) => self.apply_command(entry.index, &command),
                 Err(error) => self.fail(format!("entry {}: {error}", entry.index)),
             }
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -53,7 +53,7 @@
         let wanted = self.members.wanted(now, &voting);
         if let Some(voters) = wanted {
             log::info!(voters:? = voters, now:? = self.node.voters(); "the voters should change");
-            let proposal = self.waiting.propose(Asker::Membership);
+            let proposal = self.waiting.propose(Asker::Membership, None);
             self.consensus(consensus::Input::Reconfigure { proposal, voters });
         }
     }
--- a/src/manager/questions.rs
+++ b/src/manager/questions.rs
@@ -33,8 +33,8 @@
                 self.reply(asker, text.map_or(none, Reply::Catalog));
             }
             Ask::Beat(beat) => self.beat(asker, &beat),
-            Ask::Leave(agent) => self.propose(asker, &Command::Gone(agent)),
-            Ask::BeginWave(wave) => self.propose(asker, &Command::Wave(wave)),
+            Ask::Leave(agent) => self.propose(asker, Command::Gone(agent)),
+            Ask::BeginWave(wave) => self.propose(asker, Command::Wave(wave)),
             Ask::WaveState(wave) => {
                 let record = self.ledger.wave_record(wave);
                 let none = Reply::Unknown(Unknown::Wave);
@@ -52,7 +52,7 @@
             // Acknowledged and without effect.
             return self.reply(asker, Reply::Done);
         }
-        self.propose(asker, &Command::Declare(document));
+        self.propose(asker, Command::Declare(document));
     }
 
     fn call(&mut self, asker: Asker, call: Call) {
@@ -96,17 +96,17 @@
             spec,
             accepted: wall(),
         };
-        self.propose(asker, &Command::Submit(Box::new(submission)));
+        self.propose(asker, Command::Submit(Box::new(submission)));
     }
 
     fn cancel(&mut self, asker: Asker, job: u64) {
         match self.ledger.job(job) {
             None if self.submitting.contains_key(&job) => {
-                self.propose(asker, &Command::Cancel(job));
+                self.propose(asker, Command::Cancel(job));
             }
             None => self.reply(asker, Reply::Unknown(Unknown::Job)),
             Some(found) if found.is_over() => self.reply(asker, Reply::Done),
-            Some(_) => self.propose(asker, &Command::Cancel(job)),
+            Some(_) => self.propose(asker, Command::Cancel(job)),
         }
     }
 
@@ -121,7 +121,7 @@
             .as_mut()
             .and_then(|scheduler| scheduler.heard(now, &self.ledger, &beat.agent, beat.clock));
         match news {
-            Some(news) => self.propose(asker, &news),
+            Some(news) => self.propose(asker, news),
             None => self.reply(asker, Reply::Done),
         }
     }
