Reckon with the lag of plain tasks only, and with half of the time to spare at most

Tasks that may run away from their data are estimated at three times as long, which made the lag negative and its deviation seconds, so that all counted as late. Change: such tasks say nothing of the lag; at most half of what a job has to spare is reckoned with, spread over its steps, so that a job which is served at once never counts as late.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -124,6 +124,8 @@
     pub(super) inherited: bool,
     /// About how long it takes at most, where it is.
     pub(super) estimate: Duration,
+    /// Whether that is as it was estimated, and not stretched for where it may run.
+    pub(super) plain: bool,
 }
 
 /// Where an attempt stands.
@@ -324,6 +326,7 @@
 impl Slot {
     /// An attempt of a step's task.
     pub(super) fn new(spec: &StepSpec, attempt: Attempt, phase: Phase, now: Now) -> Self {
+        let plain = spec.data_rack.is_none() && !spec.one_rack;
         Self {
             attempt,
             room: spec.room(),
@@ -338,11 +341,12 @@
             lasting: spec.lasting,
             at_work: false,
             inherited: false,
-            estimate: if spec.data_rack.is_some() || spec.one_rack {
-                spec.estimate * FAR
-            } else {
+            estimate: if plain {
                 spec.estimate
+            } else {
+                spec.estimate * FAR
             },
+            plain,
         }
     }
 
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -294,15 +294,17 @@
             let mut took = None;
             if let Some(slot) = agent.slots.get_mut(&ended.task).filter(same) {
                 let ran = slot.phase == Phase::Running && ended.how == Ending::Done;
-                let ages = (slot.since, slot.placed);
-                took = ran.then_some((ages, slot.estimate));
+                took = ran.then(|| slot.clone());
                 slot.enter(now, Phase::Ended);
             }
-            if let Some(((since, placed), estimate)) = took {
-                let took = now.saturating_sub(since);
+            if let Some(slot) = took {
+                let Slot { estimate, .. } = slot;
+                let took = now.saturating_sub(slot.since);
                 let learned = self.learned.entry(agent.record.pool.clone()).or_default();
                 learned.note(took, estimate);
-                learned.note_lag(now.saturating_sub(placed), estimate);
+                if slot.plain {
+                    learned.note_lag(now.saturating_sub(slot.placed), estimate);
+                }
                 if let Some(ratio) = learned.ratio(took, estimate) {
                     agent.note_pace(now, ratio);
                 }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Command, Job, JobId, JobState, Learned, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler,
-    StepId, StepIx, StepSpec, TaskIx, Wall,
+    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId,
+    StepIx, StepSpec, TaskIx, Wall,
 };
 
 impl Scheduler {
@@ -80,11 +80,7 @@
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
         let pool = self.pool(job);
-        let lag = self
-            .learned
-            .get(&pool)
-            .map(Learned::lag)
-            .unwrap_or_default();
+        let lag = self.lag(&pool, job);
         let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
         Ready {
             pool,
@@ -100,6 +96,25 @@
         }
     }
 
+    /// What each step of a job of a pool is expected to take longer than its tasks.
+    ///
+    /// What is served by its deadline as long as it can be in time is served, once there is more of it
+    /// than can be done, when it can only just be: it is late by whatever wasn't reckoned with, and all
+    /// that comes after it too. At most half of the time that the job has to spare is reckoned with,
+    /// so that what is served at once never counts as late.
+    fn lag(&self, pool: &PoolId, job: &Job) -> Duration {
+        let Some(learned) = self.learned.get(pool) else {
+            return Duration::ZERO;
+        };
+        let steps = u32::try_from(job.spec.steps.len())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        let chain = job.spec.remaining(|step| self.estimate(pool, step));
+        let chain = chain.into_iter().max().unwrap_or_default();
+        let spare = self.objective(job).saturating_sub(chain);
+        learned.lag().min(spare / (steps * 2))
+    }
+
     /// How long a job should take: its longest chain, stretched as its queue says, and the queue's
     /// target.
     pub(super) fn objective(&self, job: &Job) -> Duration {
