--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -52,6 +52,14 @@
 }
 
 impl Entry {
+    /// Notes in `stirred` that it may have changed, once.
+    fn stir(&mut self, stirred: &mut Vec<MinionId>) {
+        if !self.stirred {
+            self.stirred = true;
+            stirred.push(self.agent.record.id.clone());
+        }
+    }
+
     fn reindex(&mut self, pools: &mut BTreeMap<PoolId, BTreeSet<(u64, MinionId)>>) {
         let AgentRecord { id, pool, .. } = &self.agent.record;
         let free = self.agent.free().millicores;
@@ -74,10 +82,7 @@
     /// An agent to be changed, which stirs it.
     pub(super) fn get_mut(&mut self, id: &MinionId) -> Option<&mut Agent> {
         let entry = self.known.get_mut(id)?;
-        if !entry.stirred {
-            entry.stirred = true;
-            self.stirred.push(id.clone());
-        }
+        entry.stir(&mut self.stirred);
         Some(&mut entry.agent)
     }
 
@@ -157,10 +162,7 @@
             };
             if let Some(entry) = self.known.get_mut(&id) {
                 entry.due = None;
-                if !entry.stirred {
-                    entry.stirred = true;
-                    self.stirred.push(id);
-                }
+                entry.stir(&mut self.stirred);
             }
         }
         self.index();
@@ -192,9 +194,8 @@
     /// Stirs all, as if each had changed; what is decided then must be the same.
     pub(super) fn stir_all(&mut self) {
         for id in &self.ids {
-            if let Some(entry) = self.known.get_mut(id).filter(|entry| !entry.stirred) {
-                entry.stirred = true;
-                self.stirred.push(id.clone());
+            if let Some(entry) = self.known.get_mut(id) {
+                entry.stir(&mut self.stirred);
             }
         }
     }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler, StepId,
-    StepIx, StepSpec, TaskIx, Wall,
+    Command, Job, JobId, JobState, Learned, Ledger, Now, Occurrence, PoolId, Ready, Run, Scheduler,
+    StepId, StepIx, StepSpec, TaskIx, Wall,
 };
 
 impl Scheduler {
@@ -80,13 +80,14 @@
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted.get(&id.job).copied().unwrap_or(now);
         let pool = self.pool(job);
-        let lag = self.lag(&pool, job);
+        let objective = self.objective(job);
+        let lag = self.lag(&pool, job, objective);
         let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
         Ready {
             pool,
             spec: spec.clone(),
             free,
-            deadline: accepted + self.objective(job),
+            deadline: accepted + objective,
             left: remaining
                 .get(usize::from(id.step))
                 .copied()
@@ -106,26 +107,29 @@
     /// within noise). And at most half of the time that the job has to spare is, so that what is served
     /// at once never counts as late. With 300 agents and four times the work that a leader can start,
     /// nine tenths of what is done is in time, and a fifth without it (in a world of tests).
-    fn lag(&self, pool: &PoolId, job: &Job) -> Duration {
-        let Some(learned) = self.learned.get(pool) else {
-            return Duration::ZERO;
-        };
+    fn lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
+        let learned = self.learned.get(pool).map(Learned::lag);
+        let lag = learned.unwrap_or_default().mul_f64(self.pressure.level());
+        if lag.is_zero() {
+            return lag;
+        }
         let steps = u32::try_from(job.spec.steps.len())
             .unwrap_or(u32::MAX)
             .max(1);
-        let chain = job.spec.remaining(|step| self.estimate(pool, step));
-        let chain = chain.into_iter().max().unwrap_or_default();
-        let spare = self.objective(job).saturating_sub(chain);
-        let lag = learned.lag().mul_f64(self.pressure.level());
+        let spare = objective.saturating_sub(self.chain(pool, job));
         lag.min(spare / (steps * 2))
     }
 
+    /// About how long a job's longest chain of steps takes.
+    fn chain(&self, pool: &PoolId, job: &Job) -> Duration {
+        let remaining = job.spec.remaining(|step| self.estimate(pool, step));
+        remaining.into_iter().max().unwrap_or_default()
+    }
+
     /// How long a job should take: its longest chain, stretched as its queue says, and the queue's
     /// target.
     pub(super) fn objective(&self, job: &Job) -> Duration {
-        let pool = self.pool(job);
-        let remaining = job.spec.remaining(|step| self.estimate(&pool, step));
-        let chain = remaining.into_iter().max().unwrap_or_default();
+        let chain = self.chain(&self.pool(job), job);
         let queue = self.catalog.queue(&job.queue);
         let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
         chain.mul_f64(stretch.max(1.0)) + target
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -93,9 +93,7 @@
             }
         }
     }
-}
 
-impl Scheduler {
     /// Lets the agents rest that nothing is due for now.
     pub(super) fn rest(&mut self, now: Now) {
         let Self {
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -67,8 +67,10 @@
         // of them took two thirds of the leader's time with 300 agents (profiled in a world of tests).
         let mut widest = self.widest(now, pool);
         let mut last = None;
-        let fits = |least: u64, widest: &Resources| least <= widest.millicores;
-        while starts.len() < STARTS && self.ready.least(pool).is_some_and(|l| fits(l, &widest)) {
+        while starts.len() < STARTS
+            && let Some(least) = self.ready.least(pool)
+            && least <= widest.millicores
+        {
             let Some(rank) = self.ready.next(pool, last) else {
                 return;
             };
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -244,13 +244,13 @@
             self.load.waited(came);
             self.take(input);
         }
-        let taking = self.load.done(Part::Take);
+        self.load.done(Part::Take);
         self.lead();
         self.plan();
-        let planning = self.load.done(Part::Plan);
+        self.load.done(Part::Plan);
         self.settle();
-        let rest = self.load.done(Part::Rest);
-        self.load.end(taking + planning + rest);
+        self.load.done(Part::Rest);
+        self.load.end();
         let under_way = self.scheduler.as_ref().map_or(0, Scheduler::under_way);
         self.load.close(under_way);
     }
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -44,16 +44,44 @@
 #[derive(Debug)]
 pub(super) struct Load {
     metrics: Arc<Metrics>,
-    began: Instant,
     sums: Sums,
-    /// For how long the thread had been busy when the window began.
-    busy: Duration,
-    /// When the last part of a turn ended.
+    /// Since the window began.
+    window: Meter,
+    /// Since the last sample.
+    sample: Meter,
+    /// When this turn began, and when the last part of it ended.
+    begun: Instant,
     mark: Instant,
     /// The longest that an input of this turn waited.
     wait: Duration,
-    /// When the busy part was sampled last, and for how long the thread had been busy by then.
-    sampled: (Instant, Duration),
+}
+
+/// Reads the part of a span that the thread was busy.
+#[derive(Debug)]
+struct Meter {
+    since: Instant,
+    /// For how long the thread had been busy by then.
+    busy: Duration,
+}
+
+impl Meter {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            busy: busy(),
+        }
+    }
+
+    /// The span until now and the busy part of it, if it is this long at least; the next begins now.
+    fn read(&mut self, now: Instant, least: Duration) -> Option<(Duration, f64)> {
+        let span = now - self.since;
+        if span < least {
+            return None;
+        }
+        let before = std::mem::replace(self, Self::new(now));
+        let part = (self.busy - before.busy).as_secs_f64() / span.as_secs_f64();
+        Some((span, part))
+    }
 }
 
 impl Load {
@@ -61,18 +89,19 @@
         let now = Instant::now();
         Self {
             metrics,
-            began: now,
             sums: Sums::default(),
-            busy: busy(),
+            window: Meter::new(now),
+            sample: Meter::new(now),
+            begun: now,
             mark: now,
             wait: Duration::ZERO,
-            sampled: (now, busy()),
         }
     }
 
     /// A turn begins with so many inputs.
     pub(super) fn begin(&mut self, inputs: usize) {
-        self.mark = Instant::now();
+        self.begun = Instant::now();
+        self.mark = self.begun;
         self.sums.turns += 1;
         self.sums.inputs += inputs;
         self.sums.batch = self.sums.batch.max(inputs);
@@ -85,8 +114,8 @@
         self.wait = self.wait.max(wait);
     }
 
-    /// A part of the turn is done; returns how long it took.
-    pub(super) fn done(&mut self, part: Part) -> Duration {
+    /// A part of the turn is done.
+    pub(super) fn done(&mut self, part: Part) {
         let now = Instant::now();
         let took = now - self.mark;
         self.mark = now;
@@ -97,12 +126,11 @@
         };
         *sum += took;
         self.metrics.turned(part, took);
-        took
     }
 
-    /// The turn took so long in all.
-    pub(super) fn end(&mut self, took: Duration) {
-        self.sums.turn = self.sums.turn.max(took);
+    /// The turn is over with its last part.
+    pub(super) fn end(&mut self) {
+        self.sums.turn = self.sums.turn.max(self.mark - self.begun);
         let wait = std::mem::take(&mut self.wait);
         self.sums.wait = self.sums.wait.max(wait);
         self.metrics.waited(wait);
@@ -122,29 +150,17 @@
 
     /// A span that ends now and the part of it that the thread was busy, if it is time for a sample.
     pub(super) fn sample(&mut self) -> Option<(Duration, f64)> {
-        let (since, before) = self.sampled;
-        let span = self.mark - since;
-        if span < SAMPLE {
-            return None;
-        }
-        let total = busy();
-        self.sampled = (self.mark, total);
-        Some((span, (total - before).as_secs_f64() / span.as_secs_f64()))
+        self.sample.read(self.mark, SAMPLE)
     }
 
     /// Closes the window if it is over, and logs it if the task was behind in it or its thread full.
     ///
     /// `under_way` is how many orders wait for their answers.
     pub(super) fn close(&mut self, under_way: usize) {
-        let window = self.mark - self.began;
-        if window < WINDOW {
+        let Some((_, share)) = self.window.read(self.mark, WINDOW) else {
             return;
-        }
-        let total = busy();
-        let share = (total - self.busy).as_secs_f64() / window.as_secs_f64();
+        };
         let sums = std::mem::take(&mut self.sums);
-        self.began = self.mark;
-        self.busy = total;
         self.metrics.busy.set(share);
         if sums.wait < BEHIND && share < FULL {
             return;
--- a/tests/workload/budgets.rs
+++ b/tests/workload/budgets.rs
@@ -118,24 +118,14 @@
 
 #[test]
 fn work_that_a_dead_leader_had_standing_still_goes_on() {
-    // One host, so that they can't keep apart.
-    let mut world = World::new(1, 10);
-    let mut serving = lasting(1, 2);
-    serving.tail = Some(ms(50));
-    let mut filling = lasting(1, 2);
-    filling.best_effort = true;
-    world.submit(1, JobSpec::new("x", vec![serving, filling]));
-    world.until("both run", ms(2000), |world| world.runs(1).len() == 2);
-    let tail = |world: &World| world.agents.values().next().map(|a| a.tail(world.harm));
+    let mut world = World::with_filling(10);
     world.harm = 1000.0;
-    world.until("it stands still", ms(4000), |world| {
-        tail(world) < Some(50.0)
-    });
+    world.until("it stands still", ms(4000), |world| world.tail() < 50.0);
     world.depose();
     world.harm = 1.0;
     world.pass(ms(200));
     world.lead();
     world.until("it has its full speed again", ms(10_000), |world| {
-        tail(world) > Some(10.9)
+        world.tail() > 10.9
     });
 }
--- a/tests/workload/promises.rs
+++ b/tests/workload/promises.rs
@@ -198,38 +198,25 @@
 
 #[test]
 fn best_effort_work_is_throttled_while_it_disturbs() {
-    // One host, so that they can't keep apart.
-    let mut world = World::new(1, 10);
-    let mut serving = lasting(1, 2);
-    serving.tail = Some(ms(50));
-    let mut filling = lasting(1, 2);
-    filling.best_effort = true;
-    world.submit(1, JobSpec::new("x", vec![serving, filling]));
-    world.until("both run", ms(2000), |world| world.runs(1).len() == 2);
-    let tail = |world: &World| {
-        let agents = world.agents.values();
-        agents
-            .map(|agent| agent.tail(world.harm))
-            .fold(0.0, f64::max)
-    };
+    let mut world = World::with_filling(10);
     world.harm = 60.0;
     world.until("the tail is below its target", ms(4000), |world| {
-        tail(world) < 50.0
+        world.tail() < 50.0
     });
     for _ in 0..80 {
         world.pass(ms(100));
-        assert!(tail(&world) < 55.0, "{}", tail(&world));
+        assert!(world.tail() < 55.0, "{}", world.tail());
     }
     assert!(
-        tail(&world) > 25.0,
+        world.tail() > 25.0,
         "much of the work goes on: {}",
-        tail(&world)
+        world.tail()
     );
     world.harm = 1000.0;
-    world.until("it stands still", ms(4000), |world| tail(world) < 50.0);
+    world.until("it stands still", ms(4000), |world| world.tail() < 50.0);
     world.harm = 1.0;
     world.until("it has its full speed again", ms(10_000), |world| {
-        tail(world) > 10.9
+        world.tail() > 10.9
     });
 }
 
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -362,6 +362,27 @@
         world
     }
 
+    /// A host with a lasting task that serves and a best-effort one beside it: it is the only one, so
+    /// that they can't keep apart.
+    pub(crate) fn with_filling(seed: u64) -> Self {
+        let mut world = Self::new(1, seed);
+        let mut serving = lasting(1, 2);
+        serving.tail = Some(ms(50));
+        let mut filling = lasting(1, 2);
+        filling.best_effort = true;
+        world.submit(1, JobSpec::new("x", vec![serving, filling]));
+        world.until("both run", ms(2000), |world| world.runs(1).len() == 2);
+        world
+    }
+
+    /// The highest tail latency of what serves, in milliseconds.
+    pub(crate) fn tail(&self) -> f64 {
+        let agents = self.agents.values();
+        agents
+            .map(|agent| agent.tail(self.harm))
+            .fold(0.0, f64::max)
+    }
+
     /// Adds a host that is up in a pool.
     pub(crate) fn host(&mut self, host: &str, pool: &str) {
         let view = HostView {
