--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -140,6 +140,11 @@
         agents.inspect(|_| self.look())
     }
 
+    /// How many a pool has.
+    pub(super) fn count(&self, pool: &PoolId) -> usize {
+        self.pools.get(pool).map_or(0, BTreeSet::len)
+    }
+
     /// Those that don't answer.
     pub(super) fn troubled(&self) -> impl Iterator<Item = &Agent> {
         let ids = self.troubled.iter();
--- a/src/core/workload/scheduler/suspects.rs
+++ b/src/core/workload/scheduler/suspects.rs
@@ -28,6 +28,9 @@
 /// Of a pool's hosts, one in so many is a probe at most, as long as no unit has waited for too long, and
 /// then.
 const PROBES: (usize, usize) = (4, 2);
+/// From one look for a probe to the next. Each is at up to all agents of a pool, and a unit begins on a
+/// probe a quarter of a second after another.
+const LOOK: Duration = Duration::from_millis(20);
 /// How long a unit waits for a probe before there may be more of them, or before one that needs a host to
 /// itself begins beside others. Callers count on a task that could be started not waiting for three seconds.
 const PATIENCE: Duration = Duration::from_millis(2000);
@@ -58,14 +61,21 @@
     lasting: bool,
 }
 
+/// A unit that waits for a probe.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    since: Now,
+    /// When one is looked for again.
+    next: Now,
+}
+
 /// The tasks under which hosts have ended, and the agents that are probes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspects {
     jobs: BTreeMap<JobId, BTreeMap<TaskId, Held>>,
     /// The probes, and which unit begins there.
     probes: BTreeMap<MinionId, Option<Unit>>,
-    /// Since when units have waited for a probe.
-    waiting: BTreeMap<Unit, Now>,
+    waiting: BTreeMap<Unit, Waiting>,
     /// Tasks whose jobs fail with the next round.
     convicted: Vec<TaskId>,
     /// Their jobs, until they are over.
@@ -235,6 +245,10 @@
         spec: &StepSpec,
         step: StepId,
     ) -> Option<MinionId> {
+        let waiting = self.suspects.waiting.get(&unit).copied();
+        if waiting.is_some_and(|waiting| now < waiting.next) {
+            return None;
+        }
         let probes = self.suspects.probes.iter();
         let current = probes.filter(|(_, current)| **current == Some(unit));
         let current = current.map(|(id, _)| id.clone()).next();
@@ -242,7 +256,9 @@
             .or_else(|| self.free_probe(now, pool, unit, spec, step))
             .or_else(|| self.new_probe(now, pool, unit, spec, step));
         let Some(probe) = probe else {
-            let since = *self.suspects.waiting.entry(unit).or_insert(now);
+            let since = waiting.map_or(now, |waiting| waiting.since);
+            let next = now + LOOK;
+            self.suspects.waiting.insert(unit, Waiting { since, next });
             // A host without what lasts may not be had; where nothing else begins always is.
             let share = self.suspects.is_slow(unit) && now >= since + PATIENCE;
             return share.then(|| self.shared(now, pool, spec, step))?;
@@ -326,11 +342,10 @@
         spec: &StepSpec,
         step: StepId,
     ) -> Option<MinionId> {
-        let since = self.suspects.waiting.get(&unit);
-        let patient = since.is_none_or(|since| now < *since + PATIENCE);
-        let hosts = self.agents.with_room(pool, 0).count();
+        let waiting = self.suspects.waiting.get(&unit);
+        let patient = waiting.is_none_or(|waiting| now < waiting.since + PATIENCE);
         let part = if patient { PROBES.0 } else { PROBES.1 };
-        if self.probes(pool) >= hosts.div_ceil(part) {
+        if self.probes(pool) >= self.agents.count(pool).div_ceil(part) {
             return None;
         }
         let able = self.able(now, pool, 0);
@@ -360,7 +375,7 @@
     }
 
     /// Probes of a pool.
-    pub(super) fn probes(&self, pool: &PoolId) -> usize {
+    fn probes(&self, pool: &PoolId) -> usize {
         let probes = self.suspects.probes.keys();
         let probes = probes.filter_map(|id| self.agents.get(id));
         probes.filter(|agent| agent.record.pool == *pool).count()
