Say why an agent ended and what was concluded about each task there

The lines on tasks that end their hosts named hosts, proof and beginnings only, so four hypotheses about starts after a third host couldn't be told apart. Each end of an agent now logs its cause (ordered, announced, together, idle, unknown), how long ago it was heard and how often its host had ended; each task there its phase, age and whether it counted as just begun and as alone; a lease that runs out at a silent agent is logged, too. No decision changes.

--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -86,6 +86,7 @@
             for (task, slot) in &mut agent.slots {
                 let lapse = slot.lapse(lease, &self.settings);
                 if lapse.is_some_and(|lapse| now >= lapse) {
+                    log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:? = slot.phase; "a task's lease has run out at a silent agent");
                     slot.enter(now, Phase::Ended);
                     self.freed.push(Placed {
                         task: *task,
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -102,6 +102,21 @@
     }
 }
 
+/// What is known of why an agent ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// An order of ours about its host.
+    Ordered,
+    /// It had said that it would leave.
+    Announced,
+    /// Its rack or its data centre lost all its agents together.
+    Together,
+    /// Nothing was at work there.
+    Idle,
+    /// What ran there may have ended it.
+    Unknown,
+}
+
 /// An end that may be the doing of what ran there.
 struct Suspicious {
     crash: Crash,
@@ -113,19 +128,49 @@
     pub(super) fn bury(&mut self, now: Now, gone: &BTreeSet<MinionId>) -> Vec<Command> {
         // All are noted before any is judged: those that end together are told of together.
         let noted: Vec<_> = gone.iter().map(|id| self.note_loss(now, id)).collect();
-        let judged = gone.iter().zip(noted).map(|(id, suspicious)| {
-            let suspicious = suspicious.filter(|s| !self.is_explained(gone, &s.loss));
-            suspicious.map_or(Command::Gone(id.clone()), |s| Command::Crashed(s.crash))
+        let judged = gone.iter().zip(noted).map(|(id, noted)| {
+            let judged = noted.and_then(|suspicious| {
+                let together = self.is_explained(gone, &suspicious.loss);
+                (!together).then_some(suspicious).ok_or(Cause::Together)
+            });
+            self.log_loss(now, id, judged.as_ref());
+            judged.map_or(Command::Gone(id.clone()), |s| Command::Crashed(s.crash))
         });
         judged.collect()
     }
 
-    /// Notes the end of an agent, unless it was to be expected or nothing was at work there.
-    fn note_loss(&mut self, now: Now, id: &MinionId) -> Option<Suspicious> {
-        let agent = self.agents.get(id)?;
-        let expected = agent.record.leaving || self.is_ordered(id);
-        if expected || !self.settings.protections.suspicion {
-            return None;
+    /// Logs why an agent ended, and what speaks for and against what ran there.
+    fn log_loss(&self, now: Now, id: &MinionId, judged: Result<&Suspicious, &Cause>) {
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let cause = judged.err().copied().unwrap_or(Cause::Unknown);
+        let (taint, placed) = (self.taint(now, agent), agent.slots.len());
+        let (heard, trouble) = (now.saturating_sub(agent.heard), agent.trouble.is_some());
+        log::info!(agent:% = id, cause:?, placed, heard:?, trouble, taint; "an agent has ended");
+        let tasks = judged.map_or(&[][..], |suspicious| &suspicious.crash.tasks);
+        for present in tasks {
+            let Some(slot) = agent.slots.get(&present.task) else {
+                continue;
+            };
+            let (phase, age) = (slot.phase, now.saturating_sub(slot.since));
+            let Present { task, begun, alone } = present;
+            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, begun, alone, inherited = slot.inherited; "a task was there when its agent ended");
+        }
+    }
+
+    /// Notes the end of an agent, unless it was to be expected; what may have ended it, if anything
+    /// was at work there.
+    fn note_loss(&mut self, now: Now, id: &MinionId) -> Result<Suspicious, Cause> {
+        let agent = self.agents.get(id).ok_or(Cause::Idle)?;
+        if self.is_ordered(id) {
+            return Err(Cause::Ordered);
+        }
+        if agent.record.leaving {
+            return Err(Cause::Announced);
+        }
+        if !self.settings.protections.suspicion {
+            return Err(Cause::Idle);
         }
         let there = agent.slots.iter();
         let there = there.filter(|(_, slot)| slot.may_run());
@@ -160,7 +205,10 @@
             tasks,
         };
         self.losses.note(host, loss.clone());
-        (!crash.tasks.is_empty()).then_some(Suspicious { crash, loss })
+        let idle = crash.tasks.is_empty();
+        (!idle)
+            .then_some(Suspicious { crash, loss })
+            .ok_or(Cause::Idle)
     }
 
     /// How often an agent's host has ended lately for a reason that isn't known. An agent whose host
