--- a/src/core/workload/command.rs
+++ b/src/core/workload/command.rs
@@ -150,12 +150,12 @@
     /// Tasks that end the hosts that run them; their jobs fail.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub convicted: Vec<TaskId>,
-    /// Suspected tasks that have begun and whose hosts go on.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub passed: Vec<TaskId>,
     /// Lasting tasks that have been at work for so long that nothing is held against them any more.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cleared: Vec<TaskId>,
+    /// When it was decided, by the leader's clock. Rounds of earlier releases say nothing.
+    #[serde(default)]
+    pub at: Wall,
 }
 
 impl Round {
@@ -167,7 +167,6 @@
             && self.starts.is_empty()
             && self.touch.is_none()
             && self.convicted.is_empty()
-            && self.passed.is_empty()
             && self.cleared.is_empty()
     }
 }
--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -143,6 +143,9 @@
     pub done: bool,
     /// From where the next attempt goes on.
     pub checkpoint: Option<Name>,
+    /// When the last attempt was decided, by the clock of the leader of that time. Older images hold none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub began: Option<Wall>,
     /// The hosts that ended under it. Older images hold none.
     #[serde(default, skip_serializing_if = "Evidence::is_none")]
     pub evidence: Evidence,
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -40,12 +40,12 @@
     },
     job::{Job, JobState, StepId, Task, TaskId},
     spec::{StepIx, TaskIx},
-    suspicion::{Crash, Evidence},
+    suspicion::{Crash, Evidence, Seen},
     touched::Touched,
 };
 use crate::core::{
     consensus::{Index, Payload},
-    types::{Attempt, HostId, MinionId, Name, WaveId},
+    types::{Attempt, HostId, MinionId, Name, Wall, WaveId},
 };
 
 /// How many of the incarnations that are over are remembered, the last ones. Each takes some 15 bytes
@@ -121,6 +121,9 @@
     /// Hosts that leaders gave orders about lately. Older images hold none.
     #[serde(default)]
     touched: Touched,
+    /// How often hosts were seen to end by themselves. Older images hold none.
+    #[serde(default)]
+    seen: Seen,
     /// Derived: jobs of each queue of which nothing has been started.
     #[serde(skip)]
     pending: BTreeMap<Name, u64>,
@@ -212,6 +215,11 @@
         &self.touched
     }
 
+    /// How often hosts were seen to end by themselves when the last one ended.
+    pub fn seen(&self) -> Seen {
+        self.seen
+    }
+
     /// The bytes of a snapshot.
     pub fn image(&self) -> Payload {
         let mut bytes = Vec::new();
@@ -302,13 +310,14 @@
     }
 
     fn crash(&mut self, crash: &Crash, changes: &mut Vec<Change>) {
+        self.seen = crash.seen;
         for present in &crash.tasks {
             let id = present.task;
             let Some(task) = self.task_mut(id) else {
                 continue;
             };
             if is_at(task, &crash.agent) && !task.done {
-                task.evidence.note(present.begun, present.alone);
+                task.evidence.note(present.weight, present.worked);
                 changes.push(Change::Suspected(id, task.evidence));
             }
         }
@@ -333,18 +342,13 @@
         for task in &round.convicted {
             self.convict(*task, changes);
         }
-        for id in &round.passed {
-            if let Some(task) = self.task_mut(*id) {
-                task.evidence.pass();
-            }
-        }
         for id in &round.cleared {
             if let Some(task) = self.task_mut(*id) {
                 task.evidence = Evidence::default();
             }
         }
         for start in &round.starts {
-            self.place(start, changes);
+            self.place(start, round.at, changes);
         }
         if let Some(touch) = &round.touch {
             self.touched.apply(touch);
@@ -452,7 +456,7 @@
         }
     }
 
-    fn place(&mut self, start: &Placed, changes: &mut Vec<Change>) {
+    fn place(&mut self, start: &Placed, at: Wall, changes: &mut Vec<Change>) {
         if !self.agents.contains_key(&start.agent) {
             return;
         }
@@ -476,6 +480,7 @@
         }
         let before = task.agent.replace(start.agent.clone());
         task.attempt = start.attempt;
+        task.began = (!at.is_zero()).then_some(at);
         if first {
             job.state = JobState::Running;
             let queue = job.queue.clone();
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -8,7 +8,7 @@
     throttle::FULL,
 };
 use crate::core::{
-    types::{Attempt, HostId, Now, Resources},
+    types::{Attempt, HostId, Now, Resources, Wall},
     workload::{catalog::JobId, command::AgentRecord, job::TaskId, spec::StepSpec},
 };
 
@@ -34,9 +34,8 @@
 /// How long an agent whose task is overdue gets nothing new.
 pub(super) const LAGGING: Duration = Duration::from_secs(2);
 
-/// How long a task takes to begin, from the answer to its start. What ends a host as it begins does so
-/// within some hundredths of a second, and the last word of the host is as old as that.
-pub(super) const BEGINNING: Duration = Duration::from_millis(250);
+/// An agent that was heard so short a time ago is taken to live.
+pub(super) const LATELY: Duration = Duration::from_millis(200);
 
 /// An agent that the leader gives orders to.
 #[derive(Clone, Debug)]
@@ -78,6 +77,8 @@
     pub(super) fenced: Option<AgentTime>,
     /// Since when its renewals fail.
     pub(super) trouble: Option<Now>,
+    /// When an order to it first got no answer since it was heard.
+    pub(super) silent: Option<Now>,
     /// The host that a list has shown it at.
     pub(super) home: Option<HostId>,
     /// Until when it gets nothing new.
@@ -110,6 +111,8 @@
     pub(super) since: Now,
     /// When it was decided, or this leader took it over.
     pub(super) placed: Now,
+    /// When an earlier leader decided it, by that one's clock, if it said so.
+    pub(super) began: Option<Wall>,
     /// When a start that got no answer was sent last. It may still be carried out.
     pub(super) unanswered: Option<Now>,
     /// How often its start was sent.
@@ -122,6 +125,8 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) lasting: bool,
+    /// Whether hosts have ended under it before.
+    pub(super) doubtful: bool,
     /// Whether it was last seen to do all that it should.
     pub(super) at_work: bool,
     /// Whether an earlier leader placed it, and may have told it to stop.
@@ -177,6 +182,7 @@
             told: acked,
             fenced: None,
             trouble: None,
+            silent: None,
             home: None,
             aside: now,
             cordoned: false,
@@ -190,6 +196,12 @@
         }
     }
 
+    /// It was heard.
+    pub(super) fn hear(&mut self, now: Now) {
+        self.heard = now;
+        self.silent = None;
+    }
+
     pub(super) fn target(&self) -> Target {
         Target {
             agent: self.record.id.clone(),
@@ -338,12 +350,14 @@
             phase,
             since: now,
             placed: now,
+            began: None,
             unanswered: None,
             tries: 0,
             tail: spec.tail,
             share: FULL,
             best_effort: spec.best_effort,
             lasting: spec.lasting,
+            doubtful: false,
             at_work: false,
             inherited: false,
             estimate: if plain {
@@ -374,21 +388,6 @@
         }
     }
 
-    /// Whether it had just begun, or may have, when its agent was heard last.
-    pub(super) fn has_begun(&self, agent: &Agent) -> bool {
-        let Agent { heard, known, .. } = *agent;
-        if self.inherited {
-            // When it began isn't known; but its agent hasn't been heard in this term at all.
-            return heard <= known;
-        }
-        self.phase != Phase::Running || heard < self.since + BEGINNING
-    }
-
-    /// Whether it runs and its agent was heard after it had begun.
-    pub(super) fn is_under_way(&self, agent: &Agent) -> bool {
-        self.phase == Phase::Running && agent.heard >= self.since + BEGINNING
-    }
-
     /// Whether it has run for longer than that.
     pub(super) fn has_run(&self, now: Now, limit: Duration) -> bool {
         self.phase == Phase::Running && !self.lasting && now >= self.since + limit
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -82,6 +82,7 @@
         if matches!(answer, Answer::Silent) {
             // The next renewal tells whether the agent answers at all.
             agent.next = now;
+            agent.silent.get_or_insert(now);
         }
         if let Answer::Refused {
             why: Refusal::Grant,
@@ -181,7 +182,7 @@
         agent.renewal = None;
         match answer {
             Answer::Report(report) => {
-                agent.heard = now;
+                agent.hear(now);
                 agent.trouble = None;
                 agent.told = agent.told.max(acked);
                 agent.tell_time(now, report.clock);
@@ -198,6 +199,7 @@
                     log::info!(agent:% = id; "an agent doesn't answer");
                 }
                 agent.trouble.get_or_insert(sent);
+                agent.silent.get_or_insert(now);
                 let idle = agent.slots.is_empty();
                 agent.next = now + if idle { ACK_DELAY } else { RENEW_RETRY };
             }
@@ -354,7 +356,7 @@
             _ => None,
         };
         if let Some(clock) = clock {
-            agent.heard = now;
+            agent.hear(now);
             agent.tell_time(now, clock);
         }
     }
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -171,7 +171,7 @@
                 return Some((host, view, Now::ZERO));
             };
             let agent = self.agents.get(id)?;
-            let kept = self.suspects.is_probe(id);
+            let kept = self.probes.contains(id);
             let free = agent.slots.is_empty() && agent.is_well() && !kept;
             free.then_some((host, view, agent.idle))
         })
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Scheduler, Slot,
-    StepSpec, TaskId, Wall,
+    StepSpec, Task, TaskId, Wall,
     throttle::{INHERITED, UNTOLD},
 };
 
@@ -23,10 +23,12 @@
         let id = &record.id;
         let mut agent = Agent::new(record.clone(), now);
         for task in ledger.placed(id) {
-            let Some((spec, attempt)) = placed_spec(ledger, task) else {
+            let Some((spec, placed)) = placed_spec(ledger, task) else {
                 continue;
             };
+            let attempt = placed.attempt;
             let mut slot = Slot::new(spec, attempt, Phase::Unsure, now);
+            slot.began = placed.began;
             // What the earlier leader sent last may still be under way.
             slot.unanswered = Some(now);
             slot.inherited = true;
@@ -84,6 +86,7 @@
             Change::Declared | Change::Placed(_) | Change::Wave(_) | Change::Convicted(_) => {}
             Change::Agent(id) => self.know(now, ledger, id),
             Change::Gone(id) => {
+                self.losses.commit(id);
                 self.agents.remove(id);
                 self.ends.remove(id);
             }
@@ -183,9 +186,9 @@
     }
 }
 
-/// What a task that is placed runs, and in which attempt.
-fn placed_spec(ledger: &Ledger, task: TaskId) -> Option<(&StepSpec, u32)> {
+/// What a task that is placed runs, and what is known of it.
+fn placed_spec(ledger: &Ledger, task: TaskId) -> Option<(&StepSpec, &Task)> {
     let job = ledger.job(task.step.job)?;
     let spec = job.spec.steps.get(usize::from(task.step.step))?;
-    Some((spec, job.task(task)?.attempt))
+    Some((spec, job.task(task)?))
 }
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -71,8 +71,13 @@
     /// Hosts that each pool should have.
     pub(super) fn needs(&mut self, now: Now, span: Duration) -> BTreeMap<PoolId, Need> {
         let loads = self.loads();
-        let sizes = self.agents.values().map(|a| a.record.room.millicores);
-        let size = sizes.max().unwrap_or_default().max(1) as f64;
+        let (mut size, mut busy) = (1, 0);
+        for agent in self.agents.values() {
+            size = size.max(agent.record.room.millicores);
+            busy += usize::from(!agent.slots.is_empty());
+        }
+        let size = size as f64;
+        self.losses.watch(now, busy);
         let pools = self.catalog.pools.iter().filter(|p| !p.spare);
         let names: Vec<_> = pools.map(|p| p.name.clone()).collect();
         let expected = self.hosts.turns.expected(now);
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -6,7 +6,7 @@
 
 use super::{
     About, Agent, EXTEND, MinionId, Now, Phase, Placed, STRAY, Scheduler, Settings, Slot, WAIT,
-    WATCH, What, agent::BEGINNING,
+    WATCH, What,
 };
 
 /// From one look at an agent for which something is due that can't be done to the next: as often as
@@ -51,9 +51,6 @@
             } else {
                 WAIT.0
             };
-            // Whether what has just begun there ends its host is to be known soon.
-            let probe = self.suspects.is_probe(id);
-            let wait = if probe { wait.min(BEGINNING) } else { wait };
             let settles = agent.settles(now, self.settings.stop);
             let wait = settles.map_or(wait, |left| wait.min(left));
             due.push((id.clone(), agent.target(), acked, until, wait));
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -6,22 +6,27 @@
 //! once do if no job was at all of them. All other ends are evidence against what ran there
 //! ([`suspicion`](crate::core::workload::suspicion)).
 //!
-//! A host that has ended may end again for the same unknown reason. So suspects aren't put there for a
-//! while if there is another, and where a host has ended twice, its next end proves nothing against a
-//! task that was alone there. Ends that turn out to be the doing of a convicted task don't count.
+//! What the end of a host proves against a task that ran there alone is how unlikely it is that the host
+//! ended by itself in that time. How often hosts do is learnt: from those that ended lately under
+//! nothing that is still suspected. A host that has ended may end again for the same unknown reason. So
+//! suspects aren't put there for a while if there is another, and where a host has ended twice, its next
+//! end proves nothing. Ends that turn out to be the doing of a convicted task don't count.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque},
     time::Duration,
 };
 
-use super::{Agent, MinionId, Now, Scheduler, hosts::Stage, suspects::Unit};
+use super::{
+    Agent, MinionId, Now, Scheduler, Slot, TaskId, agent::LATELY, hosts::Stage, suspects::Suspects,
+    unit::Unit,
+};
 use crate::core::{
-    types::{DataCentreId, HostId, RackId},
+    types::{DataCentreId, HostId, RackId, Wall},
     workload::{
         catalog::JobId,
         command::Command,
-        suspicion::{Crash, Present},
+        suspicion::{Crash, Present, Seen, decibans},
     },
 };
 
@@ -38,70 +43,136 @@
 
 /// A host that has ended so often is what's wrong.
 const UNSOUND: usize = 2;
-/// An agent that was heard so short a time ago is taken to live.
-pub(super) const LATELY: Duration = Duration::from_millis(200);
+/// For how long the end of a host says how often hosts end. Long enough that a fleet of ten that lost none
+/// in it proves a task guilty which works for ten seconds, and short enough for a change to be seen.
+const WINDOW: Duration = Duration::from_secs(60);
+/// Added to the ends that were seen: of rates that explain none, half are below what half an end gives.
+const UNSEEN: f64 = 0.5;
 
 /// The end of an agent that was neither ordered nor announced.
 #[derive(Clone, Debug)]
 struct Loss {
     at: Now,
+    agent: MinionId,
+    /// Whether it is in the log what the end is held against.
+    committed: bool,
+    host: Option<HostId>,
     rack: Option<RackId>,
     data_centre: DataCentreId,
-    /// What was at work there. An end under no job at all has another cause.
-    jobs: BTreeSet<JobId>,
+    /// What was at work there.
+    tasks: Vec<TaskId>,
+}
+
+impl Loss {
+    /// The jobs at work there. An end under no job at all has another cause.
+    fn jobs(&self) -> BTreeSet<JobId> {
+        self.tasks.iter().map(|task| task.step.job).collect()
+    }
+
+    /// Whether a task that was there may still turn out to have ended it.
+    fn is_open(&self, suspects: &Suspects) -> bool {
+        !self.committed || self.tasks.iter().any(|task| suspects.is_open(*task))
+    }
 }
 
-/// The last ends of agents.
-#[derive(Clone, Debug, Default)]
+/// The last ends of agents, and how long agents were at work for it.
+#[derive(Clone, Debug)]
 pub(super) struct Losses {
+    /// The last one last.
     recent: VecDeque<Loss>,
-    /// When each host ended, and under which jobs, the last end last.
-    hosts: BTreeMap<HostId, Vec<(Now, BTreeSet<JobId>)>>,
+    /// How many earlier leaders saw when this one began.
+    before: u32,
+    began: Now,
+    /// For how long hosts were at work lately, all together, and until when that is counted.
+    worked: Duration,
+    watched: Now,
 }
 
 impl Losses {
-    /// How often a host has ended lately for a reason that isn't known.
-    fn count(&self, now: Now, host: &HostId) -> usize {
-        let ends = self.hosts.get(host).into_iter().flatten();
-        ends.filter(|(at, _)| now < *at + TAINTED).count()
+    /// The last ends, given what earlier leaders saw of them.
+    pub(super) fn new(now: Now, before: Seen) -> Self {
+        Self {
+            recent: VecDeque::new(),
+            before: before.ends,
+            began: now,
+            worked: before.worked,
+            watched: now,
+        }
+    }
+
+    /// How often a host has ended lately for a reason that isn't known. Ends under a task that ended
+    /// others, too, are that task's doing as far as is known.
+    fn count(&self, now: Now, host: &HostId, suspects: &Suspects) -> usize {
+        let ends = self.recent.iter();
+        let ends = ends.filter(|loss| loss.host.as_ref() == Some(host) && now < loss.at + TAINTED);
+        let known = |loss: &&Loss| !loss.tasks.iter().any(|task| suspects.has_ended_more(*task));
+        ends.filter(known).count()
     }
 
     /// The hosts that ended under a job did so because of it.
     pub(super) fn explain(&mut self, job: JobId) {
-        for ends in self.hosts.values_mut() {
-            ends.retain(|(_, jobs)| !jobs.contains(&job));
+        self.recent
+            .retain(|loss| loss.tasks.iter().all(|task| task.step.job != job));
+    }
+
+    /// It is in the log that an agent has ended.
+    pub(super) fn commit(&mut self, agent: &MinionId) {
+        let loss = self.recent.iter_mut().rev();
+        if let Some(loss) = loss.into_iter().find(|loss| loss.agent == *agent) {
+            loss.committed = true;
         }
     }
 
-    fn note(&mut self, host: Option<HostId>, loss: Loss) {
+    fn note(&mut self, loss: Loss) {
         let now = loss.at;
-        self.recent.retain(|before| now < before.at + TOGETHER);
-        self.hosts.retain(|_, ends| {
-            ends.retain(|(at, _)| now < *at + TAINTED);
-            !ends.is_empty()
-        });
-        if let Some(host) = host {
-            let ends = self.hosts.entry(host).or_default();
-            ends.push((now, loss.jobs.clone()));
-        }
+        self.recent.retain(|before| now < before.at + WINDOW);
         self.recent.push_back(loss);
     }
 
-    /// Whether many ended of those that are alike, and no job was at all of them.
-    fn is_common(&self, alike: impl Fn(&Loss) -> bool) -> bool {
-        let mut alike = self.recent.iter().filter(|loss| alike(loss));
+    /// So many hosts are at work. Idle ones aren't looked at, so that nobody would see them end.
+    pub(super) fn watch(&mut self, now: Now, busy: usize) {
+        let span = now.saturating_sub(self.watched);
+        self.watched = now;
+        let kept = self.worked.mul_f64(fading(span));
+        self.worked = kept + span * u32::try_from(busy).unwrap_or(u32::MAX);
+    }
+
+    /// How often hosts were seen to end by themselves, but for those that a task was at.
+    fn seen(&self, now: Now, suspects: &Suspects, task: Option<TaskId>) -> Seen {
+        let lately = self.recent.iter().filter(|loss| now < loss.at + WINDOW);
+        let others = lately.filter(|loss| !task.is_some_and(|task| loss.tasks.contains(&task)));
+        let ends = others.filter(|loss| !loss.is_open(suspects)).count();
+        let before = f64::from(self.before) * fading(now.saturating_sub(self.began));
+        Seen {
+            worked: self.worked,
+            ends: u32::try_from(ends).unwrap_or(u32::MAX) + before.round() as u32,
+        }
+    }
+
+    /// Whether many ended together of those that are alike, and no job was at all of them.
+    fn is_common(&self, now: Now, alike: impl Fn(&Loss) -> bool) -> bool {
+        let together = self.recent.iter().filter(|loss| now < loss.at + TOGETHER);
+        let mut alike = together.filter(|loss| alike(loss));
         let Some(first) = alike.next() else {
             return false;
         };
-        let (mut count, mut jobs) = (1, first.jobs.clone());
+        // A host that ends twice is one, and an agent of an unknown host may be of one of them.
+        let (mut hosts, mut jobs) = (BTreeSet::from([&first.host]), first.jobs());
         for loss in alike {
-            count += 1;
-            jobs.retain(|job| loss.jobs.contains(job));
+            hosts.insert(&loss.host);
+            let others = loss.jobs();
+            jobs.retain(|job| others.contains(job));
         }
-        count >= LEAST && jobs.is_empty()
+        hosts.remove(&None);
+        hosts.len() >= LEAST && jobs.is_empty()
     }
 }
 
+/// How much of what was seen so long ago still counts.
+fn fading(span: Duration) -> f64 {
+    (-span.as_secs_f64() / WINDOW.as_secs_f64()).exp()
+}
+
 /// What is known of why an agent ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Cause {
@@ -125,12 +196,13 @@
 
 impl Scheduler {
     /// What is committed for agents that are over.
-    pub(super) fn bury(&mut self, now: Now, gone: &BTreeSet<MinionId>) -> Vec<Command> {
+    pub(super) fn bury(&mut self, now: Now, wall: Wall, gone: &BTreeSet<MinionId>) -> Vec<Command> {
         // All are noted before any is judged: those that end together are told of together.
-        let noted: Vec<_> = gone.iter().map(|id| self.note_loss(now, id)).collect();
+        let noted = gone.iter();
+        let noted: Vec<_> = noted.map(|id| self.note_loss(now, wall, id)).collect();
         let judged = gone.iter().zip(noted).map(|(id, noted)| {
             let judged = noted.and_then(|suspicious| {
-                let together = self.is_explained(gone, &suspicious.loss);
+                let together = self.is_explained(now, gone, &suspicious.loss);
                 (!together).then_some(suspicious).ok_or(Cause::Together)
             });
             self.log_loss(now, id, judged.as_ref());
@@ -145,23 +217,30 @@
             return;
         };
         let cause = judged.err().copied().unwrap_or(Cause::Unknown);
+        let rate = self.end_rate(now, None);
         let (taint, placed) = (self.taint(now, agent), agent.slots.len());
         let (heard, trouble) = (now.saturating_sub(agent.heard), agent.trouble.is_some());
-        log::info!(agent:% = id, cause:?, placed, heard:?, trouble, taint; "an agent has ended");
+        log::info!(agent:% = id, cause:?, placed, heard:?, trouble, taint, rate; "an agent has ended");
         let tasks = judged.map_or(&[][..], |suspicious| &suspicious.crash.tasks);
         for present in tasks {
             let Some(slot) = agent.slots.get(&present.task) else {
                 continue;
             };
             let (phase, age) = (slot.phase, now.saturating_sub(slot.since));
-            let Present { task, begun, alone } = present;
-            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, begun, alone, inherited = slot.inherited; "a task was there when its agent ended");
+            let Present {
+                task,
+                attempt,
+                weight,
+                worked,
+            } = present;
+            let inherited = slot.inherited;
+            log::info!(agent:% = id, task:%, attempt, phase:?, age:?, inherited, worked:?, weight; "a task was there when its agent ended");
         }
     }
 
     /// Notes the end of an agent, unless it was to be expected; what may have ended it, if anything
     /// was at work there.
-    fn note_loss(&mut self, now: Now, id: &MinionId) -> Result<Suspicious, Cause> {
+    fn note_loss(&mut self, now: Now, wall: Wall, id: &MinionId) -> Result<Suspicious, Cause> {
         let agent = self.agents.get(id).ok_or(Cause::Idle)?;
         if self.is_ordered(id) {
             return Err(Cause::Ordered);
@@ -172,54 +251,85 @@
         if !self.settings.protections.suspicion {
             return Err(Cause::Idle);
         }
-        let there = agent.slots.iter();
-        let there = there.filter(|(_, slot)| slot.may_run());
-        let there = there.map(|(task, slot)| {
-            let unit = Unit::of(*task, slot.lasting);
-            (*task, unit, slot)
-        });
-        let there: Vec<_> = there.collect();
-        let heard = agent.heard;
-        let began = there.iter().filter(|(.., slot)| slot.has_begun(agent));
-        let began: BTreeSet<_> = began.map(|(_, unit, _)| *unit).collect();
-        let units: BTreeSet<_> = there.iter().map(|(_, unit, _)| *unit).collect();
-        // Where something had just begun, that is what ended the host if anything there did.
-        let sole = if began.is_empty() { units } else { began };
-        let sound = self.taint(now, agent) < UNSOUND;
-        let tasks = there.iter().map(|(task, unit, slot)| Present {
-            task: *task,
-            begun: slot.has_begun(agent),
-            // A host that wasn't heard shortly before the start may have ended before it.
-            alone: sound && sole.len() == 1 && sole.contains(unit) && heard + LATELY >= slot.placed,
-        });
+        if agent.slots.is_empty() && agent.heard <= agent.known {
+            // It may have ended long before this leader began, by an order of an earlier one.
+            return Err(Cause::Idle);
+        }
+        let there = agent.slots.iter().filter(|(_, slot)| slot.may_run());
+        let tasks = there.map(|(task, slot)| self.weigh(now, wall, agent, *task, slot));
         let tasks: Vec<_> = tasks.collect();
         let loss = Loss {
             at: now,
+            agent: id.clone(),
+            committed: false,
+            host: agent.home.clone(),
             rack: agent.record.rack().cloned(),
             data_centre: agent.record.data_centre.clone(),
-            jobs: tasks.iter().map(|present| present.task.step.job).collect(),
+            tasks: tasks.iter().map(|present| present.task).collect(),
         };
-        let host = agent.home.clone();
         let crash = Crash {
             agent: id.clone(),
             tasks,
+            seen: self.losses.seen(now, &self.suspects, None),
         };
-        self.losses.note(host, loss.clone());
+        self.losses.note(loss.clone());
         let idle = crash.tasks.is_empty();
         (!idle)
             .then_some(Suspicious { crash, loss })
             .ok_or(Cause::Idle)
     }
 
+    /// What the end of its agent proves against a task.
+    fn weigh(&self, now: Now, wall: Wall, agent: &Agent, task: TaskId, slot: &Slot) -> Present {
+        // It had ended when it first gave no answer.
+        let end = agent.silent.unwrap_or(now);
+        let after = now.saturating_sub(end);
+        let worked = self.worked(now, wall, task, slot).saturating_sub(after);
+        let alone = self.was_alone(agent, Unit::of(task, slot.lasting));
+        let sound = self.taint(now, agent) < UNSOUND;
+        // A host that wasn't heard shortly before the start may have ended before it.
+        let lived = agent.heard + LATELY >= slot.placed;
+        let weight = if alone && sound && lived {
+            decibans(self.end_rate(now, Some(task)) * worked.as_secs_f64())
+        } else {
+            0
+        };
+        Present {
+            task,
+            attempt: slot.attempt,
+            weight,
+            worked,
+        }
+    }
+
+    /// For how long a task may have been at work where it is.
+    fn worked(&self, now: Now, wall: Wall, task: TaskId, slot: &Slot) -> Duration {
+        let known = now.saturating_sub(slot.placed);
+        if !slot.inherited {
+            return known;
+        }
+        // An earlier leader placed it, by its own wall clock, which may differ from ours.
+        let since = slot.began.map(|began| wall.saturating_sub(began));
+        let accepted = self.accepted.get(&task.step.job);
+        let age = accepted.map(|accepted| now.saturating_sub(*accepted));
+        since.or(age).map_or(known, |since| since.max(known))
+    }
+
+    /// How often a host ends by itself, in ends a second, by those that a task wasn't at.
+    fn end_rate(&self, now: Now, task: Option<TaskId>) -> f64 {
+        let seen = self.losses.seen(now, &self.suspects, task);
+        (f64::from(seen.ends) + UNSEEN) / seen.worked.as_secs_f64().max(f64::EPSILON)
+    }
+
     /// How often an agent's host has ended lately for a reason that isn't known. An agent whose host
     /// isn't known may be of one that has just come back.
     pub(super) fn taint(&self, now: Now, agent: &Agent) -> usize {
         let home = agent.home.as_ref();
-        home.map_or(1, |host| self.losses.count(now, host))
+        home.map_or(1, |host| self.losses.count(now, host, &self.suspects))
     }
 
     /// Whether the rack or the data centre of an agent that ended has lost all of its agents together.
-    fn is_explained(&self, gone: &BTreeSet<MinionId>, loss: &Loss) -> bool {
+    fn is_explained(&self, now: Now, gone: &BTreeSet<MinionId>, loss: &Loss) -> bool {
         let (mut rack, mut centre) = (loss.rack.is_some(), true);
         let left = self.agents.iter().filter(|(id, _)| !gone.contains(*id));
         for (_, agent) in left {
@@ -227,8 +337,8 @@
             centre &= agent.record.data_centre != loss.data_centre;
         }
         let losses = &self.losses;
-        (rack && losses.is_common(|l| l.rack == loss.rack))
-            || (centre && losses.is_common(|l| l.data_centre == loss.data_centre))
+        (rack && losses.is_common(now, |l| l.rack == loss.rack))
+            || (centre && losses.is_common(now, |l| l.data_centre == loss.data_centre))
     }
 
     /// Whether an order about its host may have ended an agent.
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -47,12 +47,14 @@
 mod place;
 mod presence;
 mod pressure;
+mod probes;
 mod ready;
 mod starts;
 mod strays;
 mod suspects;
 mod throttle;
 mod touching;
+mod unit;
 mod vacating;
 mod waves;
 
@@ -75,6 +77,7 @@
     learned::Learned,
     losses::Losses,
     pressure::Pressure,
+    probes::Probes,
     ready::{Queue, Ready},
     suspects::Suspects,
     touching::Touching,
@@ -82,7 +85,7 @@
 use super::{
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, End, Ends, Placed, Round},
-    job::{Job, JobState, Run, StepId, TaskId},
+    job::{Job, JobState, Run, StepId, Task, TaskId},
     ledger::{Change, Ledger},
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
@@ -240,6 +243,7 @@
     learned: BTreeMap<PoolId, Learned>,
     pressure: Pressure,
     suspects: Suspects,
+    probes: Probes,
     losses: Losses,
     /// Hosts whose maintenance has begun, by wave.
     maintained: Vec<(WaveId, HostId)>,
@@ -308,7 +312,8 @@
             learned: BTreeMap::new(),
             pressure: Pressure::default(),
             suspects: Suspects::default(),
-            losses: Losses::default(),
+            probes: Probes::default(),
+            losses: Losses::new(now, ledger.seen()),
             maintained: Vec::new(),
             orders: Vec::new(),
             ages: Vec::new(),
@@ -336,6 +341,7 @@
                 scheduler.suspect(job, task, evidence);
             }
         }
+        scheduler.inherit_probes();
         scheduler
     }
 
@@ -371,7 +377,7 @@
                 return None;
             }
             agent.sequence = record.sequence;
-            agent.heard = now;
+            agent.hear(now);
             agent.tell_time(now, clock);
         }
         let news = match ledger.agent(&record.id) {
@@ -411,7 +417,7 @@
         self.open_due(now, wall, ledger);
         let mut gone = std::mem::take(&mut self.gone);
         gone.retain(|agent| ledger.agent(agent).is_some());
-        let mut commands = self.bury(now, &gone);
+        let mut commands = self.bury(now, wall, &gone);
         for (wave, host) in std::mem::take(&mut self.maintained) {
             let hosts = vec![host];
             commands.push(Command::Maintained { wave, hosts });
@@ -421,7 +427,7 @@
         self.forget_strays(now);
         self.tend_hosts(now, wall, ledger);
         if self.rounds < ROUNDS {
-            let round = self.round(now, ledger);
+            let round = self.round(now, wall, ledger);
             if !round.is_empty() {
                 self.rounds += 1;
                 commands.push(Command::Round(round));
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -27,6 +27,8 @@
 struct Fit {
     /// Its tasks take about as long as they should.
     sound: bool,
+    /// It runs nothing under which a host has ended before.
+    safe: bool,
     /// It is on the rack that the data is on.
     near: bool,
     /// It has nothing that the task would disturb or be disturbed by.
@@ -77,6 +79,7 @@
     let disturbed = spec.tail.is_some() && agent.has_best_effort();
     Fit {
         sound: !agent.is_slow(now),
+        safe: !agent.slots.values().any(|slot| slot.doubtful),
         near,
         apart: !disturbs && !disturbed,
         alike: spec.lasting && agent.slots.values().any(|slot| slot.lasting),
--- /dev/null
+++ b/src/core/workload/scheduler/probes.rs
@@ -0,0 +1,318 @@
+//! Where tasks run next under which hosts have ended.
+//!
+//! One under which a single host has ended runs at once, but apart from others like it and where little
+//! else does: if one of those that were there ended the host, only that one ends another.
+//!
+//! A suspect runs on a *probe*: an agent where nothing else does, from its start to its end, so that
+//! nothing but the suspect can be what ends it. Nothing new is started there while it empties, nor beside
+//! the suspect. What else of the suspect's unit could start waits until it is done.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    Agent, Ledger, MinionId, Now, Placed, PoolId, Scheduler, Slot, StepId, StepSpec, TaskId,
+    agent::LATELY, place, starts::attempts, unit::Unit,
+};
+
+/// Of a pool's hosts, one in so many is a probe at most, as long as no unit has waited for too long, and
+/// then.
+const PROBES: (usize, usize) = (4, 2);
+/// From one look for a probe to the next. Each is at up to all agents of a pool.
+const LOOK: Duration = Duration::from_millis(20);
+/// How long a unit waits for a probe before there may be more of them, or before a lasting task runs
+/// beside others. Callers count on a task that could be started not waiting for three seconds.
+const PATIENCE: Duration = Duration::from_millis(2000);
+
+/// A unit that waits for a probe.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    since: Now,
+    /// When one is looked for again.
+    next: Now,
+}
+
+/// The agents that are probes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Probes {
+    /// Which unit runs there, or is to.
+    agents: BTreeMap<MinionId, Option<Unit>>,
+    waiting: BTreeMap<Unit, Waiting>,
+}
+
+impl Probes {
+    /// Whether an agent is a probe.
+    pub(super) fn contains(&self, agent: &MinionId) -> bool {
+        self.agents.contains_key(agent)
+    }
+
+    /// Has a unit run on an agent, which is a probe from now on.
+    pub(super) fn insert(&mut self, agent: MinionId, unit: Unit) {
+        self.waiting.remove(&unit);
+        self.agents.insert(agent, Some(unit));
+    }
+
+    /// The probe where a unit runs, or is to.
+    fn of(&self, unit: Unit) -> Option<MinionId> {
+        let mut probes = self.agents.iter();
+        let probe = probes.find(|(_, current)| **current == Some(unit));
+        probe.map(|(id, _)| id.clone())
+    }
+}
+
+/// A task of a step that is to be started.
+#[derive(Clone, Copy)]
+struct Sought<'a> {
+    pool: &'a PoolId,
+    step: StepId,
+    spec: &'a StepSpec,
+}
+
+impl Scheduler {
+    /// Starts the tasks of a step under which hosts have ended, where they may run now.
+    pub(super) fn start_suspects(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        step: StepId,
+        spec: &StepSpec,
+        starts: &mut Vec<Placed>,
+    ) {
+        let Some(ready) = self.ready.get(step) else {
+            return;
+        };
+        let pool = ready.pool.clone();
+        let pool = &pool;
+        let sought = Sought { pool, step, spec };
+        let tasks = ready.free.iter().map(|task| TaskId { step, task: *task });
+        let tasks = tasks.filter_map(|task| Some((self.suspects.get(task)?.evidence, task)));
+        let mut tasks: Vec<_> = tasks.collect();
+        // Where not all fit one host, those go first that are the nearest to a verdict.
+        tasks.sort_by_key(|(evidence, task)| (Reverse((evidence.weight, evidence.hosts)), *task));
+        for (evidence, task) in tasks {
+            let unit = self.suspects.unit(task, spec.lasting);
+            let agent = match unit {
+                Some(unit) if evidence.is_suspect() => self.probe_for(now, &sought, unit),
+                // It waits until the others of its unit are done.
+                Some(_) => None,
+                None => self.apart(now, &sought),
+            };
+            let Some(agent) = agent else {
+                return;
+            };
+            let attempt = attempts(ledger, task) + 1;
+            let placed = Placed {
+                task,
+                attempt,
+                agent,
+            };
+            self.propose(now, spec, placed, starts);
+        }
+    }
+
+    /// An agent for a task under which one host has ended: away from others like it, and where an end
+    /// does little harm.
+    fn apart(&self, now: Now, sought: &Sought<'_>) -> Option<MinionId> {
+        let Sought { pool, step, spec } = *sought;
+        let able = self.able(now, pool, spec.room().millicores);
+        let able = able.filter(|agent| {
+            self.is_eligible(now, step, agent) && place::may_run(agent, spec, step)
+        });
+        let rank = |agent: &&Agent| {
+            let tasks = agent.slots.keys();
+            let others = tasks.filter(|task| self.suspects.get(**task).is_some());
+            let tainted = self.taint(now, agent) > 0;
+            (
+                others.count(),
+                tainted,
+                agent.slots.len(),
+                agent.record.id.clone(),
+            )
+        };
+        able.min_by_key(rank).map(|agent| agent.record.id.clone())
+    }
+
+    /// The agent where a task of a suspected unit may run now.
+    fn probe_for(&mut self, now: Now, sought: &Sought<'_>, unit: Unit) -> Option<MinionId> {
+        let Sought { step, spec, .. } = *sought;
+        let waiting = self.probes.waiting.get(&unit).copied();
+        if waiting.is_some_and(|waiting| now < waiting.next) {
+            return None;
+        }
+        let probe = self
+            .probes
+            .of(unit)
+            .or_else(|| self.free_probe(now, sought, unit))
+            .or_else(|| self.new_probe(now, sought, unit));
+        let Some(probe) = probe else {
+            let since = waiting.map_or(now, |waiting| waiting.since);
+            let next = now + LOOK;
+            self.probes.waiting.insert(unit, Waiting { since, next });
+            let share = spec.lasting && now >= since + PATIENCE;
+            return share.then(|| self.apart(now, sought))?;
+        };
+        self.probes.insert(probe.clone(), unit);
+        let agent = self.agents.get(&probe)?;
+        let able = self.is_able(now, agent)
+            && self.is_alone(agent, unit)
+            && place::may_run(agent, spec, step);
+        if !able {
+            return None;
+        }
+        if now > agent.heard + LATELY {
+            // Whether it still lives has to be known before, or its end would be put down to the unit.
+            if let Some(agent) = self.agents.get_mut(&probe) {
+                agent.looked = None;
+                agent.next = agent.next.min(now);
+            }
+            return None;
+        }
+        Some(probe)
+    }
+
+    /// Whether nothing is placed at an agent besides a unit but what lasts and nothing is held against.
+    fn is_alone(&self, agent: &Agent, unit: Unit) -> bool {
+        let mut slots = agent.slots.iter();
+        slots.all(|(task, slot)| self.is_apart(*task, slot, unit))
+    }
+
+    /// Whether nothing else may be what ended an agent that a unit ran at.
+    pub(super) fn was_alone(&self, agent: &Agent, unit: Unit) -> bool {
+        let mut ran = agent.slots.iter().filter(|(_, slot)| slot.may_run());
+        ran.all(|(task, slot)| self.is_apart(*task, slot, unit))
+    }
+
+    /// Whether a task is of a unit, or lasts and nothing is held against it.
+    fn is_apart(&self, task: TaskId, slot: &Slot, unit: Unit) -> bool {
+        let innocent = slot.lasting && self.suspects.get(task).is_none();
+        innocent || Unit::of(task, slot.lasting) == unit
+    }
+
+    /// Takes the probes over from an earlier leader.
+    pub(super) fn inherit_probes(&mut self) {
+        let suspects = self
+            .suspects
+            .all()
+            .filter(|(_, held)| held.evidence.is_suspect());
+        let units: BTreeSet<_> = suspects
+            .map(|(task, held)| Unit::of(task, held.lasting))
+            .collect();
+        for unit in units {
+            let there = |agent: &Agent| {
+                let mut slots = agent.slots.iter();
+                slots.any(|(task, slot)| Unit::of(*task, slot.lasting) == unit)
+            };
+            let probes = self.agents.iter();
+            let probes = probes.filter(|(_, agent)| there(agent) && self.is_alone(agent, unit));
+            let probes: Vec<_> = probes.map(|(id, _)| id.clone()).collect();
+            for probe in probes {
+                self.probes.insert(probe, unit);
+            }
+        }
+    }
+
+    /// Whether a unit could run on an agent once what is short there has ended.
+    fn could_begin(&self, now: Now, agent: &Agent, sought: &Sought<'_>) -> bool {
+        let Sought { step, spec, .. } = *sought;
+        self.is_eligible(now, step, agent) && place::could_run(agent, spec, step)
+    }
+
+    /// A probe of a pool where nothing runs now.
+    fn free_probe(&self, now: Now, sought: &Sought<'_>, unit: Unit) -> Option<MinionId> {
+        let Sought { pool, step, spec } = *sought;
+        let probes = self.probes.agents.iter();
+        let free = probes.filter(|(_, current)| current.is_none());
+        let free = free.filter_map(|(id, _)| self.agents.get(id));
+        let free = free.filter(|agent| {
+            agent.record.pool == *pool
+                && self.is_able(now, agent)
+                && self.could_begin(now, agent, sought)
+        });
+        // Whose turn it is next.
+        let rank = |agent: &&Agent| {
+            let ready = self.is_alone(agent, unit) && place::may_run(agent, spec, step);
+            (!ready, agent.record.id.clone())
+        };
+        let next = free.min_by_key(rank);
+        next.map(|agent| agent.record.id.clone())
+    }
+
+    /// An agent that becomes a probe: a sound one that is empty soon.
+    fn new_probe(&self, now: Now, sought: &Sought<'_>, unit: Unit) -> Option<MinionId> {
+        let pool = sought.pool;
+        let waiting = self.probes.waiting.get(&unit);
+        let patient = waiting.is_none_or(|waiting| now < waiting.since + PATIENCE);
+        let part = if patient { PROBES.0 } else { PROBES.1 };
+        if self.count_probes(pool) >= self.agents.count(pool).div_ceil(part) {
+            return None;
+        }
+        let able = self.able(now, pool, 0);
+        let able = able.filter(|agent| self.could_begin(now, agent, sought));
+        let rank = |agent: &&Agent| {
+            let lasts = agent.slots.values().any(|slot| slot.lasting);
+            let tainted = self.taint(now, agent);
+            let empties = agent.empties().filter(|_| !lasts);
+            (
+                lasts,
+                tainted,
+                empties,
+                agent.slots.len(),
+                agent.record.id.clone(),
+            )
+        };
+        able.min_by_key(rank).map(|agent| agent.record.id.clone())
+    }
+
+    /// Probes of a pool.
+    fn count_probes(&self, pool: &PoolId) -> usize {
+        let probes = self.probes.agents.keys();
+        let probes = probes.filter_map(|id| self.agents.get(id));
+        probes.filter(|agent| agent.record.pool == *pool).count()
+    }
+
+    /// Frees the probes whose units are done, and lets those go that no unit needs.
+    pub(super) fn review_probes(&mut self) {
+        if self.probes.agents.is_empty() && self.probes.waiting.is_empty() {
+            return;
+        }
+        let mut probes = std::mem::take(&mut self.probes.agents);
+        for (id, current) in &mut probes {
+            *current = current.filter(|unit| {
+                let agent = self.agents.get(id);
+                agent.is_some_and(|agent| self.is_of_use(agent, *unit))
+            });
+        }
+        // Units wait in these pools.
+        let waiting = self.suspects.all().filter_map(|(task, held)| {
+            let ready = self.ready.get(task.step)?;
+            let waits = held.evidence.is_suspect() && ready.free.contains(&task.task);
+            waits.then(|| ready.pool.clone())
+        });
+        let waiting: BTreeSet<_> = waiting.collect();
+        probes.retain(|id, current| {
+            let agent = self.agents.get(id);
+            let agent = agent.filter(|agent| agent.is_well() && !agent.cordoned);
+            agent.is_some_and(|agent| current.is_some() || waiting.contains(&agent.record.pool))
+        });
+        self.probes.agents = probes;
+        let suspects = &self.suspects;
+        self.probes
+            .waiting
+            .retain(|unit, _| suspects.is_suspected(*unit));
+    }
+
+    /// Whether a suspected unit runs on an agent, or could.
+    fn is_of_use(&self, agent: &Agent, unit: Unit) -> bool {
+        let waits = |task: TaskId| {
+            let ready = self.ready.get(task.step);
+            ready.is_some_and(|ready| ready.free.contains(&task.task))
+        };
+        let mut there = agent.slots.iter();
+        self.suspects.is_suspected(unit)
+            && (there.any(|(task, slot)| Unit::of(*task, slot.lasting) == unit)
+                || self.suspects.of(unit).any(|(task, _)| waits(task)))
+    }
+}
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ATTEMPTS, About, Agent, Ends, GAP, Ledger, MinionId, Name, Now, Phase, Placed, PoolId, Round,
-    STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, What,
+    STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, Wall, What,
     place::{self, Choice},
 };
 use crate::core::{
@@ -14,10 +14,11 @@
 
 impl Scheduler {
     /// What one round commits: ends and frees, and starts for what is ready.
-    pub(super) fn round(&mut self, now: Now, ledger: &Ledger) -> Round {
+    pub(super) fn round(&mut self, now: Now, wall: Wall, ledger: &Ledger) -> Round {
         let ends: Vec<_> = std::mem::take(&mut self.ends).into_values().collect();
         let failed = self.failed(ledger, &ends);
-        let shown = self.review_suspects(now, ledger);
+        let cleared = self.clear_suspects(now, ledger);
+        self.review_probes();
         let mut round = Round {
             ends,
             freed: std::mem::take(&mut self.freed),
@@ -25,8 +26,8 @@
             starts: Vec::new(),
             touch: self.touch(now),
             convicted: self.suspects.take_convicted(),
-            passed: shown.passed,
-            cleared: shown.cleared,
+            cleared,
+            at: wall,
         };
         self.ready.lapse(now);
         self.agents.index();
@@ -106,8 +107,11 @@
             };
             let step = rank.step();
             let tasks = ready.free.iter().map(|task| TaskId { step, task: *task });
-            // What is suspected, or waits until others of its job have passed, isn't started beside others.
-            let tasks = tasks.filter(|task| self.suspects.unit(*task, spec.lasting).is_none());
+            // What hosts have ended under was started above, or waits.
+            let tasks = tasks.filter(|task| {
+                self.suspects.get(*task).is_none()
+                    && self.suspects.unit(*task, spec.lasting).is_none()
+            });
             let tasks: Vec<_> = tasks.collect();
             if tasks.is_empty() {
                 self.ask_eligible(now, pool, step, &spec);
@@ -154,7 +158,7 @@
         let unit = self.suspects.unit(first, spec.lasting);
         let able = self.able(now, &ready.pool, spec.room().millicores);
         let able = able.filter(|agent| self.is_eligible(now, step, agent));
-        // The members of a gang begin together, so one that is suspected has its hosts to itself.
+        // The members of a gang run together, so one that is suspected has its hosts to itself.
         let able = able.filter(|agent| unit.is_none() || agent.slots.is_empty());
         let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
         let Some(seats) = place::choose_gang(&able, spec, step) else {
@@ -165,7 +169,7 @@
         let attempt = last.unwrap_or_default() + 1;
         for (task, agent) in tasks.zip(seats) {
             if let Some(unit) = unit {
-                self.suspects.probe(agent.clone(), unit);
+                self.probes.insert(agent.clone(), unit);
             }
             let placed = Placed {
                 task,
@@ -187,7 +191,9 @@
         self.ready.take(task.step, task.task);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
             self.ages.push(now.saturating_sub(agent.heard));
-            agent.add(task, Slot::new(spec, placed.attempt, Phase::Proposed, now));
+            let mut slot = Slot::new(spec, placed.attempt, Phase::Proposed, now);
+            slot.doubtful = self.suspects.get(task).is_some();
+            agent.add(task, slot);
             self.agents.reindex(&placed.agent);
         }
         starts.push(placed);
@@ -212,7 +218,7 @@
     pub(super) fn able(&self, now: Now, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
         let agents = self.agents.with_room(pool, least);
         agents.filter(move |agent| {
-            self.is_able(now, agent) && !self.suspects.is_probe(&agent.record.id)
+            self.is_able(now, agent) && !self.probes.contains(&agent.record.id)
         })
     }
 
--- a/src/core/workload/suspicion.rs
+++ b/src/core/workload/suspicion.rs
@@ -1,48 +1,65 @@
 //! Tasks that may end the hosts that run them.
 //!
-//! Some tasks take their host down, most of them as they begin: they exhaust what it has, or trip over a
-//! fault of its kernel. To the leader such a host is merely gone, and a task of a host that is gone is
+//! Some tasks take their host down: they exhaust what it has, at once or after some seconds, or trip over
+//! a fault of its kernel. To the leader such a host is merely gone, and a task of a host that is gone is
 //! started elsewhere at once, where it does the same. So the end of a host is *evidence* against what
-//! ran there, unless it has another cause in sight. It proves little by itself, as ten tasks may run on
-//! a host and any host may end. A *suspect* therefore begins next where nothing else does, so that it
-//! either *passes*, and is a task like any other, or ends a host that only it can have ended. Who does
-//! that again and again is *convicted*: its job can't be done, and fails.
+//! ran there, unless it has another cause in sight.
+//!
+//! The first host proves little, as ten tasks may run on it and any host may end. A task under which a
+//! second one has ended is *suspected*: it runs next where nothing else does, for as long as it takes, so
+//! that it either is done or ends a host that only it can have ended. How much that proves is how
+//! unlikely it is that the host ended by itself in just that time, which is as small as hosts are seen to
+//! end seldom. Such evidence adds up in decibans, tenths of a decimal order, until it is *conclusive*: the
+//! task is *convicted*, and its job fails.
 //!
 //! The evidence is in the ledger, so that a leader which ends in the middle loses none of it. What
-//! counts as another cause, and where suspects run, is the leader's to decide.
+//! counts as another cause, how often hosts end by themselves, and where suspects run, is the leader's to
+//! decide.
 //!
 //! ```
-//! use egretpin::core::workload::suspicion::Evidence;
+//! use std::time::Duration;
+//!
+//! use egretpin::core::workload::suspicion::{Evidence, decibans};
 //!
+//! let worked = Duration::from_secs(1);
 //! let mut evidence = Evidence::default();
-//! // It began beside others when its host ended, and then twice where nothing else did.
-//! evidence.note(true, false);
-//! assert!(evidence.is_suspect() && !evidence.is_conclusive());
-//! evidence.note(true, true);
-//! evidence.note(true, true);
-//! assert!(evidence.is_conclusive());
+//! // Two hosts ended under it that others were at work on, too.
+//! evidence.note(0, worked);
+//! evidence.note(0, worked);
+//! assert!(evidence.is_suspect() && !evidence.is_conclusive(false));
+//! // A third one that ran nothing else. One in five hundred would have ended by itself.
+//! evidence.note(decibans(0.002), worked);
+//! assert!(evidence.is_conclusive(false));
 //! ```
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::job::TaskId;
-use crate::core::types::MinionId;
+use crate::core::types::{Attempt, MinionId};
+
+/// Hosts that must have ended under a task for it to be suspected.
+const SUSPECT: u32 = 2;
+/// And for it to be convicted.
+const CONVICT: u32 = 3;
+/// How much the evidence must be for that, in decibans, for a short task: one in five hundred; and for
+/// one that lasts: one in five thousand, since hosts end under most of what lasts some time.
+const CONCLUSIVE: (u32, u32) = (27, 37);
+/// How much the second host proves at least, whatever else ran there, as so few tasks were at both.
+const TWICE: u32 = 10;
 
-/// Hosts that must have ended under a task for it to be convicted: one where it began beside others, and
-/// two where nothing else could have ended them.
-const HOSTS: u32 = 3;
-/// What proves a task guilty: two hosts that ended as it began and nothing else did, or six that ended
-/// while nothing else was at work. That a host ends by itself in the moment in which a suspect begins
-/// there happens; that a second one does, under the same suspect, hardly. In the seconds that a suspect
-/// is at work it does: where each host ends every twenty seconds, in one of four.
-const PROOF: u32 = 6;
-/// How much of it a host is that ended as the task began.
-const AS_BEGUN: u32 = 3;
-/// How much of it one is that ended later.
-const AS_WORKED: u32 = 1;
-/// Hosts that must have ended under a task for it to be suspected if it had been at work for a while
-/// each time. Most hosts that end by themselves do so under some such tasks.
-const AT_WORK: u32 = 2;
+/// How much less each further one proves, as many hosts that end by themselves under a task that lasts
+/// would add up to proof otherwise: twice what one is worth on average.
+const FURTHER: u32 = 8;
+
+/// How much it proves that something happened which has this chance if the suspect is innocent, in
+/// decibans.
+pub fn decibans(chance: f64) -> u32 {
+    // Within a whole number's reach whatever the chance, and 0 for what isn't one.
+    let weight = -10.0 * chance.clamp(1e-30, 1.0).log10();
+    weight as u32
+}
 
 /// The hosts that ended under a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -50,38 +67,46 @@
 pub struct Evidence {
     /// How many.
     pub hosts: u32,
-    /// What those of them prove that nothing but the task and others of its job can have ended.
-    pub proof: u32,
-    /// Whether one has ended as the task began, and it hasn't passed since.
-    pub begun: bool,
-    /// How many had ended when it passed last.
-    pub passed: u32,
+    /// How much they prove, in decibans. Older images hold none.
+    #[serde(default)]
+    pub weight: u32,
+    /// Whether only the task and others of its job can have ended the last one. Older images hold none.
+    #[serde(default)]
+    pub alone: bool,
+    /// The longest that the task had been at work when one ended. Older images hold none.
+    #[serde(default)]
+    pub longest: Duration,
 }
 
 impl Evidence {
-    /// Another host has ended under the task: as it began, or later; and nothing else can have ended
-    /// it, or other tasks can, too.
-    pub fn note(&mut self, begun: bool, alone: bool) {
+    /// Another host has ended under the task, which had been at work for so long. It proves so much; the
+    /// first one nothing, as any host may end.
+    pub fn note(&mut self, weight: u32, worked: Duration) {
+        let counted = match self.hosts {
+            0 => 0,
+            1 => weight.max(TWICE),
+            _ => weight,
+        };
+        let taken = if self.hosts >= CONVICT && weight > 0 {
+            FURTHER
+        } else {
+            0
+        };
+        self.weight = self.weight.saturating_add(counted).saturating_sub(taken);
+        self.alone = weight > 0;
         self.hosts = self.hosts.saturating_add(1);
-        let proof = if begun { AS_BEGUN } else { AS_WORKED };
-        self.proof = self.proof.saturating_add(if alone { proof } else { 0 });
-        self.begun |= begun;
+        self.longest = self.longest.max(worked);
     }
 
-    /// The task has begun and its host goes on.
-    pub fn pass(&mut self) {
-        self.begun = false;
-        self.passed = self.hosts;
-    }
-
-    /// Whether it is enough for the task to begin where nothing else does.
+    /// Whether it is enough for the task to run where nothing else does.
     pub fn is_suspect(&self) -> bool {
-        self.begun || self.hosts >= self.passed.saturating_add(AT_WORK)
+        self.hosts >= SUSPECT
     }
 
-    /// Whether it is enough for the task's job to fail.
-    pub fn is_conclusive(&self) -> bool {
-        self.hosts >= HOSTS && self.proof >= PROOF
+    /// Whether it is enough for the task's job to fail, given whether the task lasts.
+    pub fn is_conclusive(&self, lasting: bool) -> bool {
+        let least = if lasting { CONCLUSIVE.1 } else { CONCLUSIVE.0 };
+        self.hosts >= CONVICT && self.alone && self.weight >= least
     }
 
     /// Whether there is none, as for nearly all tasks.
@@ -98,6 +123,9 @@
     pub agent: MinionId,
     /// What ran there.
     pub tasks: Vec<Present>,
+    /// How often hosts were seen to end by themselves until then. Entries of earlier releases hold none.
+    #[serde(default)]
+    pub seen: Seen,
 }
 
 /// A task that ran where an agent ended.
@@ -106,8 +134,23 @@
 pub struct Present {
     /// Which.
     pub task: TaskId,
-    /// Whether it had just begun.
-    pub begun: bool,
-    /// Whether nothing but the task and others of its job can have ended the host.
-    pub alone: bool,
+    /// Which attempt of it. Entries of earlier releases hold none.
+    #[serde(default)]
+    pub attempt: Attempt,
+    /// How much its end proves against the task, in decibans. Entries of earlier releases hold none.
+    #[serde(default)]
+    pub weight: u32,
+    /// How long the task may have been at work there. Entries of earlier releases hold none.
+    #[serde(default)]
+    pub worked: Duration,
+}
+
+/// How often hosts end by themselves, as was seen lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Seen {
+    /// For how long hosts were at work, all together.
+    pub worked: Duration,
+    /// How many of them ended meanwhile for no reason that is known.
+    pub ends: u32,
 }
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -286,6 +286,8 @@
     /// How long deadly tasks run before they end their hosts: from the one to the other, each task always
     /// equally long.
     pub(crate) delays: (Duration, Duration),
+    /// The hosts that a deadly task ends at most; then it is like any other.
+    pub(crate) most: u32,
     /// The hosts that each deadly task has ended.
     pub(crate) killed: BTreeMap<TaskId, u32>,
     /// Agents and waiting steps that the leader looked at, and turns in which it decided.
@@ -374,6 +376,7 @@
             resets: false,
             deadly: BTreeMap::new(),
             delays: (DEADLY, DEADLY),
+            most: u32::MAX,
             killed: BTreeMap::new(),
             looks: 0,
             turns: 0,
@@ -617,6 +620,7 @@
                 let deadly = self.deadly.get(&task.step.job);
                 deadly.is_some_and(|deadly| task.task < *deadly)
                     && now >= run.began + self.delay(**task)
+                    && self.killed.get(*task).copied().unwrap_or_default() < self.most
             });
             for (task, _) in deadly {
                 ended.entry(id.clone()).or_default().push(*task);
