Suspect the short tasks of a job as one, and let a suspect's host be free for it some time

Cause: evidence stood with each task, so that all tasks of such a job ran a second time on hosts of their own. Besides, a suspect could be given a host that would never be free for it: one that was set aside, or where a lasting suspect runs.

Change: one end of a host counts once against the short tasks of a job, all together, which are tried together; nothing is held against them once all are done that hosts had ended under. Hosts that end together prove no more than one. What ends beside a job that is over isn't held against it.

--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -106,6 +106,9 @@
     pub runs: BTreeMap<Occurrence, Run>,
     /// How many occurrences are finished.
     pub finished: Occurrence,
+    /// The hosts that ended under its short tasks. Older images hold none.
+    #[serde(default, skip_serializing_if = "Evidence::is_none")]
+    pub evidence: Evidence,
     /// The task that it failed for, since it ends the hosts that run it. Older images hold none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub convicted: Option<TaskId>,
@@ -146,7 +149,8 @@
     /// When the last attempt was decided, by the clock of the leader of that time. Older images hold none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub began: Option<Wall>,
-    /// The hosts that ended under it. Older images hold none.
+    /// The hosts that ended under it; if it is short and any did, all that ended under short tasks of its
+    /// job. Older images hold none.
     #[serde(default, skip_serializing_if = "Evidence::is_none")]
     pub evidence: Evidence,
 }
@@ -162,6 +166,7 @@
             state: JobState::Queued,
             runs: BTreeMap::new(),
             finished: 0,
+            evidence: Evidence::default(),
             convicted: None,
         }
     }
@@ -177,6 +182,28 @@
         step.tasks.get(usize::try_from(id.task).ok()?)
     }
 
+    pub(super) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let run = self.runs.get_mut(&id.step.occurrence)?;
+        let step = run.steps.get_mut(usize::from(id.step.step))?;
+        step.tasks.get_mut(usize::try_from(id.task).ok()?)
+    }
+
+    /// Whether a task is done some time.
+    pub(super) fn is_short(&self, id: TaskId) -> bool {
+        let spec = self.spec.steps.get(usize::from(id.step.step));
+        spec.is_some_and(|spec| !spec.lasting)
+    }
+
+    /// Nothing is held against its short tasks once all are done that hosts have ended under.
+    pub(super) fn acquit(&mut self, id: JobId) {
+        if self.evidence.is_none() {
+            return;
+        }
+        if !self.evidence(id).any(|(task, _)| self.is_short(task)) {
+            self.evidence = Evidence::default();
+        }
+    }
+
     /// A step, if its occurrence has begun and isn't finished.
     pub fn step(&self, id: StepId) -> Option<&Step> {
         let run = self.runs.get(&id.occurrence)?;
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -311,15 +311,35 @@
 
     fn crash(&mut self, crash: &Crash, changes: &mut Vec<Change>) {
         self.seen = crash.seen;
+        let mut judged = BTreeSet::new();
         for present in &crash.tasks {
             let id = present.task;
-            let Some(task) = self.task_mut(id) else {
+            let job = self.jobs.get_mut(&id.step.job);
+            let Some(job) = job.filter(|job| !job.is_over()) else {
                 continue;
             };
-            if is_at(task, &crash.agent) && !task.done {
-                task.evidence.note(present.weight, present.worked);
-                changes.push(Change::Suspected(id, task.evidence));
+            let spec = job.spec.steps.get(usize::from(id.step.step));
+            let lasting = spec.is_some_and(|spec| spec.lasting);
+            let stands = job.task(id).filter(|t| is_at(t, &crash.agent) && !t.done);
+            let Some(mut evidence) = stands.map(|task| task.evidence) else {
+                continue;
+            };
+            if lasting {
+                evidence.note(present.weight, present.worked);
+            } else {
+                // The short tasks of a job are alike, and this is one host.
+                if judged.insert(id.step.job) {
+                    job.evidence.note(present.weight, present.worked);
+                    let others = job.evidence(id.step.job).map(|(other, _)| other);
+                    let others = others.filter(|other| job.is_short(*other));
+                    let others: Vec<_> = others.collect();
+                    for other in others {
+                        job.hold(other, job.evidence, changes);
+                    }
+                }
+                evidence = job.evidence;
             }
+            job.hold(id, evidence, changes);
         }
         self.bury(&crash.agent, changes);
     }
@@ -435,6 +455,10 @@
             }
         }
         run.steps[step].done += newly;
+        found.acquit(job);
+        let Some(run) = found.runs.get(&occurrence) else {
+            return;
+        };
         if newly == 0 || !run.steps[step].is_done() {
             return;
         }
@@ -580,10 +604,7 @@
     }
 
     fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
-        let job = self.jobs.get_mut(&id.step.job)?;
-        let run = job.runs.get_mut(&id.step.occurrence)?;
-        let step = run.steps.get_mut(usize::from(id.step.step))?;
-        step.tasks.get_mut(usize::try_from(id.task).ok()?)
+        self.jobs.get_mut(&id.step.job)?.task_mut(id)
     }
 
     fn wave(&mut self, wave: &WaveRecord, changes: &mut Vec<Change>) {
@@ -613,6 +634,16 @@
     }
 }
 
+impl Job {
+    /// Holds this against a task.
+    fn hold(&mut self, id: TaskId, evidence: Evidence, changes: &mut Vec<Change>) {
+        if let Some(task) = self.task_mut(id) {
+            task.evidence = evidence;
+            changes.push(Change::Suspected(id, evidence));
+        }
+    }
+}
+
 fn is_at(task: &Task, agent: &MinionId) -> bool {
     task.agent.as_ref() == Some(agent)
 }
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -127,6 +127,8 @@
     pub(super) lasting: bool,
     /// Whether hosts have ended under it before.
     pub(super) doubtful: bool,
+    /// Whether its agent was kept free of all else for it.
+    pub(super) probed: bool,
     /// Whether it was last seen to do all that it should.
     pub(super) at_work: bool,
     /// Whether an earlier leader placed it, and may have told it to stop.
@@ -358,6 +360,7 @@
             best_effort: spec.best_effort,
             lasting: spec.lasting,
             doubtful: false,
+            probed: false,
             at_work: false,
             inherited: false,
             estimate: if plain {
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -109,6 +109,16 @@
         ends.filter(known).count()
     }
 
+    /// Whether another host has just ended under a unit.
+    fn has_just_ended(&self, now: Now, unit: Unit) -> bool {
+        let together = self.recent.iter().filter(|loss| now < loss.at + TOGETHER);
+        let mut tasks = together.flat_map(|loss| &loss.tasks);
+        tasks.any(|task| match unit {
+            Unit::Job(job) => task.step.job == job,
+            Unit::Task(unit) => *task == unit,
+        })
+    }
+
     /// The hosts that ended under a job did so because of it.
     pub(super) fn explain(&mut self, job: JobId) {
         self.recent
@@ -285,7 +295,10 @@
         let end = agent.silent.unwrap_or(now);
         let after = now.saturating_sub(end);
         let worked = self.worked(now, wall, task, slot).saturating_sub(after);
-        let alone = self.was_alone(agent, Unit::of(task, slot.lasting));
+        let unit = Unit::of(task, slot.lasting);
+        // Hosts that end together prove no more than one of them, unless the unit was tried there.
+        let alone =
+            self.was_alone(agent, unit) && (slot.probed || !self.losses.has_just_ended(now, unit));
         let sound = self.taint(now, agent) < UNSOUND;
         // A host that wasn't heard shortly before the start may have ended before it.
         let lived = agent.heard + LATELY >= slot.placed;
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -51,7 +51,6 @@
 
     /// Has a unit run on an agent, which is a probe from now on.
     pub(super) fn insert(&mut self, agent: MinionId, unit: Unit) {
-        self.waiting.remove(&unit);
         self.agents.insert(agent, Some(unit));
     }
 
@@ -137,7 +136,7 @@
 
     /// The agent where a task of a suspected unit may run now.
     fn probe_for(&mut self, now: Now, sought: &Sought<'_>, unit: Unit) -> Option<MinionId> {
-        let Sought { step, spec, .. } = *sought;
+        let spec = sought.spec;
         let waiting = self.probes.waiting.get(&unit).copied();
         if waiting.is_some_and(|waiting| now < waiting.next) {
             return None;
@@ -147,30 +146,40 @@
             .of(unit)
             .or_else(|| self.free_probe(now, sought, unit))
             .or_else(|| self.new_probe(now, sought, unit));
-        let Some(probe) = probe else {
-            let since = waiting.map_or(now, |waiting| waiting.since);
-            let next = now + LOOK;
-            self.probes.waiting.insert(unit, Waiting { since, next });
-            let share = spec.lasting && now >= since + PATIENCE;
-            return share.then(|| self.apart(now, sought))?;
+        if let Some(probe) = &probe {
+            self.probes.insert(probe.clone(), unit);
+        }
+        let ready = probe.filter(|probe| self.is_ready(now, probe, sought, unit));
+        if ready.is_some() {
+            self.probes.waiting.remove(&unit);
+            return ready;
+        }
+        let since = waiting.map_or(now, |waiting| waiting.since);
+        let next = now + LOOK;
+        self.probes.waiting.insert(unit, Waiting { since, next });
+        let share = spec.lasting && now >= since + PATIENCE;
+        share.then(|| self.apart(now, sought))?
+    }
+
+    /// Whether a unit may start on its probe now.
+    fn is_ready(&mut self, now: Now, probe: &MinionId, sought: &Sought<'_>, unit: Unit) -> bool {
+        let Sought { step, spec, .. } = *sought;
+        let Some(agent) = self.agents.get(probe) else {
+            return false;
         };
-        self.probes.insert(probe.clone(), unit);
-        let agent = self.agents.get(&probe)?;
-        let able = self.is_able(now, agent)
+        let free = self.is_able(now, agent)
             && self.is_alone(agent, unit)
             && place::may_run(agent, spec, step);
-        if !able {
-            return None;
-        }
-        if now > agent.heard + LATELY {
+        let lives = now <= agent.heard + LATELY;
+        if free
+            && !lives
+            && let Some(agent) = self.agents.get_mut(probe)
+        {
             // Whether it still lives has to be known before, or its end would be put down to the unit.
-            if let Some(agent) = self.agents.get_mut(&probe) {
-                agent.looked = None;
-                agent.next = agent.next.min(now);
-            }
-            return None;
+            agent.looked = None;
+            agent.next = agent.next.min(now);
         }
-        Some(probe)
+        free && lives
     }
 
     /// Whether nothing is placed at an agent besides a unit but what lasts and nothing is held against.
@@ -179,7 +188,7 @@
         slots.all(|(task, slot)| self.is_apart(*task, slot, unit))
     }
 
-    /// Whether nothing else may be what ended an agent that a unit ran at.
+    /// Whether nothing besides a unit may be what ended an agent.
     pub(super) fn was_alone(&self, agent: &Agent, unit: Unit) -> bool {
         let mut ran = agent.slots.iter().filter(|(_, slot)| slot.may_run());
         ran.all(|(task, slot)| self.is_apart(*task, slot, unit))
@@ -209,15 +218,27 @@
             let probes = probes.filter(|(_, agent)| there(agent) && self.is_alone(agent, unit));
             let probes: Vec<_> = probes.map(|(id, _)| id.clone()).collect();
             for probe in probes {
+                if let Some(agent) = self.agents.get_mut(&probe) {
+                    let slots = agent.slots.values_mut();
+                    slots.for_each(|slot| slot.probed = true);
+                }
                 self.probes.insert(probe, unit);
             }
         }
     }
 
     /// Whether a unit could run on an agent once what is short there has ended.
-    fn could_begin(&self, now: Now, agent: &Agent, sought: &Sought<'_>) -> bool {
+    fn could_begin(&self, now: Now, agent: &Agent, sought: &Sought<'_>, unit: Unit) -> bool {
         let Sought { step, spec, .. } = *sought;
-        self.is_eligible(now, step, agent) && place::could_run(agent, spec, step)
+        self.is_eligible(now, step, agent)
+            && place::could_run(agent, spec, step)
+            && self.will_be_alone(agent, unit)
+    }
+
+    /// Whether a unit is alone at an agent once what is short there has ended.
+    fn will_be_alone(&self, agent: &Agent, unit: Unit) -> bool {
+        let mut lasting = agent.slots.iter().filter(|(_, slot)| slot.lasting);
+        lasting.all(|(task, slot)| self.is_apart(*task, slot, unit))
     }
 
     /// A probe of a pool where nothing runs now.
@@ -229,7 +250,7 @@
         let free = free.filter(|agent| {
             agent.record.pool == *pool
                 && self.is_able(now, agent)
-                && self.could_begin(now, agent, sought)
+                && self.could_begin(now, agent, sought, unit)
         });
         // Whose turn it is next.
         let rank = |agent: &&Agent| {
@@ -246,11 +267,15 @@
         let waiting = self.probes.waiting.get(&unit);
         let patient = waiting.is_none_or(|waiting| now < waiting.since + PATIENCE);
         let part = if patient { PROBES.0 } else { PROBES.1 };
-        if self.count_probes(pool) >= self.agents.count(pool).div_ceil(part) {
+        let full = self.count_probes(pool) >= self.agents.count(pool).div_ceil(part);
+        if full && patient {
             return None;
         }
         let able = self.able(now, pool, 0);
-        let able = able.filter(|agent| self.could_begin(now, agent, sought));
+        let able = able.filter(|agent| {
+            // Whoever runs nothing though units wait for long is of no use to others now.
+            (!full || agent.slots.is_empty()) && self.could_begin(now, agent, sought, unit)
+        });
         let rank = |agent: &&Agent| {
             let lasts = agent.slots.values().any(|slot| slot.lasting);
             let tainted = self.taint(now, agent);
@@ -274,7 +299,7 @@
     }
 
     /// Frees the probes whose units are done, and lets those go that no unit needs.
-    pub(super) fn review_probes(&mut self) {
+    pub(super) fn review_probes(&mut self, now: Now) {
         if self.probes.agents.is_empty() && self.probes.waiting.is_empty() {
             return;
         }
@@ -294,7 +319,11 @@
         let waiting: BTreeSet<_> = waiting.collect();
         probes.retain(|id, current| {
             let agent = self.agents.get(id);
-            let agent = agent.filter(|agent| agent.is_well() && !agent.cordoned);
+            // What runs there goes on, but nothing that waits for it would ever start there.
+            let agent = agent.filter(|agent| {
+                let busy = current.is_some() && !agent.slots.is_empty();
+                self.is_able(now, agent) || (busy && agent.is_well() && !agent.cordoned)
+            });
             agent.is_some_and(|agent| current.is_some() || waiting.contains(&agent.record.pool))
         });
         self.probes.agents = probes;
@@ -312,6 +341,7 @@
         };
         let mut there = agent.slots.iter();
         self.suspects.is_suspected(unit)
+            && self.will_be_alone(agent, unit)
             && (there.any(|(task, slot)| Unit::of(*task, slot.lasting) == unit)
                 || self.suspects.of(unit).any(|(task, _)| waits(task)))
     }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -18,7 +18,7 @@
         let ends: Vec<_> = std::mem::take(&mut self.ends).into_values().collect();
         let failed = self.failed(ledger, &ends);
         let cleared = self.clear_suspects(now, ledger);
-        self.review_probes();
+        self.review_probes(now);
         let mut round = Round {
             ends,
             freed: std::mem::take(&mut self.freed),
@@ -193,6 +193,7 @@
             self.ages.push(now.saturating_sub(agent.heard));
             let mut slot = Slot::new(spec, placed.attempt, Phase::Proposed, now);
             slot.doubtful = self.suspects.get(task).is_some();
+            slot.probed = self.probes.contains(&placed.agent);
             agent.add(task, slot);
             self.agents.reindex(&placed.agent);
         }
--- a/src/core/workload/suspicion.rs
+++ b/src/core/workload/suspicion.rs
@@ -49,6 +49,8 @@
 /// How much the second host proves at least, whatever else ran there, as so few tasks were at both.
 const TWICE: u32 = 10;
 
+/// So many hosts that only the task can have ended prove what they prove.
+const FREE: u32 = 2;
 /// How much less each further one proves, as many hosts that end by themselves under a task that lasts
 /// would add up to proof otherwise: twice what one is worth on average.
 const FURTHER: u32 = 8;
@@ -73,6 +75,9 @@
     /// Whether only the task and others of its job can have ended the last one. Older images hold none.
     #[serde(default)]
     pub alone: bool,
+    /// For how many of them that holds, but for the first. Older images hold none.
+    #[serde(default)]
+    pub tried: u32,
     /// The longest that the task had been at work when one ended. Older images hold none.
     #[serde(default)]
     pub longest: Duration,
@@ -87,11 +92,10 @@
             1 => weight.max(TWICE),
             _ => weight,
         };
-        let taken = if self.hosts >= CONVICT && weight > 0 {
-            FURTHER
-        } else {
-            0
-        };
+        let counts = self.hosts > 0 && weight > 0;
+        let further = counts && self.tried >= FREE;
+        let taken = if further { FURTHER } else { 0 };
+        self.tried += u32::from(counts);
         self.weight = self.weight.saturating_add(counted).saturating_sub(taken);
         self.alone = weight > 0;
         self.hosts = self.hosts.saturating_add(1);
