Let a suspect run beside lasting tasks that few hosts have ended under

Cause: a host was free for a suspect only where nothing was held against the lasting tasks there, and after a storm one host has ended under nearly all of them. Change: one such end doesn't count; and where lasting suspects run at all hosts of a pool, a short one runs beside them after two seconds.

--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -24,7 +24,7 @@
 /// From one look for a probe to the next. Each is at up to all agents of a pool.
 const LOOK: Duration = Duration::from_millis(20);
 /// How long a unit waits for a probe before there may be more of them, or before a lasting task runs
-/// beside others. Callers count on a task that could be started not waiting for three seconds.
+/// beside others, as a short one does that no host will be free for. Callers count on a task that could be started not waiting for three seconds.
 const PATIENCE: Duration = Duration::from_millis(2000);
 
 /// A unit that waits for a probe.
@@ -157,10 +157,17 @@
         let since = waiting.map_or(now, |waiting| waiting.since);
         let next = now + LOOK;
         self.probes.waiting.insert(unit, Waiting { since, next });
-        let share = spec.lasting && now >= since + PATIENCE;
+        let share =
+            now >= since + PATIENCE && (spec.lasting || self.is_hopeless(now, sought, unit));
         share.then(|| self.apart(now, sought))?
     }
 
+    /// Whether no host of a pool will be free for a unit, as lasting suspects run at all of them.
+    fn is_hopeless(&self, now: Now, sought: &Sought<'_>, unit: Unit) -> bool {
+        let mut agents = self.agents.with_room(sought.pool, 0);
+        !agents.any(|agent| self.could_begin(now, agent, sought, unit))
+    }
+
     /// Whether a unit may start on its probe now.
     fn is_ready(&mut self, now: Now, probe: &MinionId, sought: &Sought<'_>, unit: Unit) -> bool {
         let Sought { step, spec, .. } = *sought;
@@ -182,7 +189,7 @@
         free && lives
     }
 
-    /// Whether nothing is placed at an agent besides a unit but what lasts and nothing is held against.
+    /// Whether nothing is placed at an agent besides a unit but what lasts and isn't suspected.
     fn is_alone(&self, agent: &Agent, unit: Unit) -> bool {
         let mut slots = agent.slots.iter();
         slots.all(|(task, slot)| self.is_apart(*task, slot, unit))
@@ -194,9 +201,9 @@
         ran.all(|(task, slot)| self.is_apart(*task, slot, unit))
     }
 
-    /// Whether a task is of a unit, or lasts and nothing is held against it.
+    /// Whether a task is of a unit, or lasts and isn't suspected.
     fn is_apart(&self, task: TaskId, slot: &Slot, unit: Unit) -> bool {
-        let innocent = slot.lasting && self.suspects.get(task).is_none();
+        let innocent = slot.lasting && !self.suspects.has_ended_more(task);
         innocent || Unit::of(task, slot.lasting) == unit
     }
 
