Start suspects on their own hosts however full the others are

Cause: steps are gone through only as long as one could fit somewhere, by the room of the hosts that are open to all; a suspect's host isn't one of them, so that in a full pool its turn never came. Change: suspects that wait are looked at first, apart from that limit.

--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    Agent, Ledger, MinionId, Now, Placed, PoolId, Scheduler, Slot, StepId, StepSpec, TaskId,
-    agent::LATELY, place, starts::attempts, unit::Unit,
+    Agent, Ledger, MinionId, Now, Placed, PoolId, STARTS, Scheduler, Slot, StepId, StepSpec,
+    TaskId, agent::LATELY, place, starts::attempts, unit::Unit,
 };
 
 /// Of a pool's hosts, one in so many is a probe at most, as long as no unit has waited for too long, and
@@ -71,6 +71,30 @@
 }
 
 impl Scheduler {
+    /// Starts the suspected tasks that wait for hosts of a pool, where they may run now.
+    ///
+    /// Their hosts are free of all else, so that it doesn't count how full the others are.
+    pub(super) fn start_on_probes(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        pool: &PoolId,
+        starts: &mut Vec<Placed>,
+    ) {
+        let suspects = self.suspects.all();
+        let suspects = suspects.filter(|(_, held)| held.evidence.is_suspect());
+        let steps: BTreeSet<_> = suspects.map(|(task, _)| task.step).collect();
+        for step in steps {
+            let ready = self.ready.get(step).filter(|ready| ready.pool == *pool);
+            let Some(spec) = ready.map(|ready| ready.spec.clone()) else {
+                continue;
+            };
+            if !spec.gang && !self.suspects.is_failing(step.job) && starts.len() < STARTS {
+                self.start_suspects(now, ledger, step, &spec, starts);
+            }
+        }
+    }
+
     /// Starts the tasks of a step under which hosts have ended, where they may run now.
     pub(super) fn start_suspects(
         &mut self,
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -69,6 +69,7 @@
         pool: &PoolId,
         starts: &mut Vec<Placed>,
     ) {
+        self.start_on_probes(now, ledger, pool, starts);
         // Under overload hundreds of steps wait and no agent has room; looking at each agent for each
         // of them took two thirds of the leader's time with 300 agents (profiled in a world of tests).
         // Not known as long as all has found a place.
