--- a/src/core/workload/suspicion.rs
+++ b/src/core/workload/suspicion.rs
@@ -12,6 +12,9 @@
 //! end seldom. Such evidence adds up in decibans, tenths of a decimal order, until it is *conclusive*: the
 //! task is *convicted*, and its job fails.
 //!
+//! The short tasks of a job are alike, and the job fails as a whole: they have their evidence in common.
+//! What lasts has its own.
+//!
 //! The evidence is in the ledger, so that a leader which ends in the middle loses none of it. What
 //! counts as another cause, how often hosts end by themselves, and where suspects run, is the leader's to
 //! decide.
@@ -49,10 +52,10 @@
 /// How much the second host proves at least, whatever else ran there, as so few tasks were at both.
 const TWICE: u32 = 10;
 
-/// So many hosts that only the task can have ended prove what they prove.
-const FREE: u32 = 2;
-/// How much less each further one proves, as many hosts that end by themselves under a task that lasts
-/// would add up to proof otherwise: twice what one is worth on average.
+/// So many hosts that only the task can have ended count in full.
+const FULL: u32 = 2;
+/// How much less each further one counts. The ends of hosts that end by themselves are worth half of that
+/// on average, so that any number of them adds up to nothing.
 const FURTHER: u32 = 8;
 
 /// How much it proves that something happened which has this chance if the suspect is innocent, in
@@ -72,7 +75,8 @@
     /// How much they prove, in decibans. Older images hold none.
     #[serde(default)]
     pub weight: u32,
-    /// Whether only the task and others of its job can have ended the last one. Older images hold none.
+    /// Whether nothing but the task and others of its job can have ended the last one. Older images don't
+    /// say.
     #[serde(default)]
     pub alone: bool,
     /// For how many of them that holds, but for the first. Older images hold none.
@@ -93,7 +97,7 @@
             _ => weight,
         };
         let counts = self.hosts > 0 && weight > 0;
-        let further = counts && self.tried >= FREE;
+        let further = counts && self.tried >= FULL;
         let taken = if further { FURTHER } else { 0 };
         self.tried += u32::from(counts);
         self.weight = self.weight.saturating_add(counted).saturating_sub(taken);
