--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod promises;
 mod relays;
+mod scarce;
 mod spec;
 mod touched;
 mod vacating;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -221,6 +221,8 @@
     pub(crate) ended: usize,
     /// How long a stop takes.
     pub(crate) stopping: Duration,
+    /// How long a host that ended by itself is away.
+    pub(crate) away: Duration,
     /// Lasting tasks that orders ended and that aren't at work again.
     taken: BTreeSet<TaskId>,
     /// Lasting tasks that were ended at work while as many others of their steps were away as may
@@ -290,6 +292,9 @@
     pub(crate) most: u32,
     /// The hosts that each deadly task has ended.
     pub(crate) killed: BTreeMap<TaskId, u32>,
+    /// The hosts that ended by themselves or by the doing of others while each task ran there, its own
+    /// among them.
+    pub(crate) ends: BTreeMap<TaskId, u32>,
     /// Agents and waiting steps that the leader looked at, and turns in which it decided.
     pub(crate) looks: usize,
     pub(crate) turns: usize,
@@ -334,6 +339,7 @@
             unlisted: BTreeSet::new(),
             ended: 0,
             stopping: STOP,
+            away: AWAY,
             taken: BTreeSet::new(),
             overdrawn: Vec::new(),
             removed: BTreeSet::new(),
@@ -378,6 +384,7 @@
             delays: (DEADLY, DEADLY),
             most: u32::MAX,
             killed: BTreeMap::new(),
+            ends: BTreeMap::new(),
             looks: 0,
             turns: 0,
         };
@@ -590,11 +597,15 @@
 
     /// An agent dies, and its host comes back.
     pub(crate) fn restart(&mut self, id: &MinionId) {
-        let Some(host) = self.agents.get(id).map(|agent| agent.host.clone()) else {
+        let Some(agent) = self.agents.get(id) else {
             return;
         };
+        let host = agent.host.clone();
+        for task in agent.running.keys() {
+            *self.ends.entry(*task).or_default() += 1;
+        }
         self.crash(id);
-        self.at(self.now + AWAY, Event::Back { host });
+        self.at(self.now + self.away, Event::Back { host });
         if !self.resets {
             return;
         }
