Log what stands in the way when a suspect runs beside others

The lines of the ends told that suspects weren't alone (weight 0) and not why: whether no host could be kept free, or none was found. Now each such start says how many agents the pool has, how many may take work, how many something that lasts and is suspected blocks, and how many are kept free already.

--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -184,7 +184,25 @@
         self.probes.waiting.insert(unit, Waiting { since, next });
         let share =
             now >= since + PATIENCE && (spec.lasting || self.is_hopeless(now, sought, unit));
-        share.then(|| self.apart(now, sought))?
+        let beside = share.then(|| self.apart(now, sought)).flatten();
+        if let Some(agent) = &beside {
+            self.log_beside(now, sought, unit, since, agent);
+        }
+        beside
+    }
+
+    /// Logs that a suspect isn't kept apart, and what its pool's hosts run instead.
+    fn log_beside(&self, now: Now, sought: &Sought<'_>, unit: Unit, since: Now, beside: &MinionId) {
+        let Sought { pool, step, spec } = *sought;
+        let agents = || self.agents.with_room(pool, 0);
+        let able = agents().filter(|agent| self.is_able(now, agent)).count();
+        let could = agents().filter(|agent| place::could_run(agent, spec, step));
+        let blocked = could.filter(|agent| !self.will_be_alone(agent, unit));
+        let blocked = blocked.count();
+        let (agents, probes) = (agents().count(), self.count_probes(pool));
+        let others = self.agents.get(beside).map_or(0, |agent| agent.slots.len());
+        let waited = now.saturating_sub(since);
+        log::info!(step:%, agent:% = beside, others, waited:?, agents, able, blocked, probes; "a suspect runs beside others, as no host was free for it");
     }
 
     /// Whether no host of a pool will be free for a unit, as lasting suspects run at all of them.
