Convict by what lasts no longer hides, and by ends that can't be chance

What callers saw: tasks were started three times more after a third host had ended under them, and jobs waited in the end beside free hosts.

Cause: a lasting task that two hosts had ended under, mostly by the doing of others, kept its host from being a probe. In a pool of 2 to 7 hosts all of them ran one. So suspects ran beside others, proved nothing by it and made more suspects; and a lasting suspect itself held a probe for up to 30 s. Its class: a fallback for scarcity that destroys the evidence it waits for.

What lasts keeps no host from being a probe: it counts by how long it has been at work there, and an end under a tried task isn't held against it unless it has just begun. It runs apart from other suspects and on no probe. A short task that isn't tried is convicted by its own ends, too, by how soon they came against the rate at which hosts of its pool end for whatever reason; what stood beside it at both proves nothing, and is kept away from it. A task that wasn't seen to begin proves nothing. A job is suspected for two hosts that ended under one of its tasks, or three under all, less those that another turned out to have ended. After a third host none runs beside others, and after five a short task is given up.

--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -318,10 +318,12 @@
             let Some(job) = job.filter(|job| !job.is_over()) else {
                 continue;
             };
-            let stands = job.task(id).filter(|t| is_at(t, &crash.agent) && !t.done);
-            let Some(mut evidence) = stands.map(|task| task.evidence) else {
+            let stands = |task: &&mut Task| is_at(task, &crash.agent) && !task.done;
+            let Some(task) = job.task_mut(id).filter(stands) else {
                 continue;
             };
+            task.evidence.own.note(present.sudden);
+            let mut evidence = task.evidence;
             if !job.is_short(id) {
                 evidence.note(present.weight, present.worked);
             } else {
@@ -633,11 +635,12 @@
 }
 
 impl Job {
-    /// Holds this against a task.
+    /// Holds this against a task, besides the hosts that ended under itself.
     fn hold(&mut self, id: TaskId, evidence: Evidence, changes: &mut Vec<Change>) {
         if let Some(task) = self.task_mut(id) {
-            task.evidence = evidence;
-            changes.push(Change::Suspected(id, evidence));
+            let own = task.evidence.own;
+            task.evidence = Evidence { own, ..evidence };
+            changes.push(Change::Suspected(id, task.evidence));
         }
     }
 }
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -283,6 +283,11 @@
         }
     }
 
+    /// Whether a task that is placed there lasts.
+    pub(super) fn lasts(&self, task: TaskId) -> bool {
+        self.slots.get(&task).is_some_and(|slot| slot.lasting)
+    }
+
     /// Whether it answers and isn't about to leave.
     pub(super) fn is_well(&self) -> bool {
         !self.record.leaving && self.trouble.is_none()
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -6,9 +6,12 @@
 //! once do if no job was at all of them. All other ends are evidence against what ran there
 //! ([`suspicion`](crate::core::workload::suspicion)).
 //!
-//! What the end of a host proves against a task that ran there alone is how unlikely it is that the host
-//! ended by itself in that time. How often hosts do is learnt: from those that ended lately under
-//! nothing that is still suspected. A host that has ended may end again for the same unknown reason. So
+//! What the end of a host proves against a short task that ran there alone is how unlikely it is that the
+//! host ended by itself in that time. How often hosts do is learnt: from those that ended lately under
+//! nothing that is still suspected. Where others were there, what counts is how often hosts of its pool end
+//! for whatever reason: where hosts end all the time it is nothing rare to be at an end that comes soon.
+//! What lasts is at all hosts of a small pool, and isn't waited for to be away: it counts by how long it has
+//! been at work. A host that has ended may end again for the same unknown reason. So
 //! suspects aren't put there for a while if there is another, and where a host has ended twice, its next
 //! end proves nothing. Ends that turn out to be the doing of a convicted task don't count.
 
@@ -18,8 +21,8 @@
 };
 
 use super::{
-    Agent, MinionId, Now, Scheduler, Slot, TaskId, agent::LATELY, hosts::Stage, suspects::Suspects,
-    unit::Unit,
+    Agent, MinionId, Now, Phase, PoolId, Scheduler, Slot, TaskId, agent::LATELY, hosts::Stage,
+    suspects::Suspects, unit::Unit,
 };
 use crate::core::{
     types::{DataCentreId, HostId, RackId, Wall},
@@ -59,19 +62,34 @@
     host: Option<HostId>,
     rack: Option<RackId>,
     data_centre: DataCentreId,
-    /// What was at work there.
-    tasks: Vec<TaskId>,
+    pool: PoolId,
+    /// What was at work there, and whether it lasts.
+    tasks: Vec<(TaskId, bool)>,
+    /// Whether it is known what ended it.
+    explained: bool,
 }
 
 impl Loss {
     /// The jobs at work there. An end under no job at all has another cause.
     fn jobs(&self) -> BTreeSet<JobId> {
-        self.tasks.iter().map(|task| task.step.job).collect()
+        self.tasks.iter().map(|(task, _)| task.step.job).collect()
     }
 
     /// Whether a task that was there may still turn out to have ended it.
     fn is_open(&self, suspects: &Suspects) -> bool {
-        !self.committed || self.tasks.iter().any(|task| suspects.is_open(*task))
+        !self.committed || self.tasks.iter().any(|(task, _)| suspects.is_open(*task))
+    }
+
+    /// What was at work there, but for a job.
+    fn units_beside(&self, job: JobId) -> BTreeSet<Unit> {
+        let others = self.tasks.iter().filter(|(task, _)| task.step.job != job);
+        others
+            .map(|(task, lasts)| Unit::of(*task, *lasts))
+            .collect()
+    }
+
+    fn has(&self, task: TaskId) -> bool {
+        self.tasks.iter().any(|(other, _)| *other == task)
     }
 }
 
@@ -103,26 +121,58 @@
     /// How often a host has ended lately for a reason that isn't known. Ends under a task that ended
     /// others, too, are that task's doing as far as is known.
     fn count(&self, now: Now, host: &HostId, suspects: &Suspects) -> usize {
-        let ends = self.recent.iter();
+        let ends = self.unexplained();
         let ends = ends.filter(|loss| loss.host.as_ref() == Some(host) && now < loss.at + TAINTED);
-        let known = |loss: &&Loss| !loss.tasks.iter().any(|task| suspects.has_ended_more(*task));
+        let known = |loss: &&Loss| {
+            let mut tasks = loss.tasks.iter();
+            !tasks.any(|(task, _)| suspects.has_ended_more(*task))
+        };
         ends.filter(known).count()
     }
 
     /// Whether another host has just ended under a unit.
     fn has_just_ended(&self, now: Now, unit: Unit) -> bool {
-        let together = self.recent.iter().filter(|loss| now < loss.at + TOGETHER);
+        let together = self.unexplained().filter(|loss| now < loss.at + TOGETHER);
         let mut tasks = together.flat_map(|loss| &loss.tasks);
-        tasks.any(|task| match unit {
+        tasks.any(|(task, _)| match unit {
             Unit::Job(job) => task.step.job == job,
             Unit::Task(unit) => *task == unit,
         })
     }
 
-    /// The hosts that ended under a job did so because of it.
-    pub(super) fn explain(&mut self, job: JobId) {
-        self.recent
-            .retain(|loss| loss.tasks.iter().all(|task| task.step.job != job));
+    /// The ends of which it isn't known what caused them.
+    fn unexplained(&self) -> impl Iterator<Item = &Loss> {
+        self.recent.iter().filter(|loss| !loss.explained)
+    }
+
+    /// What stood beside a task when hosts ended under it lately, but for the others of its job.
+    pub(super) fn companions(&self, task: TaskId) -> BTreeSet<Unit> {
+        let ends = self.unexplained().filter(|loss| loss.has(task));
+        ends.flat_map(|loss| loss.units_beside(task.step.job))
+            .collect()
+    }
+
+    /// The highest rate at which hosts of a pool of so many were seen to end lately, for whatever reason,
+    /// in ends a second for each host. Those that a task was at don't count.
+    fn hazard(&self, now: Now, pool: &PoolId, hosts: usize, task: TaskId) -> f64 {
+        let ends = self.recent.iter().rev();
+        let ends = ends.filter(|loss| loss.pool == *pool && !loss.has(task));
+        let rates = (1_u32..).zip(ends).map(|(count, loss)| {
+            let span = now.saturating_sub(loss.at).max(TOGETHER);
+            f64::from(count) / span.as_secs_f64()
+        });
+        rates.fold(0.0, f64::max) / hosts.max(1) as f64
+    }
+
+    /// The hosts that ended under a job did so because of it; what else ran at each of them.
+    pub(super) fn explain(&mut self, job: JobId) -> Vec<BTreeSet<Unit>> {
+        let ends = self.recent.iter_mut();
+        let ends = ends.filter(|loss| !loss.explained && loss.jobs().contains(&job));
+        let others = ends.map(|loss| {
+            loss.explained = true;
+            loss.units_beside(job)
+        });
+        others.collect()
     }
 
     /// It is in the log that an agent has ended.
@@ -149,8 +199,8 @@
 
     /// How often hosts were seen to end by themselves, but for those that a task was at.
     fn seen(&self, now: Now, suspects: &Suspects, task: Option<TaskId>) -> Seen {
-        let lately = self.recent.iter().filter(|loss| now < loss.at + WINDOW);
-        let others = lately.filter(|loss| !task.is_some_and(|task| loss.tasks.contains(&task)));
+        let lately = self.unexplained().filter(|loss| now < loss.at + WINDOW);
+        let others = lately.filter(|loss| !task.is_some_and(|task| loss.has(task)));
         let ends = others.filter(|loss| !loss.is_open(suspects)).count();
         let before = f64::from(self.before) * fading(now.saturating_sub(self.began));
         Seen {
@@ -161,7 +211,7 @@
 
     /// Whether many ended together of those that are alike, and no job was at all of them.
     fn is_common(&self, now: Now, alike: impl Fn(&Loss) -> bool) -> bool {
-        let together = self.recent.iter().filter(|loss| now < loss.at + TOGETHER);
+        let together = self.unexplained().filter(|loss| now < loss.at + TOGETHER);
         let mut alike = together.filter(|loss| alike(loss));
         let Some(first) = alike.next() else {
             return false;
@@ -240,10 +290,11 @@
             let Present {
                 task,
                 weight,
+                sudden,
                 worked,
             } = present;
             let inherited = slot.inherited;
-            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, inherited, worked:?, weight; "a task was there when its agent ended");
+            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, inherited, worked:?, weight, sudden; "a task was there when its agent ended");
         }
     }
 
@@ -264,7 +315,14 @@
             // It may have ended long before this leader began, by an order of an earlier one.
             return Err(Cause::Idle);
         }
-        let there = agent.slots.iter().filter(|(_, slot)| slot.may_run());
+        let tried = agent.slots.values();
+        let tried = tried.filter(|slot| slot.probed && !slot.lasting && slot.may_run());
+        let tried = tried.map(|slot| slot.placed).max();
+        // What had been at work there before another was tried isn't what ended it.
+        let before =
+            |slot: &Slot| slot.lasting && tried.is_some_and(|tried| slot.placed + TOGETHER < tried);
+        let there = agent.slots.iter();
+        let there = there.filter(|(_, slot)| slot.may_run() && !before(slot));
         let tasks = there.map(|(task, slot)| self.weigh(now, wall, agent, *task, slot));
         let tasks: Vec<_> = tasks.collect();
         let loss = Loss {
@@ -274,7 +332,12 @@
             host: agent.home.clone(),
             rack: agent.record.rack().cloned(),
             data_centre: agent.record.data_centre.clone(),
-            tasks: tasks.iter().map(|present| present.task).collect(),
+            pool: agent.record.pool.clone(),
+            tasks: tasks
+                .iter()
+                .map(|present| (present.task, agent.lasts(present.task)))
+                .collect(),
+            explained: false,
         };
         let crash = Crash {
             agent: id.clone(),
@@ -295,24 +358,80 @@
         let after = now.saturating_sub(end);
         let worked = self.worked(now, wall, task, slot).saturating_sub(after);
         let unit = Unit::of(task, slot.lasting);
+        let alone = if slot.lasting {
+            self.was_only_suspect(agent, task)
+        } else {
+            self.was_alone(agent, unit)
+        };
         // Hosts that end together prove no more than one of them, unless the unit was tried there.
-        let alone =
-            self.was_alone(agent, unit) && (slot.probed || !self.losses.has_just_ended(now, unit));
+        let alone = alone && (slot.probed || !self.losses.has_just_ended(now, unit));
         let sound = self.taint(now, agent) < UNSOUND;
         // A host that wasn't heard shortly before the start may have ended before it.
         let lived = agent.heard + LATELY >= slot.placed;
-        let weight = if alone && sound && lived {
-            decibans(self.end_rate(now, Some(task)) * worked.as_secs_f64())
-        } else {
-            0
+        let pool = &agent.record.pool;
+        let hazard = self.losses.hazard(now, pool, self.agents.count(pool), task);
+        let any = hazard.max(self.end_rate(now, Some(task)));
+        let chance = |rate: f64| decibans(rate * worked.as_secs_f64());
+        // A task that wasn't seen to begin may not have.
+        let begun = !matches!(slot.phase, Phase::Due | Phase::Starting(_));
+        let weight = match (alone && sound && lived && begun, slot.lasting) {
+            (false, _) => 0,
+            // What else ran there may have ended it as anything ends hosts now.
+            (true, true) => chance(any),
+            (true, false) => chance(self.end_rate(now, Some(task)) + self.doubt(now, agent, unit)),
         };
+        let sudden =
+            if !slot.lasting && begun && sound && lived && !self.was_together(agent, task, slot) {
+                chance(any)
+            } else {
+                0
+            };
         Present {
             task,
             weight,
+            sudden,
             worked,
         }
     }
 
+    /// Whether nothing else was at work at an agent under which hosts have ended.
+    fn was_only_suspect(&self, agent: &Agent, task: TaskId) -> bool {
+        let mut ran = agent.slots.iter().filter(|(_, slot)| slot.may_run());
+        ran.all(|(other, slot)| {
+            let innocent = if slot.lasting {
+                !self.suspects.has_ended_more(*other)
+            } else {
+                self.suspects.get(*other).is_none()
+            };
+            innocent || *other == task
+        })
+    }
+
+    /// Whether anything at an agent that ended was beside a task at an earlier end, too, and has been at
+    /// work there for about as long, if it lasts.
+    fn was_together(&self, agent: &Agent, task: TaskId, slot: &Slot) -> bool {
+        let companions = self.losses.companions(task);
+        let mut there = agent.slots.iter().filter(|(_, other)| other.may_run());
+        there.any(|(id, other)| {
+            let fresh = !other.lasting || other.placed + TOGETHER >= slot.placed;
+            fresh && companions.contains(&Unit::of(*id, other.lasting))
+        })
+    }
+
+    /// How often what lasts at an agent, and is suspected, may end it, in ends a second: once in the time that
+    /// it has been at work there, or was when hosts ended under it.
+    fn doubt(&self, now: Now, agent: &Agent, unit: Unit) -> f64 {
+        let others = agent.slots.iter().filter(|(_, slot)| slot.lasting);
+        let others = others.filter(|(task, slot)| Unit::of(**task, slot.lasting) != unit);
+        let others = others.filter(|(task, _)| self.suspects.has_ended_more(**task));
+        let rates = others.filter_map(|(task, slot)| {
+            let longest = self.suspects.get(*task)?.evidence.longest;
+            let worked = longest.max(now.saturating_sub(slot.placed));
+            Some(1.0 / worked.as_secs_f64().max(f64::EPSILON))
+        });
+        rates.sum()
+    }
+
     /// For how long a task may have been at work where it is.
     fn worked(&self, now: Now, wall: Wall, task: TaskId, slot: &Slot) -> Duration {
         let known = now.saturating_sub(slot.placed);
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -3,9 +3,13 @@
 //! One under which a single host has ended runs at once, but apart from others like it and where little
 //! else does: if one of those that were there ended the host, only that one ends another.
 //!
-//! A suspect runs on a *probe*: an agent where nothing else does, from its start to its end, so that
-//! nothing but the suspect can be what ends it. Nothing new is started there while it empties, nor beside
-//! the suspect. What else of the suspect's unit could start waits until it is done.
+//! A short suspect runs on a *probe*: an agent where nothing else does but what lasts, from its start to
+//! its end, so that hardly anything but the suspect can be what ends it. Nothing new is started there while
+//! it empties, nor beside the suspect. What else of the suspect's unit could start waits until it is done.
+//!
+//! What lasts and is suspected runs apart from other suspects, and on no probe: it would hold one for as
+//! long as it is suspected, and in a small pool all hosts. For the same reason it keeps no host from being
+//! a probe.
 
 use std::{
     cmp::Reverse,
@@ -15,17 +19,17 @@
 
 use super::{
     Agent, Ledger, MinionId, Now, Placed, PoolId, STARTS, Scheduler, Slot, StepId, StepSpec,
-    TaskId, agent::LATELY, place, starts::attempts, unit::Unit,
+    TaskId, agent::LATELY, place, starts::attempts, suspects::Held, unit::Unit,
 };
+use crate::core::workload::suspicion::Evidence;
 
 /// Of a pool's hosts, one in so many is a probe at most, as long as no unit has waited for too long, and
 /// then.
 const PROBES: (usize, usize) = (4, 2);
 /// From one look for a probe to the next. Each is at up to all agents of a pool.
 const LOOK: Duration = Duration::from_millis(20);
-/// How long a unit waits for a probe before there may be more of them, or before a lasting task runs
-/// beside others, as a short one does that no host will be free for. Callers count on a task that could
-/// be started not waiting for three seconds.
+/// How long a unit waits for a probe before there may be more of them, or before it runs beside others if no
+/// host will be free for it. Callers count on a task that could be started not waiting for three seconds.
 const PATIENCE: Duration = Duration::from_millis(2000);
 
 /// A unit that waits for a probe.
@@ -82,8 +86,7 @@
         pool: &PoolId,
         starts: &mut Vec<Placed>,
     ) {
-        let suspects = self.suspects.all();
-        let suspects = suspects.filter(|(_, held)| held.evidence.is_suspect());
+        let suspects = self.suspects.suspected();
         let steps: BTreeSet<_> = suspects.map(|(task, _)| task.step).collect();
         for step in steps {
             let ready = self.ready.get(step).filter(|ready| ready.pool == *pool);
@@ -112,17 +115,24 @@
         let pool = &pool;
         let sought = Sought { pool, step, spec };
         let tasks = ready.free.iter().map(|task| TaskId { step, task: *task });
-        let tasks = tasks.filter_map(|task| Some((self.suspects.get(task)?.evidence, task)));
+        let tasks = tasks.filter_map(|task| Some((self.suspects.get(task)?, task)));
         let mut tasks: Vec<_> = tasks.collect();
         // Where not all fit one host, those go first that are the nearest to a verdict.
-        tasks.sort_by_key(|(evidence, task)| (Reverse((evidence.weight, evidence.hosts)), *task));
-        for (evidence, task) in tasks {
+        tasks.sort_by_key(|(Held { evidence, .. }, task)| {
+            let Evidence {
+                own, weight, hosts, ..
+            } = evidence;
+            (Reverse((own.hosts, *weight, *hosts)), *task)
+        });
+        for (held, task) in tasks {
             let unit = self.suspects.unit(task, spec.lasting);
             let agent = match unit {
-                Some(unit) if evidence.is_suspect() => self.probe_for(now, &sought, unit),
+                Some(unit @ Unit::Job(_)) if self.suspects.is_suspect(task, held) => {
+                    self.probe_for(now, &sought, unit, task)
+                }
                 // It waits until the others of its unit are done.
-                Some(_) => None,
-                None => self.apart(now, &sought),
+                Some(Unit::Job(_)) => None,
+                Some(Unit::Task(_)) | None => self.apart(now, &sought, task),
             };
             let Some(agent) = agent else {
                 return;
@@ -139,17 +149,25 @@
 
     /// An agent for a task under which one host has ended: away from others like it, and where an end
     /// does little harm.
-    fn apart(&self, now: Now, sought: &Sought<'_>) -> Option<MinionId> {
+    fn apart(&self, now: Now, sought: &Sought<'_>, task: TaskId) -> Option<MinionId> {
         let Sought { pool, step, spec } = *sought;
         let able = self.able(now, pool, spec.room().millicores);
         let able = able.filter(|agent| {
             self.is_eligible(now, step, agent) && place::may_run(agent, spec, step)
         });
+        let companions = self.losses.companions(task);
         let rank = |agent: &&Agent| {
+            // What stood beside it when a host ended stays away from it, or the next end tells nothing.
+            let slots = agent.slots.iter();
+            let again = slots.filter(|(other, slot)| {
+                let unit = Unit::of(**other, slot.lasting);
+                !slot.lasting && companions.contains(&unit)
+            });
             let tasks = agent.slots.keys();
             let others = tasks.filter(|task| self.suspects.get(**task).is_some());
             let tainted = self.taint(now, agent) > 0;
             (
+                again.count(),
                 others.count(),
                 tainted,
                 agent.slots.len(),
@@ -160,8 +178,13 @@
     }
 
     /// The agent where a task of a suspected unit may run now.
-    fn probe_for(&mut self, now: Now, sought: &Sought<'_>, unit: Unit) -> Option<MinionId> {
-        let spec = sought.spec;
+    fn probe_for(
+        &mut self,
+        now: Now,
+        sought: &Sought<'_>,
+        unit: Unit,
+        task: TaskId,
+    ) -> Option<MinionId> {
         let waiting = self.probes.waiting.get(&unit).copied();
         if waiting.is_some_and(|waiting| now < waiting.next) {
             return None;
@@ -182,11 +205,14 @@
         let since = waiting.map_or(now, |waiting| waiting.since);
         let next = now + LOOK;
         self.probes.waiting.insert(unit, Waiting { since, next });
-        let share =
-            now >= since + PATIENCE && (spec.lasting || self.is_hopeless(now, sought, unit));
-        let beside = share.then(|| self.apart(now, sought)).flatten();
+        let held = self.suspects.get(task);
+        let last = held.is_some_and(|held| held.evidence.own.is_last());
+        let share = now >= since + PATIENCE && !last && self.is_hopeless(now, sought, unit);
+        let beside = share.then(|| self.apart(now, sought, task)).flatten();
         if let Some(agent) = &beside {
             self.log_beside(now, sought, unit, since, agent);
+            // The next wait is one of its own.
+            self.probes.waiting.remove(&unit);
         }
         beside
     }
@@ -205,7 +231,7 @@
         log::info!(step:%, agent:% = beside, others, waited:?, agents, able, blocked, probes; "a suspect runs beside others, as no host was free for it");
     }
 
-    /// Whether no host of a pool will be free for a unit, as lasting suspects run at all of them.
+    /// Whether no host of a pool will be free for a unit.
     fn is_hopeless(&self, now: Now, sought: &Sought<'_>, unit: Unit) -> bool {
         let mut agents = self.agents.with_room(sought.pool, 0);
         !agents.any(|agent| self.could_begin(now, agent, sought, unit))
@@ -244,19 +270,19 @@
         ran.all(|(task, slot)| self.is_apart(*task, slot, unit))
     }
 
-    /// Whether a task is of a unit, or lasts and isn't suspected.
+    /// Whether a task is of a unit, or keeps none from being tried: what lasts doesn't keep what is short,
+    /// as it is at every host of a small pool, and tells little by the time that it has been at work.
     fn is_apart(&self, task: TaskId, slot: &Slot, unit: Unit) -> bool {
-        let innocent = slot.lasting && !self.suspects.has_ended_more(task);
-        innocent || Unit::of(task, slot.lasting) == unit
+        let short = matches!(unit, Unit::Job(_));
+        let harmless = slot.lasting && (short || !self.suspects.has_ended_more(task));
+        harmless || Unit::of(task, slot.lasting) == unit
     }
 
     /// Takes the probes over from an earlier leader.
     pub(super) fn inherit_probes(&mut self) {
-        let suspects = self
-            .suspects
-            .all()
-            .filter(|(_, held)| held.evidence.is_suspect());
+        let suspects = self.suspects.suspected();
         let units: BTreeSet<_> = suspects
+            .filter(|(_, held)| !held.lasting)
             .map(|(task, held)| Unit::of(task, held.lasting))
             .collect();
         for unit in units {
@@ -328,10 +354,14 @@
         });
         let rank = |agent: &&Agent| {
             let lasts = agent.slots.values().any(|slot| slot.lasting);
+            let tasks = agent.slots.keys();
+            let doubtful = tasks.filter(|task| self.suspects.has_ended_more(**task));
+            let doubtful = doubtful.count();
             let tainted = self.taint(now, agent);
             let empties = agent.empties().filter(|_| !lasts);
             (
                 lasts,
+                doubtful,
                 tainted,
                 empties,
                 agent.slots.len(),
@@ -361,9 +391,10 @@
             });
         }
         // Units wait in these pools.
-        let waiting = self.suspects.all().filter_map(|(task, held)| {
+        let short = self.suspects.suspected().filter(|(_, held)| !held.lasting);
+        let waiting = short.filter_map(|(task, _)| {
             let ready = self.ready.get(task.step)?;
-            let waits = held.evidence.is_suspect() && ready.free.contains(&task.task);
+            let waits = ready.free.contains(&task.task);
             waits.then(|| ready.pool.clone())
         });
         let waiting: BTreeSet<_> = waiting.collect();
--- a/src/core/workload/scheduler/suspects.rs
+++ b/src/core/workload/scheduler/suspects.rs
@@ -32,6 +32,8 @@
     convicted: Vec<TaskId>,
     /// Their jobs, until they are over.
     failing: BTreeSet<JobId>,
+    /// Of how many hosts that ended under each unit it turned out that another ended them.
+    explained: BTreeMap<Unit, u32>,
 }
 
 impl Suspects {
@@ -39,7 +41,9 @@
     pub(super) fn clear(&mut self, task: TaskId) {
         let job = task.step.job;
         if let Some(tasks) = self.jobs.get_mut(&job) {
-            tasks.remove(&task);
+            if let Some(held) = tasks.remove(&task).filter(|held| held.lasting) {
+                self.explained.remove(&Unit::of(task, held.lasting));
+            }
             if tasks.is_empty() {
                 self.jobs.remove(&job);
             }
@@ -50,6 +54,21 @@
     pub(super) fn forget(&mut self, job: JobId) {
         self.jobs.remove(&job);
         self.failing.remove(&job);
+        self.explained.retain(|unit, _| unit.job() != job);
+    }
+
+    /// It turned out what ended a host under which these units ran.
+    pub(super) fn explain(&mut self, units: BTreeSet<Unit>) {
+        for unit in units {
+            *self.explained.entry(unit).or_default() += 1;
+        }
+    }
+
+    /// Whether a task has to run where nothing else does.
+    pub(super) fn is_suspect(&self, task: TaskId, held: Held) -> bool {
+        let unit = Unit::of(task, held.lasting);
+        let explained = self.explained.get(&unit).copied().unwrap_or_default();
+        held.evidence.is_suspect_without(explained)
     }
 
     /// Whether hosts have ended under any task of a job.
@@ -74,7 +93,8 @@
     }
 
     pub(super) fn is_suspected(&self, unit: Unit) -> bool {
-        self.of(unit).any(|(_, held)| held.evidence.is_suspect())
+        self.of(unit)
+            .any(|(task, held)| self.is_suspect(task, held))
     }
 
     /// What is held against the tasks of a unit.
@@ -95,8 +115,14 @@
 
     /// Whether more than one host has ended under a task.
     pub(super) fn has_ended_more(&self, task: TaskId) -> bool {
-        self.get(task)
-            .is_some_and(|held| held.evidence.is_suspect())
+        let held = self.get(task);
+        held.is_some_and(|held| self.is_suspect(task, held))
+    }
+
+    /// The tasks that have to run where nothing else does.
+    pub(super) fn suspected(&self) -> impl Iterator<Item = (TaskId, Held)> {
+        self.all()
+            .filter(|(task, held)| self.is_suspect(*task, *held))
     }
 
     /// Whether an end of a host may still turn out to be a task's doing, as it is short and isn't done. What
@@ -109,24 +135,25 @@
 impl Scheduler {
     /// How many tasks are suspected to end the hosts that run them.
     pub fn suspected(&self) -> usize {
-        let suspected = self.suspects.all();
-        suspected
-            .filter(|(_, held)| held.evidence.is_suspect())
-            .count()
+        self.suspects.suspected().count()
     }
 
     /// The log holds this against a task of a job.
     pub(super) fn suspect(&mut self, job: &Job, task: TaskId, evidence: Evidence) {
         let lasting = !job.is_short(task);
-        let Evidence { hosts, weight, .. } = evidence;
+        let Evidence {
+            hosts, weight, own, ..
+        } = evidence;
         let conclusive = evidence.is_conclusive(lasting);
-        log::info!(task:%, hosts, weight, conclusive; "a host has ended under a task");
+        log::info!(task:%, hosts, weight, own = own.hosts, sudden = own.weight(), conclusive; "a host has ended under a task");
         let tasks = self.suspects.jobs.entry(task.step.job).or_default();
         tasks.insert(task, Held { evidence, lasting });
         if conclusive && self.suspects.failing.insert(task.step.job) {
             self.suspects.convicted.push(task);
-            // The hosts that it ended were sound.
-            self.losses.explain(task.step.job);
+            // The hosts that it ended were sound, and what else ran there didn't end them.
+            for units in self.losses.explain(task.step.job) {
+                self.suspects.explain(units);
+            }
         }
     }
 
--- a/src/core/workload/suspicion.rs
+++ b/src/core/workload/suspicion.rs
@@ -12,9 +12,15 @@
 //! end seldom. Such evidence adds up in decibans, tenths of a decimal order, until it is *conclusive*: the
 //! task is *convicted*, and its job fails.
 //!
-//! The short tasks of a job are alike, and the job fails as a whole: they have their evidence in common.
+//! Often no trial is needed. A short task that has just begun when its host ends, and again when the next one
+//! does, is what ended them, unless hosts end so often, for whatever reason, that both are chance. What
+//! stood beside it both times might have done it as well, so that then neither end proves anything.
+//!
+//! The short tasks of a job are alike, and the job fails as a whole: what trials prove they have in common.
 //! What lasts has its own.
 //!
+//! A task under which [`Own::MOST`] hosts have ended is given up, whatever they prove.
+//!
 //! The evidence is in the ledger, so that a leader which ends in the middle loses none of it. What
 //! counts as another cause, how often hosts end by themselves, and where suspects run, is the leader's to
 //! decide.
@@ -27,8 +33,10 @@
 //! let worked = Duration::from_secs(1);
 //! let mut evidence = Evidence::default();
 //! // Two hosts ended under it that others were at work on, too.
-//! evidence.note(0, worked);
-//! evidence.note(0, worked);
+//! for _ in 0..2 {
+//!     evidence.note(0, worked);
+//!     evidence.own.note(0);
+//! }
 //! assert!(evidence.is_suspect() && !evidence.is_conclusive(false));
 //! // A third one that ran nothing else. One in five hundred would have ended by itself.
 //! evidence.note(decibans(0.002), worked);
@@ -44,12 +52,14 @@
 
 /// Hosts that must have ended under a task for it to be suspected.
 const SUSPECT: u32 = 2;
-/// And for it to be convicted.
+/// And hosts that must have ended under tasks of its job, or for it to be convicted by trials.
 const CONVICT: u32 = 3;
-/// How much the evidence must be for that, in decibans, for a short task: one in five hundred; and for
-/// one that lasts: one in five thousand, since hosts end under most of what lasts some time.
+/// How much the evidence must be for that, in decibans, for a short task that was tried: one in five
+/// hundred; and for one that lasts, or wasn't tried: one in five thousand, since hosts end under most of
+/// what lasts some time, and so many tasks run where hosts end.
 const CONCLUSIVE: (u32, u32) = (27, 37);
-/// How much the second host proves at least, whatever else ran there, as so few tasks were at both.
+/// How much it proves in a trial that a second host ended under the task itself, whatever else ran there,
+/// as so few tasks were at both.
 const TWICE: u32 = 10;
 
 /// So many hosts that only the task can have ended count in full.
@@ -85,17 +95,54 @@
     /// The longest that the task had been at work when one ended. Older images hold none.
     #[serde(default)]
     pub longest: Duration,
+    /// Those that ended under the task itself, and not under others of its job. Older images hold none.
+    #[serde(default)]
+    pub own: Own,
+}
+
+/// The hosts that ended under a task itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Own {
+    /// How many.
+    pub hosts: u32,
+    /// How much they prove by how soon they ended after the task began, in decibans, all together.
+    pub sum: u32,
+    /// And the one that proves the most.
+    pub most: u32,
+}
+
+impl Own {
+    /// Hosts that may end under a short task before it is given up: users count on two more starts at most
+    /// after a third one.
+    pub const MOST: u32 = 5;
+    /// Hosts after which it runs nowhere but alone.
+    const LAST: u32 = 3;
+
+    /// Another host has ended, which proves so much.
+    pub fn note(&mut self, weight: u32) {
+        self.sum = self.sum.saturating_add(weight);
+        self.most = self.most.max(weight);
+        self.hosts = self.hosts.saturating_add(1);
+    }
+
+    /// How much they prove. One host doesn't count, the one that would prove the most: under some task any
+    /// host ends soon.
+    pub fn weight(&self) -> u32 {
+        self.sum - self.most
+    }
+
+    /// Whether no other host may be risked beside others.
+    pub fn is_last(&self) -> bool {
+        self.hosts >= Self::LAST
+    }
 }
 
 impl Evidence {
     /// Another host has ended under the task, which had been at work for so long. It proves so much; the
     /// first one nothing, as any host may end.
     pub fn note(&mut self, weight: u32, worked: Duration) {
-        let counted = match self.hosts {
-            0 => 0,
-            1 => weight.max(TWICE),
-            _ => weight,
-        };
+        let counted = if self.hosts > 0 { weight } else { 0 };
         let counts = self.hosts > 0 && weight > 0;
         let further = counts && self.tried >= FULL;
         let taken = if further { FURTHER } else { 0 };
@@ -108,13 +155,21 @@
 
     /// Whether it is enough for the task to run where nothing else does.
     pub fn is_suspect(&self) -> bool {
-        self.hosts >= SUSPECT
+        self.is_suspect_without(0)
+    }
+
+    /// The same if so many of the hosts turned out to be the doing of others.
+    pub fn is_suspect_without(&self, explained: u32) -> bool {
+        self.own.hosts >= SUSPECT || self.hosts.saturating_sub(explained) >= CONVICT
     }
 
     /// Whether it is enough for the task's job to fail, given whether the task lasts.
     pub fn is_conclusive(&self, lasting: bool) -> bool {
         let least = if lasting { CONCLUSIVE.1 } else { CONCLUSIVE.0 };
-        self.hosts >= CONVICT && self.alone && self.weight >= least
+        let twice = if self.own.hosts >= SUSPECT { TWICE } else { 0 };
+        let tried = self.hosts >= CONVICT && self.alone && self.weight + twice >= least;
+        let sudden = self.own.weight() >= CONCLUSIVE.1 || self.own.hosts >= Own::MOST;
+        tried || (sudden && !lasting)
     }
 
     /// Whether there is none, as for nearly all tasks.
@@ -145,6 +200,10 @@
     /// How much its end proves against the task, in decibans. Entries of earlier releases hold none.
     #[serde(default)]
     pub weight: u32,
+    /// How much it proves by how soon after the task's start it came, in decibans, whatever else ran there.
+    /// Entries of earlier releases hold none.
+    #[serde(default)]
+    pub sudden: u32,
     /// How long the task may have been at work there. Entries of earlier releases hold none.
     #[serde(default)]
     pub worked: Duration,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -15,6 +15,7 @@
 mod relays;
 mod scarce;
 mod spec;
+mod suspicion;
 mod touched;
 mod vacating;
 mod world;
