--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -289,6 +289,10 @@
         };
         for ended in &report.ended {
             if ended.number <= agent.proposed {
+                let slot = agent.slots.get(&ended.task);
+                if slot.is_some_and(|s| s.attempt == ended.attempt && s.phase != Phase::Ended) {
+                    log::warn!(agent:% = id, task:% = ended.task, attempt = ended.attempt, number = ended.number, through = agent.proposed; "an end that isn't known has a number that is");
+                }
                 continue;
             }
             agent.proposed = ended.number;
