--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -12,6 +12,7 @@
 mod lists;
 mod overload;
 mod promises;
+mod reborn;
 mod relays;
 mod scarce;
 mod spec;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -221,6 +221,8 @@
     pub(crate) ended: usize,
     /// How long a stop takes.
     pub(crate) stopping: Duration,
+    /// The part of the agents that start again under the id that they had.
+    pub(crate) keeps: f64,
     /// How long a host that ended by itself is away.
     pub(crate) away: Duration,
     /// Lasting tasks that orders ended and that aren't at work again.
@@ -339,6 +341,7 @@
             unlisted: BTreeSet::new(),
             ended: 0,
             stopping: STOP,
+            keeps: 0.0,
             away: AWAY,
             taken: BTreeSet::new(),
             overdrawn: Vec::new(),
@@ -437,6 +440,7 @@
 
     fn boot_at(&mut self, host: &HostId, address: SocketAddr) {
         let rack = host[1..].parse::<usize>().unwrap_or(0) / 2;
+        let keeps = self.keeps > 0.0 && self.rng.random_bool(self.keeps);
         let Some(view) = self.hosts.get_mut(host) else {
             return;
         };
@@ -445,7 +449,11 @@
             return;
         }
         self.boots += 1;
-        let id: MinionId = format!("{host}-{}", self.boots).into();
+        let id: MinionId = if keeps {
+            host.clone()
+        } else {
+            format!("{host}-{}", self.boots).into()
+        };
         view.agent = Some(id.clone());
         let record = AgentRecord {
             id: id.clone(),
