Convict a short task only after two hosts on which it is known to have begun

Callers count on two hosts under one task.

Change: the ledger counts the hosts on which a task is known to have begun, by its agent's answer or list, and a short task needs two of them to be convicted.

--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -351,7 +351,7 @@
             let Some(task) = job.task_mut(id).filter(stands) else {
                 continue;
             };
-            task.evidence.own.note(present.sudden);
+            task.evidence.own.note(present.sudden, present.begun);
             let mut evidence = task.evidence;
             if !job.is_short(id) {
                 evidence.note(present.weight, present.worked);
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -291,10 +291,11 @@
                 task,
                 weight,
                 sudden,
+                begun,
                 worked,
             } = present;
             let inherited = slot.inherited;
-            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, inherited, worked:?, weight, sudden; "a task was there when its agent ended");
+            log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:?, age:?, inherited, worked:?, begun, weight, sudden; "a task was there when its agent ended");
         }
     }
 
@@ -390,6 +391,7 @@
             task,
             weight,
             sudden,
+            begun,
             worked,
         }
     }
--- a/src/core/workload/suspicion.rs
+++ b/src/core/workload/suspicion.rs
@@ -35,7 +35,7 @@
 //! // Two hosts ended under it that others were at work on, too.
 //! for _ in 0..2 {
 //!     evidence.note(0, worked);
-//!     evidence.own.note(0);
+//!     evidence.own.note(0, true);
 //! }
 //! assert!(evidence.is_suspect() && !evidence.is_conclusive(false));
 //! // A third one that ran nothing else. One in five hundred would have ended by itself.
@@ -106,6 +106,8 @@
 pub struct Own {
     /// How many.
     pub hosts: u32,
+    /// On how many of them it is known to have begun.
+    pub begun: u32,
     /// How much they prove by how soon they ended after the task began, in decibans, all together.
     pub sum: u32,
     /// And the one that proves the most.
@@ -119,8 +121,9 @@
     /// Hosts after which it runs nowhere but alone.
     const LAST: u32 = 3;
 
-    /// Another host has ended, which proves so much.
-    pub fn note(&mut self, weight: u32) {
+    /// Another host has ended, on which the task is known to have begun, or isn't. It proves so much.
+    pub fn note(&mut self, weight: u32, begun: bool) {
+        self.begun += u32::from(begun);
         self.sum = self.sum.saturating_add(weight);
         self.most = self.most.max(weight);
         self.hosts = self.hosts.saturating_add(1);
@@ -168,8 +171,13 @@
         let least = if lasting { CONCLUSIVE.1 } else { CONCLUSIVE.0 };
         let twice = if self.own.hosts >= SUSPECT { TWICE } else { 0 };
         let tried = self.hosts >= CONVICT && self.alone && self.weight + twice >= least;
-        let sudden = self.own.weight() >= CONCLUSIVE.1 || self.own.hosts >= Own::MOST;
-        tried || (sudden && !lasting)
+        if lasting {
+            return tried;
+        }
+        let sudden = self.own.weight() >= CONCLUSIVE.1;
+        // Callers know that a task may be given up under which two hosts have ended, and no other.
+        let proved = (tried || sudden) && self.own.begun >= SUSPECT;
+        proved || self.own.hosts >= Own::MOST
     }
 
     /// Whether there is none, as for nearly all tasks.
@@ -204,6 +212,9 @@
     /// Entries of earlier releases hold none.
     #[serde(default)]
     pub sudden: u32,
+    /// Whether it is known to have begun there. Entries of earlier releases don't say.
+    #[serde(default)]
+    pub begun: bool,
     /// How long the task may have been at work there. Entries of earlier releases hold none.
     #[serde(default)]
     pub worked: Duration,
--- a/tests/workload/suspicion.rs
+++ b/tests/workload/suspicion.rs
@@ -9,7 +9,7 @@
     let mut evidence = Evidence::default();
     for chance in chances {
         evidence.note(0, Duration::from_millis(20));
-        evidence.own.note(decibans(*chance));
+        evidence.own.note(decibans(*chance), true);
     }
     evidence
 }
@@ -38,3 +38,18 @@
     // Hosts end under all that lasts, sooner or later.
     assert!(!sudden(&vec![1.0; 2 * most]).is_conclusive(true));
 }
+
+/// A job failed though no host had ended under any of its tasks but once: three of them had been placed at
+/// hosts that had ended before.
+#[test]
+fn nothing_is_convicted_by_hosts_that_it_may_not_have_begun_on() {
+    let worked = Duration::from_millis(20);
+    let mut evidence = Evidence::default();
+    for chance in [1.0, 1.0, 0.0001, 0.0001] {
+        evidence.note(decibans(chance), worked);
+        evidence.own.note(decibans(chance), false);
+    }
+    assert!(evidence.is_suspect() && !evidence.is_conclusive(false));
+    evidence.own.begun = 2;
+    assert!(evidence.is_conclusive(false));
+}
