Acknowledge no end while a start is out that no list has shown

Tasks of a few tens of milliseconds, sent to an incarnation that had just ended, ran and ended at the next one; a renewal that was under way to the earlier one acknowledged its ends, so that the next one forgot that its first task was done, and the task was started again.

Change: a renewal acknowledges ends only if a list of that incarnation has shown all that was started there. A renewal that reaches the next incarnation then finds no end there that it could make it forget, but for starts sent after it.

The world beside it fails on the code before (no end is acknowledged before it is committed): agents that are heard only with their next heartbeats.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -291,6 +291,18 @@
         }
     }
 
+    /// Through which of its ends the next renewal acknowledges them.
+    ///
+    /// A later incarnation may get the renewal, and would forget ends of its own: of starts that were
+    /// meant for this one. So nothing is acknowledged twice, nor while a start is out that no list of this
+    /// incarnation has shown.
+    pub(super) fn acknowledges(&self) -> u64 {
+        let new = self.record.acked != self.told;
+        let mut slots = self.slots.values();
+        let settled = slots.all(|slot| slot.seen || !slot.may_run());
+        if new && settled { self.record.acked } else { 0 }
+    }
+
     /// Whether a task that is placed there lasts.
     pub(super) fn lasts(&self, task: TaskId) -> bool {
         self.slots.get(&task).is_some_and(|slot| slot.lasting)
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -29,10 +29,7 @@
             if at.is_none_or(|at| now < at) {
                 continue;
             }
-            // A later incarnation may get this, and would forget ends of its own. So only what is new is
-            // acknowledged.
-            let acked = Some(agent.record.acked).filter(|acked| *acked != agent.told);
-            let acked = acked.unwrap_or_default();
+            let acked = agent.acknowledges();
             let idle = agent.slots.is_empty();
             let extend = !idle
                 && agent
--- a/tests/workload/reborn.rs
+++ b/tests/workload/reborn.rs
@@ -6,6 +6,9 @@
 //! the agent forgot them. Cause: an id was taken for one life. Proof: the worlds here, in which agents keep
 //! their ids.
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
 use crate::{
     faults::play,
     world::{Faults, World, ms, step},
@@ -78,3 +81,28 @@
     };
     play_all(1.0, faults);
 }
+
+/// An acknowledgement for one life reached the next one, which forgot an end of a task that had been meant
+/// for the first; the task was started again.
+#[test]
+fn no_acknowledgement_for_one_life_is_taken_by_the_next() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(3, seed);
+        world.keeps = 1.0;
+        world.quiet = true;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        for job in 1..=300 {
+            let millis = rng.random_range(10..40);
+            world.submit(job, JobSpec::new("x", vec![step(2, 1, millis)]));
+            world.pass(ms(rng.random_range(0..40)));
+            if job % 6 == 0 {
+                let agents: Vec<_> = world.agents.keys().cloned().collect();
+                world.reboot(&agents[rng.random_range(0..agents.len())]);
+            }
+        }
+        world.until("all are through", ms(30_000), |world| {
+            let mut jobs = world.ledger.jobs();
+            jobs.all(|(_, job)| job.state == JobState::Completed)
+        });
+    }
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -231,6 +231,8 @@
     pub(crate) stopping: Duration,
     /// The part of the agents that start again under the id that they had.
     pub(crate) keeps: f64,
+    /// Whether those are heard with the next round of heartbeats only, and not at once.
+    pub(crate) quiet: bool,
     /// How long a host that ended by itself is away.
     pub(crate) away: Duration,
     /// Lasting tasks that orders ended and that aren't at work again.
@@ -350,6 +352,7 @@
             ended: 0,
             stopping: STOP,
             keeps: 0.0,
+            quiet: false,
             away: AWAY,
             taken: BTreeSet::new(),
             overdrawn: Vec::new(),
@@ -500,7 +503,9 @@
             slow: 1.0,
         };
         self.agents.insert(id.clone(), agent);
-        self.beat(&id);
+        if !(keeps && self.quiet) {
+            self.beat(&id);
+        }
     }
 
     /// A new leader, in a new term.
