Look at replaced agents once, by name, and derive what was kept twice

Found by reading the change; behaviour stays as it is.

- Whether an agent follows one that isn't settled was looked for among all replaced agents, for each agent of a pool and each step that waits: now among the incarnations of its own name, and not at all while none is replaced.
- What stood beside a task was gathered from all ends of a minute before it was known whether any agent could take the task.
- When an agent was replaced was kept and only whether it was is used.
- Which starts no list has shown stood twice, in acknowledgements and in what a replaced agent leaves behind.

Ruled out: one piece for start_suspects and place_gang, which share their signature alone. Checked: format, lints, 124 tests of workload, 34 programs' tests but the soak.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -75,9 +75,8 @@
     /// What its clock said when it was first seen to know this term. It has taken no order of an
     /// earlier one since.
     pub(super) fenced: Option<AgentTime>,
-    /// Since when a later incarnation is known to live in its place, as long as that one may carry out what
-    /// was ordered of this.
-    pub(super) replaced: Option<Now>,
+    /// Whether a later incarnation is known to live in its place, and may carry out what was ordered of this.
+    pub(super) replaced: bool,
     /// Since when its renewals fail.
     pub(super) trouble: Option<Now>,
     /// When an order to it first got no answer since it was heard.
@@ -190,7 +189,7 @@
             proposed: acked,
             told: acked,
             fenced: None,
-            replaced: None,
+            replaced: false,
             trouble: None,
             silent: None,
             home: None,
@@ -299,8 +298,8 @@
     pub(super) fn acknowledges(&self) -> u64 {
         let new = self.record.acked != self.told;
         let mut slots = self.slots.values();
-        let settled = slots.all(|slot| slot.seen || !slot.may_run());
-        if new && settled { self.record.acked } else { 0 }
+        let shown = !slots.any(Slot::is_unseen);
+        if new && shown { self.record.acked } else { 0 }
     }
 
     /// Whether a task that is placed there lasts.
@@ -418,10 +417,15 @@
         }
     }
 
+    /// Whether it may be at work at its agent, and no list has shown it there.
+    fn is_unseen(&self) -> bool {
+        self.may_run() && !self.seen
+    }
+
     /// Whether a later incarnation of its agent may run it, or may be told to: nothing showed it where it
     /// was placed, or a start of it got no answer.
     pub(super) fn is_unsettled(&self) -> bool {
-        self.may_run() && (!self.seen || self.unanswered.is_some())
+        self.is_unseen() || (self.may_run() && self.unanswered.is_some())
     }
 
     /// Whether nothing runs any more of what was to be stopped, given how long a stop takes.
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -132,9 +132,14 @@
     /// The incarnation of an agent that lives, as far as is known: the last one that has answered, or that
     /// was heard of.
     pub(super) fn named(&self, name: &Name) -> Option<&Agent> {
+        let same = self.incarnations(name);
+        same.max_by_key(|agent| (!agent.replaced, !agent.unseen, agent.known))
+    }
+
+    /// The incarnations of an agent that are known.
+    pub(super) fn incarnations(&self, name: &Name) -> impl Iterator<Item = &Agent> {
         let same = self.names.get(name).into_iter().flatten();
-        let same = same.filter_map(|id| self.get(id));
-        same.max_by_key(|agent| (agent.replaced.is_none(), !agent.unseen, agent.known))
+        same.filter_map(|id| self.get(id))
     }
 
     /// All of them.
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -359,7 +359,7 @@
     fn note_clock(&mut self, now: Now, id: &MinionId, answer: &Answer) {
         // What answers in its place says nothing of it.
         let agent = self.agents.get_mut(id);
-        let Some(agent) = agent.filter(|agent| agent.replaced.is_none()) else {
+        let Some(agent) = agent.filter(|agent| !agent.replaced) else {
             return;
         };
         let clock = match answer {
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -170,10 +170,9 @@
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
-        if agent.replaced.is_some() {
+        if std::mem::replace(&mut agent.replaced, true) {
             return;
         }
-        agent.replaced = Some(now);
         agent.trouble.get_or_insert(now);
         agent.silent.get_or_insert(now);
         let unsettled = agent.slots.values_mut().filter(|slot| slot.is_unsettled());
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -135,7 +135,7 @@
 
     /// When its next renewal or look is to be sent; `None` if there is no reason for one.
     fn next_renewal(&self, now: Now, settings: &Settings, strays: Option<Now>) -> Option<Now> {
-        if self.renewal.is_some() || self.replaced.is_some() {
+        if self.renewal.is_some() || self.replaced {
             return None;
         }
         let doubtful = settings.protections.looks && self.is_doubtful(strays);
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -155,6 +155,9 @@
         let able = able.filter(|agent| {
             self.is_eligible(now, step, agent) && place::may_run(agent, spec, step)
         });
+        let mut able = able.peekable();
+        // What is looked up for the choice isn't where there is none: full pools are asked all the time.
+        able.peek()?;
         let companions = self.losses.companions(task);
         let rank = |agent: &&Agent| {
             // What stood beside it when a host ended stays away from it, or the next end tells nothing.
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -237,8 +237,12 @@
 
     /// Whether an agent may still run what was ordered of an incarnation before.
     fn is_unsettled(&self, agent: &Agent) -> bool {
-        let mut before = self.replaced.iter().filter_map(|id| self.agents.get(id));
-        before.any(|other| other.record.name() == agent.record.name())
+        // It is asked of each agent of a pool, and hardly ever has any been replaced.
+        if self.replaced.is_empty() {
+            return false;
+        }
+        let mut same = self.agents.incarnations(agent.record.name());
+        same.any(|other| self.replaced.contains(&other.record.id))
     }
 
     /// Sends the starts that are due at some agents.
--- a/src/manager/questions.rs
+++ b/src/manager/questions.rs
@@ -52,13 +52,15 @@
     /// An agent says that it ends. Its name alone doesn't tell which incarnation has: one that never said
     /// that it would may be the next.
     fn agent_left(&mut self, asker: Asker, name: &Name) {
-        let is_known = |agent: &AgentRecord| agent.leaving || agent.id == *name;
-        let leaving = {
-            let mut agents = self.ledger.agents();
-            agents.find(|agent| agent.name() == name && is_known(agent))
-        };
-        let Some(id) = leaving.map(|agent| agent.id.clone()) else {
-            log::info!(agent:% = name; "an agent that isn't known to leave has left; it is looked for");
+        let left =
+            |agent: &&AgentRecord| agent.name() == name && (agent.leaving || agent.id == *name);
+        let left = self
+            .ledger
+            .agents()
+            .find(left)
+            .map(|agent| agent.id.clone());
+        let Some(id) = left else {
+            log::info!(agent:% = name; "an agent has said good-bye that never said it would leave");
             return self.reply(asker, Reply::Done);
         };
         self.propose(asker, Command::Gone(id));
