Note in the log which attempts never began, so that no later leader holds them against a job

Cause: the leader placed a second attempt of each at agents that had ended 0.4 s before, got no answer, and froze. Its successor took all that it inherited for begun, reckoned how soon the agents had ended after the attempts were decided, and convicted (weight 27, by its own log; the agents' side has no second attempt of either task). Callers count on two hosts under one task that is known to have begun; that wasn't known.

Change: a leader that gets no answer to a start, or whose agent stops answering before it was sent, puts that into its next round. It is rare, and costs nothing else. A successor takes the others for begun, as before.

Test: acquitted::an_attempt_that_never_began_proves_nothing_to_a_later_leader, red before (weight 6, begun), green after.

--- a/src/core/workload/command.rs
+++ b/src/core/workload/command.rs
@@ -175,6 +175,10 @@
     /// Lasting tasks that have been at work for so long that nothing is held against them any more.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cleared: Vec<TaskId>,
+    /// Attempts that their agents haven't said to have begun, though they were asked, or that couldn't be
+    /// sent. Rounds of earlier releases hold none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unbegun: Vec<Placed>,
     /// When it was decided, by the leader's clock. Rounds of earlier releases say nothing.
     #[serde(default)]
     pub at: Wall,
@@ -190,6 +194,7 @@
             && self.touch.is_none()
             && self.convicted.is_empty()
             && self.cleared.is_empty()
+            && self.unbegun.is_empty()
     }
 }
 
--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -149,6 +149,9 @@
     /// When the last attempt was decided, by the clock of the leader of that time. Older images hold none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub began: Option<Wall>,
+    /// Whether the leader that decided the last attempt got no word that it began. Older images hold none.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub unbegun: bool,
     /// The hosts that ended under it; if it is short and any did, all that ended under short tasks of its
     /// job. Older images hold none.
     #[serde(default, skip_serializing_if = "Evidence::is_none")]
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -405,6 +405,14 @@
         for task in &round.convicted {
             self.convict(*task, changes);
         }
+        for unbegun in &round.unbegun {
+            let task = self.task_mut(unbegun.task);
+            let stands =
+                |task: &&mut Task| is_at(task, &unbegun.agent) && task.attempt == unbegun.attempt;
+            if let Some(task) = task.filter(stands) {
+                task.unbegun = true;
+            }
+        }
         for id in &round.cleared {
             if let Some(task) = self.task_mut(*id) {
                 task.evidence = Evidence::default();
@@ -548,6 +556,7 @@
         let before = task.agent.replace(start.agent.clone());
         task.attempt = start.attempt;
         task.began = (!at.is_zero()).then_some(at);
+        task.unbegun = false;
         if first {
             job.state = JobState::Running;
             let queue = job.queue.clone();
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -8,8 +8,13 @@
     throttle::FULL,
 };
 use crate::core::{
-    types::{Attempt, HostId, Now, Resources, Wall},
-    workload::{catalog::JobId, command::AgentRecord, job::TaskId, spec::StepSpec},
+    types::{Attempt, HostId, MinionId, Now, Resources, Wall},
+    workload::{
+        catalog::JobId,
+        command::{AgentRecord, Placed},
+        job::TaskId,
+        spec::StepSpec,
+    },
 };
 
 /// How much slower an agent's clock may run than ours, as a divisor of its time: two hundredths.
@@ -127,7 +132,7 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) lasting: bool,
-    /// Whether its agent has said that it was begun.
+    /// Whether its agent has said that it was begun, as far as is known to an earlier leader that placed it.
     pub(super) begun: bool,
     /// Whether a list of its agent has shown it.
     pub(super) seen: bool,
@@ -422,6 +427,15 @@
         }
     }
 
+    /// The attempt, if it is a short task's and nothing has shown that it began.
+    pub(super) fn unbegun(&self, task: TaskId, agent: &MinionId) -> Option<Placed> {
+        (!self.begun && !self.lasting).then(|| Placed {
+            task,
+            attempt: self.attempt,
+            agent: agent.clone(),
+        })
+    }
+
     /// Whether it may be at work at its agent, and no list has shown it there.
     fn is_unseen(&self) -> bool {
         self.may_run() && !self.seen
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -101,8 +101,13 @@
         let Some(slot) = agent.slots.get_mut(&task) else {
             return;
         };
-        if matches!(answer, Answer::Silent) && self.settings.protections.strays {
-            slot.unanswered = Some(sent);
+        if matches!(answer, Answer::Silent) {
+            if self.settings.protections.strays {
+                slot.unanswered = Some(sent);
+            }
+            if slot.tries == 1 {
+                self.unbegun.extend(slot.unbegun(task, id));
+            }
         }
         // It may have been told to stop meanwhile.
         if slot.phase != Phase::Starting(order) {
@@ -201,6 +206,9 @@
             _ => {
                 if agent.trouble.is_none() {
                     log::info!(agent:% = id; "an agent doesn't answer");
+                    let slots = agent.slots.iter();
+                    let unbegun = slots.filter_map(|(task, slot)| slot.unbegun(*task, id));
+                    self.unbegun.extend(unbegun);
                 }
                 agent.trouble.get_or_insert(sent);
                 agent.silent.get_or_insert(now);
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -312,7 +312,8 @@
                 .and_then(|duty| duty.agent.as_ref());
             let agent = agent.and_then(|id| self.agents.get(id));
             let ends = agent.map_or(0, |agent| agent.slots.len());
-            log::info!(host:%, what:?, ends; "an order about a host is given");
+            let id = agent.map_or("", |agent| &*agent.record.id);
+            log::info!(order = self.last_order + 1, host:%, agent = id, what:?, ends; "an order about a host is given");
             let order = match what {
                 Purpose::Maintain(wave) => What::Maintain {
                     host: host.clone(),
@@ -345,6 +346,8 @@
         if duty.stage != Stage::Ordered(order) {
             return;
         }
+        let took = now.saturating_sub(duty.since);
+        log::info!(order, host:%, answer:?, took:?; "an order about a host was answered");
         match answer {
             Answer::Done { .. } => {
                 duty.stage = Stage::Away;
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -285,7 +285,8 @@
         let rate = self.end_rate(now, None);
         let (taint, placed) = (self.taint(now, agent), agent.slots.len());
         let (heard, trouble) = (now.saturating_sub(agent.heard), agent.trouble.is_some());
-        log::info!(agent:% = id, cause:?, placed, heard:?, trouble, taint, rate; "an agent has ended");
+        let host = agent.home.as_deref().unwrap_or_default();
+        log::info!(agent:% = id, host, cause:?, placed, heard:?, trouble, taint, rate; "an agent has ended");
         let tasks = judged.map_or(&[][..], |crash| &crash.tasks);
         for present in tasks {
             let Some(slot) = agent.slots.get(&present.task) else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -233,6 +233,8 @@
     ends: BTreeMap<MinionId, Ends>,
     /// Attempts that surely don't run.
     freed: Vec<Placed>,
+    /// Attempts that may never have begun, which a successor has to know.
+    unbegun: Vec<Placed>,
     /// Incarnations that are over.
     gone: BTreeSet<MinionId>,
     /// Those in whose place a later one lives, until they are over.
@@ -310,6 +312,7 @@
             last_order: 0,
             ends: BTreeMap::new(),
             freed: Vec::new(),
+            unbegun: Vec::new(),
             gone: BTreeSet::new(),
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -27,6 +27,7 @@
             touch: self.touch(now),
             convicted: self.suspects.take_convicted(),
             cleared,
+            unbegun: std::mem::take(&mut self.unbegun),
             at: wall,
         };
         self.ready.lapse(now);
--- a/tests/workload/acquitted.rs
+++ b/tests/workload/acquitted.rs
@@ -326,3 +326,45 @@
         },
     ]);
 }
+
+/// Jobs were convicted for hosts on which their tasks had never begun: an earlier leader had decided the
+/// attempts, and the agents had ended before.
+#[test]
+fn an_attempt_that_never_began_proves_nothing_to_a_later_leader() {
+    let mut world = World::new(4, 1);
+    world.resets = true;
+    world.pass(ms(3000));
+    world.submit(1, JobSpec::new("x", vec![step(1, 2, 5000)]));
+    world.until("it runs", ms(500), |world| world.runs(1).len() == 1);
+    world.pass(ms(200));
+    let (first, _) = world.runs(1)[0].clone();
+    world.restart(&first);
+    let second = |world: &World| {
+        let job = world.ledger.job(1)?;
+        let task = &job.runs.get(&0)?.steps[0].tasks[0];
+        task.agent.clone().filter(|_| task.attempt == 2)
+    };
+    world.until("a second attempt is decided", ms(3000), |world| {
+        second(world).is_some()
+    });
+    let agent = second(&world).expect("it is placed");
+    world.restart(&agent);
+    world.pass(ms(60));
+    assert_eq!(world.starts.values().sum::<u32>(), 1);
+    world.depose();
+    world.pass(ms(600));
+    world.lead();
+    world.until("its agent is over", ms(5000), |world| {
+        world.ledger.agent(&agent).is_none()
+    });
+    let crashes = world.committed.iter().filter_map(|command| match command {
+        Command::Crashed(crash) if crash.agent == agent => Some(crash),
+        _ => None,
+    });
+    let tasks: Vec<_> = crashes.flat_map(|crash| &crash.tasks).collect();
+    assert!(!tasks.is_empty());
+    for present in tasks {
+        assert!(!present.begun, "{present:?}");
+        assert_eq!((present.weight, present.sudden), (0, 0), "{present:?}");
+    }
+}
