Start nothing beyond the cap of its workspace

Change: what counts is what the ledger has placed, until its end is in the log, and what this leader has proposed: so a successor counts the same, and what is being stopped, unsure behind a cut or carried out late counts as long as it may run. A step wider than the cap runs in waves, a task greater than it alone, a gang whole or not at all. A fall stops nothing, and nothing starts until it fits. What waits behind a cap is no demand: neither what waits, nor its growth, nor what arrives moves a host for it.

All of a task's cores count, best-effort ones too.

Ruled out: a counter that is carried on over takeovers; walking all agents in each round.

--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    Agent, HostState, HostView, Now, PoolId, Scheduler, demand::Need, hosts::Purpose,
+    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need, hosts::Purpose,
     vacating::emptiest,
 };
 use crate::core::types::HostId;
@@ -27,10 +27,10 @@
 
 impl Scheduler {
     /// Moves hosts to the pools that need them, and idle ones to the spares.
-    pub(super) fn balance(&mut self, now: Now, span: Duration) {
+    pub(super) fn balance(&mut self, now: Now, span: Duration, ledger: &Ledger) {
         let spare = self.catalog.pools.iter().find(|pool| pool.spare);
         let spare = spare.map(|pool| pool.name.clone());
-        let needs = self.needs(now, span);
+        let needs = self.needs(now, span, ledger);
         let mut have = self.have();
         self.log_pools(now, &needs, &have);
         self.settle_vacating(now, &needs, &mut have);
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -60,7 +60,8 @@
             Change::Accepted(id) => {
                 if let Some(job) = ledger.job(*id) {
                     self.accepted.insert(*id, now);
-                    self.note_demand(&self.pool(job), self.work(job));
+                    let work = self.work(job) * self.open_part(ledger, job);
+                    self.note_demand(&self.pool(job), work);
                     self.take_job(now, wall, *id, job);
                 }
             }
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Now, PoolId, Scheduler, Slot};
+use super::{Ledger, Now, PoolId, Scheduler, Slot};
 
 /// The time over which arriving work is averaged: long enough to see a trend in a few jobs, short
 /// against the seconds that demand stays.
@@ -51,7 +51,7 @@
 }
 
 /// What the tasks of a pool take or wait for.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Load {
     /// Thousandths of a core of all of them.
     all: u64,
@@ -59,6 +59,19 @@
     short: u64,
     /// Hosts without which a lasting step can't keep its tasks apart.
     spread: usize,
+    /// The part of what ends by itself and waits that no cap keeps from starting.
+    open: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            all: 0,
+            short: 0,
+            spread: 0,
+            open: 1.0,
+        }
+    }
 }
 
 impl Scheduler {
@@ -69,8 +82,13 @@
     }
 
     /// Hosts that each pool should have.
-    pub(super) fn needs(&mut self, now: Now, span: Duration) -> BTreeMap<PoolId, Need> {
-        let loads = self.loads();
+    pub(super) fn needs(
+        &mut self,
+        now: Now,
+        span: Duration,
+        ledger: &Ledger,
+    ) -> BTreeMap<PoolId, Need> {
+        let loads = self.loads(ledger);
         let (mut size, mut busy) = (1, 0);
         for agent in self.agents.values() {
             size = size.max(agent.record.room.millicores);
@@ -86,7 +104,7 @@
         for name in names {
             let load = loads.get(&name).copied().unwrap_or_default();
             let demand = self.hosts.demands.entry(name.clone()).or_default();
-            let short = demand.look(load.short as f64, span);
+            let short = demand.look(load.short as f64, span, load.open);
             self.hosts
                 .turns
                 .observe(now, span, &name, short, size * RUSH_HOSTS);
@@ -108,8 +126,8 @@
         needs
     }
 
-    /// What the tasks of each pool take or wait for.
-    fn loads(&self) -> BTreeMap<PoolId, Load> {
+    /// What the tasks of each pool take or wait for. What waits for a cap can't use a host.
+    fn loads(&self, ledger: &Ledger) -> BTreeMap<PoolId, Load> {
         let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
         for agent in self.agents.values() {
             let load = loads.entry(agent.record.pool.clone()).or_default();
@@ -118,7 +136,12 @@
             load.short += short.map(|slot: &Slot| slot.room.millicores).sum::<u64>();
         }
         for (pool, waiting) in self.ready.waiting() {
+            let startable = self.startable(ledger, pool, waiting);
             let load = loads.entry(pool.clone()).or_default();
+            if waiting.short > 0 {
+                load.open = startable.short as f64 / waiting.short as f64;
+            }
+            let waiting = startable;
             load.all += waiting.all;
             load.short += waiting.short;
             load.spread = waiting.spread;
@@ -128,9 +151,9 @@
 }
 
 impl Demand {
-    /// Takes in what the short tasks take or wait for now; returns what they will need by the time
-    /// that a move takes.
-    fn look(&mut self, used: f64, span: Duration) -> f64 {
+    /// Takes in what the short tasks take or wait for now, and which part of what more comes no cap keeps
+    /// from starting; returns what they will need by the time that a move takes.
+    fn look(&mut self, used: f64, span: Duration, open: f64) -> f64 {
         let seconds = span.as_secs_f64().max(0.001);
         let weight = 1.0 - (-seconds / TREND.as_secs_f64()).exp();
         let quick = 1.0 - (-seconds / GROWTH.as_secs_f64()).exp();
@@ -140,7 +163,7 @@
         let growth = (used - self.used) / seconds;
         self.growth += (growth - self.growth) * quick;
         self.used = used;
-        let ahead = used + self.growth.max(0.0) * AHEAD.as_secs_f64();
+        let ahead = used + open * self.growth.max(0.0) * AHEAD.as_secs_f64();
         used.max(self.trend).max(ahead.min(used * MOST))
     }
 }
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -113,7 +113,7 @@
         if now >= self.hosts.looked + LOOK {
             let span = now.saturating_sub(self.hosts.looked);
             self.hosts.looked = now;
-            self.balance(now, span);
+            self.balance(now, span, ledger);
         }
         self.send_duties(now);
     }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -83,8 +83,12 @@
         let objective = self.objective(job);
         let lag = self.lag(&pool, job, objective);
         let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
+        let workspace = job.workspace.clone();
+        let cap = workspace.as_ref().map(|name| self.catalog.cap(name));
         Ready {
             pool,
+            workspace,
+            width: cap.map_or(TaskIx::MAX, |cap| cap.width(&spec.need)),
             spec: spec.clone(),
             free,
             deadline: accepted + objective,
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod agents;
 mod answers;
 mod balance;
+mod caps;
 mod changes;
 mod demand;
 mod eligible;
@@ -75,6 +76,7 @@
 use self::{
     agent::{Agent, Phase, Slot},
     agents::Agents,
+    caps::Proposed,
     eligible::{Eligible, Question},
     hosts::Hosts,
     learned::Learned,
@@ -181,6 +183,8 @@
     pub looks: bool,
     /// The end of a host counts against what ran there.
     pub suspicion: bool,
+    /// Nothing is started beyond the cap of its workspace.
+    pub caps: bool,
 }
 
 impl Default for Protections {
@@ -194,6 +198,7 @@
             spent: true,
             looks: true,
             suspicion: true,
+            caps: true,
         }
     }
 }
@@ -244,6 +249,8 @@
     strays: BTreeMap<MinionId, Now>,
     /// Rounds that were proposed and aren't applied.
     rounds: usize,
+    /// What they place, by workspace.
+    proposed: Proposed,
     hosts: Hosts,
     touching: Touching,
     eligible: Eligible,
@@ -317,6 +324,7 @@
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             rounds: 0,
+            proposed: Proposed::default(),
             hosts: Hosts::default(),
             touching: Touching::new(now, settings.holder, ledger.touched()),
             eligible: Eligible::default(),
@@ -414,6 +422,7 @@
         if let Command::Round(round) = command {
             self.rounds = self.rounds.saturating_sub(1);
             for start in &round.starts {
+                self.proposed.remove(start.task);
                 self.check_start(now, ledger, start);
             }
             self.touch_applied(now, round);
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -125,6 +125,9 @@
             (Reverse((own.hosts, *weight, *hosts)), *task)
         });
         for (held, task) in tasks {
+            if !self.may_start(ledger, step, spec, 1) {
+                return;
+            }
             let unit = self.suspects.unit(task, spec.lasting);
             let agent = match unit {
                 Some(unit @ Unit::Job(_)) if self.suspects.is_suspect(task, held) => {
@@ -143,7 +146,7 @@
                 attempt,
                 agent,
             };
-            self.propose(now, spec, placed, starts);
+            self.propose(now, ledger, spec, placed, starts);
         }
     }
 
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::core::{
-    types::{Now, PoolId},
+    types::{Now, PoolId, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
         job::StepId,
@@ -28,6 +28,9 @@
 pub(super) struct Ready {
     /// The pool whose agents may run them.
     pub(super) pool: PoolId,
+    /// The workspace that their job is of, and how many of them its cap lets run at once.
+    pub(super) workspace: Option<WorkspaceId>,
+    pub(super) width: TaskIx,
     /// What they are.
     pub(super) spec: StepSpec,
     /// Which.
@@ -99,6 +102,8 @@
 pub(super) struct Queue {
     steps: BTreeMap<StepId, Entry>,
     pools: BTreeMap<PoolId, Line>,
+    /// Thousandths of a core that the free tasks of each workspace wait for, in all pools.
+    millicores: BTreeMap<WorkspaceId, u64>,
     /// When steps that can be in time no longer can.
     lapses: BTreeSet<(Now, StepId)>,
     /// How many steps were looked at by walks.
@@ -121,6 +126,8 @@
     /// How many steps need so many hosts, also of those that have no free tasks now.
     spreads: BTreeMap<usize, usize>,
     waiting: Waiting,
+    /// The part of it that is of each workspace.
+    held: BTreeMap<WorkspaceId, Waiting>,
 }
 
 /// What the free tasks of a pool wait for.
@@ -134,6 +141,22 @@
     pub(super) spread: usize,
 }
 
+impl Waiting {
+    fn add(&mut self, ready: &Ready) {
+        self.all += ready.millicores();
+        if !ready.spec.lasting {
+            self.short += ready.millicores();
+        }
+    }
+
+    fn take(&mut self, ready: &Ready) {
+        self.all -= ready.millicores();
+        if !ready.spec.lasting {
+            self.short -= ready.millicores();
+        }
+    }
+}
+
 impl Line {
     fn waiting(&self) -> Waiting {
         let spread = self.spreads.keys().next_back().copied();
@@ -157,7 +180,7 @@
             self.lapses.insert((lapse, step));
         }
         let line = self.pools.entry(ready.pool.clone()).or_default();
-        *line.spreads.entry(spread(&ready.spec)).or_default() += 1;
+        *line.spreads.entry(spread(&ready)).or_default() += 1;
         self.enter(&ready, rank);
         self.steps.insert(step, Entry { ready, rank });
     }
@@ -229,6 +252,18 @@
         self.pools.iter().map(|(pool, line)| (pool, line.waiting()))
     }
 
+    /// What the steps of each workspace wait for in a pool.
+    pub(super) fn held(&self, pool: &PoolId) -> impl Iterator<Item = (&WorkspaceId, Waiting)> {
+        let held = self.pools.get(pool).into_iter();
+        let held = held.flat_map(|line| &line.held);
+        held.map(|(workspace, held)| (workspace, *held))
+    }
+
+    /// Thousandths of a core that the steps of a workspace wait for, in all pools.
+    pub(super) fn millicores(&self, workspace: &str) -> u64 {
+        self.millicores.get(workspace).copied().unwrap_or_default()
+    }
+
     /// All steps that are ready.
     pub(super) fn iter(&self) -> impl Iterator<Item = (StepId, &Ready)> {
         let steps = self.steps.iter().inspect(|_| self.look());
@@ -261,7 +296,7 @@
         }
         self.leave(&ready, rank);
         if let Some(line) = self.pools.get_mut(&ready.pool) {
-            less(&mut line.spreads, spread(&ready.spec));
+            less(&mut line.spreads, spread(&ready));
         }
     }
 
@@ -273,9 +308,10 @@
         let line = self.pools.entry(ready.pool.clone()).or_default();
         line.ranks.insert(rank);
         *line.rooms.entry(ready.spec.room().millicores).or_default() += 1;
-        line.waiting.all += ready.millicores();
-        if !ready.spec.lasting {
-            line.waiting.short += ready.millicores();
+        line.waiting.add(ready);
+        if let Some(workspace) = &ready.workspace {
+            line.held.entry(workspace.clone()).or_default().add(ready);
+            *self.millicores.entry(workspace.clone()).or_default() += ready.millicores();
         }
     }
 
@@ -288,9 +324,15 @@
             return;
         }
         less(&mut line.rooms, ready.spec.room().millicores);
-        line.waiting.all -= ready.millicores();
-        if !ready.spec.lasting {
-            line.waiting.short -= ready.millicores();
+        line.waiting.take(ready);
+        let Some(workspace) = &ready.workspace else {
+            return;
+        };
+        if let Some(held) = line.held.get_mut(workspace) {
+            held.take(ready);
+        }
+        if let Some(millicores) = self.millicores.get_mut(workspace) {
+            *millicores -= ready.millicores();
         }
     }
 
@@ -310,10 +352,12 @@
 }
 
 /// Hosts that a step needs for its tasks to be apart, and one more to move them to.
-fn spread(spec: &StepSpec) -> usize {
+fn spread(ready: &Ready) -> usize {
+    let spec = &ready.spec;
     // What is short can run one after the other.
     let apart = spec.per_host.filter(|_| spec.lasting);
-    let apart = apart.map_or(1, |most| spec.tasks.div_ceil(most.max(1)));
+    let tasks = spec.tasks.min(ready.width);
+    let apart = apart.map_or(1, |most| tasks.div_ceil(most.max(1)));
     usize::try_from(apart)
         .unwrap_or(usize::MAX)
         .saturating_add(1)
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -116,7 +116,7 @@
                     && self.suspects.unit(*task, spec.lasting).is_none()
             });
             let tasks: Vec<_> = tasks.collect();
-            if tasks.is_empty() {
+            if tasks.is_empty() || !self.may_start(ledger, step, &spec, 1) {
                 self.ask_eligible(now, pool, step, &spec);
                 continue;
             }
@@ -130,6 +130,9 @@
                 able.filter(|agent| spec.lasting || self.may_share(ledger, &apart, agent, job));
             let mut choice = Choice::new(now, able, &spec, step);
             for task in tasks {
+                if !self.may_start(ledger, step, &spec, 1) {
+                    break;
+                }
                 let Some(agent) = choice.take() else {
                     widest = Some(self.widest(now, pool));
                     if let Some(job) = found {
@@ -142,7 +145,7 @@
                     attempt: attempts(ledger, task) + 1,
                     agent: agent.clone(),
                 };
-                self.propose(now, &spec, placed, starts);
+                self.propose(now, ledger, &spec, placed, starts);
                 if let Some(agent) = self.agents.get(&agent) {
                     choice.put_back(now, agent, &spec, step);
                 }
@@ -166,6 +169,9 @@
         if ready.free.len() != usize::try_from(spec.tasks).unwrap_or(0) {
             return;
         }
+        if !self.may_start(ledger, step, spec, spec.tasks) {
+            return;
+        }
         let first = TaskId { step, task: 0 };
         let unit = self.suspects.unit(first, spec.lasting);
         let able = self.able(now, &ready.pool, spec.room().millicores);
@@ -188,18 +194,20 @@
                 attempt,
                 agent,
             };
-            self.propose(now, spec, placed, starts);
+            self.propose(now, ledger, spec, placed, starts);
         }
     }
 
     pub(super) fn propose(
         &mut self,
         now: Now,
+        ledger: &Ledger,
         spec: &StepSpec,
         placed: Placed,
         starts: &mut Vec<Placed>,
     ) {
         let task = placed.task;
+        self.claim(ledger, task, spec);
         self.ready.take(task.step, task.task);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
             self.ages.push(now.saturating_sub(agent.heard));
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -3,6 +3,7 @@
 mod acquitted;
 mod budgets;
 mod cancelled;
+mod caps;
 mod catalog;
 mod deadly;
 mod eligible;
