--- a/tests/workload/workspaces.rs
+++ b/tests/workload/workspaces.rs
@@ -128,7 +128,7 @@
         "{document:?} {:?}",
         catalog(vec![workspace("a", &["top-secret"])])
     );
-    assert!(!shown.contains("top-secret") && !shown.contains(&format!("{:?}", text)));
+    assert!(!shown.contains("top-secret") && !shown.contains(&format!("{text:?}")));
     assert!(shown.contains("KeyDigest(..)"), "{shown}");
 }
 
