Change caps while leaders follow each other and orders come late

The world with trouble of every kind kept one cap throughout, so that it didn't show that nothing starts beyond a cap that falls meanwhile. The list of troubles stands once (faults::ALL).

--- a/tests/workload/caps.rs
+++ b/tests/workload/caps.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::{
-    faults::play,
-    world::{Faults, OTHER, POOL, World, lasting, ms, step},
+    faults::{ALL, play_beside},
+    world::{OTHER, POOL, World, lasting, ms, step},
 };
 
 const OWNER: &str = "greenhouse";
@@ -166,17 +166,13 @@
     // What is given up too early runs twice at once; here it is the cap that has to notice.
     world.lax = !protections.inherit;
     world.lead();
-    let faults = Faults {
-        lost: 0.05,
-        late: 0.03,
-        failing: 0.03,
-        unwell: 0.03,
-        off: 2.0,
-        ghosts: 0.5,
-        ..Faults::default()
+    let change = |world: &mut World, job: u64| {
+        if job.is_multiple_of(4) {
+            let caps = [12, 5, 20, 9];
+            world.cap(OWNER, caps[usize::try_from(job / 4).unwrap() % caps.len()]);
+        }
     };
-    let world = play(world, seed, faults, true);
-    world.beyond
+    play_beside(world, seed, ALL, true, change).beyond
 }
 
 /// Leaders that follow each other, late orders, cuts and lost answers beside a cap.
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -25,13 +25,36 @@
     JobSpec::new("x", steps.collect())
 }
 
+/// All that goes wrong, at once.
+pub(crate) const ALL: Faults = Faults {
+    lost: 0.05,
+    late: 0.03,
+    lenient: false,
+    failing: 0.03,
+    unwell: 0.03,
+    off: 2.0,
+    ghosts: 0.5,
+};
+
 /// Trouble of every kind at once, drawn by the seed.
-pub(crate) fn play(mut world: World, seed: u64, faults: Faults, takeovers: bool) -> World {
+pub(crate) fn play(world: World, seed: u64, faults: Faults, takeovers: bool) -> World {
+    play_beside(world, seed, faults, takeovers, |_, _| {})
+}
+
+/// The same with something else that happens before each job.
+pub(crate) fn play_beside(
+    mut world: World,
+    seed: u64,
+    faults: Faults,
+    takeovers: bool,
+    beside: impl Fn(&mut World, u64),
+) -> World {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
     world.submit(1000, JobSpec::new("x", vec![lasting(3, 1)]));
     world.pass(ms(200));
     world.faults = faults;
     for job_id in 1..=30 {
+        beside(&mut world, job_id);
         world.submit(job_id, job(&mut rng));
         world.pass(ms(rng.random_range(0..2500)));
         let agents: Vec<_> = world.agents.keys().cloned().collect();
@@ -104,17 +127,8 @@
 
 #[test]
 fn all_of_it_at_once_starts_nothing_twice_and_loses_nothing() {
-    let faults = Faults {
-        lost: 0.05,
-        late: 0.03,
-        failing: 0.03,
-        unwell: 0.03,
-        off: 2.0,
-        ghosts: 0.5,
-        ..Faults::default()
-    };
     (0..SEEDS).for_each(|seed| {
-        let mut world = play(World::new(6, seed), seed, faults, true);
+        let mut world = play(World::new(6, seed), seed, ALL, true);
         world.until("what lasts runs", ms(30_000), |world| {
             world.state(1000).is_none() || world.runs(1000).len() == 3
         });
