Reproduce tasks that run twice after a maintenance that was done before

Cause, by the lines that now tie an order to its host and agent: a leader orders a host's maintenance that its predecessor had had done; the provider says that it is done, and the leader takes that for the end of the agent, which runs on.

The world's provider answers so if a test asks for it.

--- a/tests/workload/hosts.rs
+++ b/tests/workload/hosts.rs
@@ -1,6 +1,6 @@
 //! Waves of maintenance and moves between pools.
 
-use egretpin::core::workload::spec::JobSpec;
+use egretpin::core::workload::{job::JobState, spec::JobSpec};
 
 use crate::world::{OTHER, POOL, QUEUE, SECOND, SPARE, World, lasting, ms, step};
 
@@ -215,3 +215,29 @@
     });
     assert!(played.is_err(), "two tasks of a step are away at once");
 }
+
+/// Tasks were started twice: a leader that ordered a host's maintenance again, as its predecessor had lost the
+/// word that it was done, took the provider's answer for the end of what ran there.
+#[test]
+fn a_maintenance_that_was_done_before_ends_nothing() {
+    let mut world = World::new(4, 1);
+    world.remembers = true;
+    world.holder = ms(3000);
+    world.wave(1, &["h0"], 1, ms(9000));
+    world.until("it is maintained", ms(5000), |world| {
+        !world.maintained.is_empty()
+    });
+    // Nobody has told the log, and the next leader waits before it orders anything of that host.
+    world.depose();
+    world.pass(ms(300));
+    world.lead();
+    assert!(!world.ledger.wave_record(1).unwrap().left.is_empty());
+    // All hosts are busy until after the wave has to be through.
+    for job in 1..=8 {
+        world.submit(job, JobSpec::new("x", vec![step(4, 1, 9000)]));
+    }
+    world.until("all are through, each once", ms(30_000), |world| {
+        (1..=8).all(|job| world.state(job) == Some(JobState::Completed))
+    });
+    assert!(world.starts.values().all(|starts| *starts == 1));
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -251,6 +251,8 @@
     ordered: BTreeMap<HostId, (u64, Now)>,
     /// How long the orders of two leaders about one host must be apart.
     pub(crate) holder: Duration,
+    /// Whether the provider says of a maintenance that was done before that it is done, and does nothing.
+    pub(crate) remembers: bool,
     /// Hosts whose maintenance was begun, by wave.
     pub(crate) maintained: BTreeSet<(WaveId, HostId)>,
     /// Hosts down for each wave now, and the most at once.
@@ -370,6 +372,7 @@
             removed: BTreeSet::new(),
             ordered: BTreeMap::new(),
             holder: ms(100),
+            remembers: false,
             maintained: BTreeSet::new(),
             down: BTreeMap::new(),
             peak: 0,
@@ -1107,6 +1110,16 @@
                 return;
             }
             What::Maintain { host, wave } => {
+                let up = self
+                    .hosts
+                    .get(host)
+                    .is_some_and(|view| view.state == HostState::Up);
+                if self.remembers && up && self.maintained.contains(&(*wave, host.clone())) {
+                    // It was done before, and isn't done again.
+                    let clock = Duration::ZERO;
+                    self.answer(order, Answer::Done { clock });
+                    return;
+                }
                 let record = self.ledger.wave_record(*wave).expect("the wave is known");
                 let cap = usize::try_from(record.cap).unwrap();
                 let down = self.down.entry(*wave).or_default();
