--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -8,6 +8,7 @@
     throttle::FULL,
 };
 use crate::core::{
+    consensus::Index,
     types::{Attempt, HostId, MinionId, Now, Resources, Wall},
     workload::{
         catalog::JobId,
@@ -312,6 +313,15 @@
         if new && shown { self.record.acked } else { 0 }
     }
 
+    /// Logs that its leaving was committed, and what of its starts is under way then.
+    pub(super) fn log_leaving(&self, index: Index) {
+        let count = |is: fn(&Slot) -> bool| self.slots.values().filter(|slot| is(slot)).count();
+        let unsent = count(|slot| matches!(slot.phase, Phase::Proposed | Phase::Due));
+        let starting = count(|slot| matches!(slot.phase, Phase::Starting(_)));
+        let unanswered = count(|slot| slot.unanswered.is_some());
+        log::info!(agent:% = self.record.id, index, placed = self.slots.len(), unsent, starting, unanswered; "an agent is leaving");
+    }
+
     /// How many tasks that last are placed there.
     pub(super) fn lasting(&self) -> usize {
         self.lasting
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -80,6 +80,7 @@
             return;
         };
         if matches!(answer, Answer::Silent) {
+            log::info!(agent:% = id, task:%, order; "a start got no answer");
             // The next renewal tells whether the agent answers at all.
             agent.next = now;
             agent.silent.get_or_insert(now);
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -109,7 +109,12 @@
             return;
         };
         match self.agents.get_mut(id) {
-            Some(agent) => agent.record = record.clone(),
+            Some(agent) => {
+                if record.leaving && !agent.record.leaving {
+                    agent.log_leaving(ledger.applied());
+                }
+                agent.record = record.clone();
+            }
             None => {
                 let mut agent = Agent::new(record.clone(), now);
                 agent.unseen = true;
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -212,6 +212,8 @@
     pub orders: Vec<Order>,
     /// For each attempt that is placed, how long ago its agent was heard.
     pub ages: Vec<Duration>,
+    /// For each start that is sent, how long ago it was decided.
+    pub delays: Vec<Duration>,
     /// How many agents, and steps that wait, were looked at for it.
     pub looks: usize,
 }
@@ -266,6 +268,8 @@
     orders: Vec<Order>,
     /// How long ago the agents were heard that got something since the last plan.
     ages: Vec<Duration>,
+    /// How long ago the starts were decided that were sent since then.
+    delays: Vec<Duration>,
     /// Whether an agent has seen a later leader.
     superseded: bool,
 }
@@ -337,6 +341,7 @@
             maintained: Vec::new(),
             orders: Vec::new(),
             ages: Vec::new(),
+            delays: Vec::new(),
             superseded: false,
         };
         let mut tenants: Map<SocketAddr, usize> = Map::default();
@@ -464,6 +469,7 @@
             commands,
             orders: std::mem::take(&mut self.orders),
             ages: std::mem::take(&mut self.ages),
+            delays: std::mem::take(&mut self.delays),
             looks: self.agents.take_looks() + self.ready.take_looks(),
         }
     }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -1,10 +1,13 @@
 //! What is started where, and the orders that say so.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
-    ATTEMPTS, About, Agent, Ends, GAP, Ledger, MinionId, Name, Now, Phase, Placed, PoolId, Round,
-    STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, Wall, What,
+    ATTEMPTS, About, Agent, Ends, GAP, Ledger, MinionId, Name, Now, OrderId, Phase, Placed, PoolId,
+    Round, STARTS, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId, Wall, What,
     place::{self, Choice},
 };
 use crate::core::{
@@ -12,6 +15,9 @@
     workload::{catalog::JobId, command::Ending, job::JobState},
 };
 
+/// A start that is sent so long after it was decided is logged: a commit and a turn take a tenth of it.
+const PROMPT: Duration = Duration::from_millis(500);
+
 impl Scheduler {
     /// What one round commits: ends and frees, and starts for what is ready.
     pub(super) fn round(&mut self, now: Now, wall: Wall, ledger: &Ledger) -> Round {
@@ -309,6 +315,7 @@
                 // It may have been looked at just before, while it ran nothing.
                 agent.next = agent.next.min(next);
             }
+            self.note_sent(now, order, &id, task);
             if let Some(slot) = self.slot(&id, task) {
                 slot.tries += 1;
                 slot.enter(now, Phase::Starting(order));
@@ -316,6 +323,22 @@
         }
     }
 
+    /// Notes that a start is sent, and logs one that is sent long after it was decided, or again.
+    fn note_sent(&mut self, now: Now, order: OrderId, id: &MinionId, task: TaskId) {
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let Some(slot) = agent.slots.get(&task) else {
+            return;
+        };
+        let delay = now.saturating_sub(slot.placed);
+        let (attempt, tries, leaving) = (slot.attempt, slot.tries, agent.record.leaving);
+        if delay > PROMPT || tries > 0 || leaving {
+            log::info!(agent:% = id, task:%, attempt, order, delay:?, tries, leaving; "a start is sent late");
+        }
+        self.delays.push(delay);
+    }
+
     /// Sends the stops that are due at some agents.
     pub(super) fn send_stops(&mut self, now: Now, agents: &[MinionId]) {
         let mut due = Vec::new();
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -433,6 +433,9 @@
         for age in &plan.ages {
             self.ports.metrics.placed_after(*age);
         }
+        for delay in &plan.delays {
+            self.ports.metrics.start_sent_after(*delay);
+        }
         for command in plan.commands {
             self.propose(Asker::Nobody, command);
         }
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -105,6 +105,7 @@
     batch: Histogram,
     turn_time: Family<Share, Histogram>,
     beat_age: Histogram,
+    start_delay: Histogram,
 }
 
 impl Default for Metrics {
@@ -133,6 +134,7 @@
             batch: Histogram::new(exponential_buckets(1.0, 2.0, 9)),
             turn_time: Family::new_with_constructor(times),
             beat_age: times(),
+            start_delay: times(),
         };
         metrics.register();
         metrics
@@ -241,6 +243,11 @@
             "How long ago an agent was heard when something was placed there",
             self.beat_age.clone(),
         );
+        registry.register(
+            "start_delay_seconds",
+            "How long ago a start was decided when it was sent",
+            self.start_delay.clone(),
+        );
     }
 
     /// Counts what was replied, and how long it took.
@@ -286,6 +293,11 @@
         self.beat_age.observe(age.as_secs_f64());
     }
 
+    /// A start was sent so long after it was decided.
+    pub fn start_sent_after(&self, delay: Duration) {
+        self.start_delay.observe(delay.as_secs_f64());
+    }
+
     /// All of them as text.
     ///
     /// # Errors
