Reproduce starts on an agent that had said it was leaving

Every world of the workload tests now checks each start against the acknowledged leaving of its agent, and that a leaving is acknowledged only once it is committed.

--- /dev/null
+++ b/tests/workload/leaving.rs
@@ -0,0 +1,155 @@
+//! Agents that say that they will leave, while what was decided before is still under way to them.
+//!
+//! What was seen: tasks began on an agent long after its leaving had been acknowledged. The worlds here
+//! check every start against the acknowledgement, also those of all other tests.
+
+use egretpin::core::{
+    types::MinionId,
+    workload::{command::AgentRecord, spec::JobSpec},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    faults::{ALL, play_beside},
+    world::{Faults, POOL, World, lasting, ms, step},
+};
+
+/// Worlds that are played of each kind.
+const SEEDS: u64 = 24;
+
+/// The only agent of a world.
+fn only(world: &World) -> MinionId {
+    world.agents.keys().next().expect("an agent").clone()
+}
+
+fn one_task() -> JobSpec {
+    JobSpec::new("x", vec![step(1, 1, 500)])
+}
+
+/// A task began on a leaving agent: its start had waited until the agent answered again.
+#[test]
+fn a_start_that_waited_for_an_answer_begins_on_no_agent_that_leaves() {
+    let mut world = World::new(1, 1);
+    world.pass(ms(200));
+    let agent = only(&world);
+    world.deafen(&agent, ms(3500));
+    world.submit(1, one_task());
+    world.pass(ms(100));
+    world.drain(&agent);
+    world.pass(ms(10_000));
+    assert!(world.starts.is_empty(), "nothing begins there");
+    world.host("h9", POOL);
+    world.until("it runs elsewhere", ms(15_000), |world| {
+        !world.starts.is_empty()
+    });
+}
+
+/// A task began on a leaving agent: a relay that had stood still carried its start out.
+#[test]
+fn a_start_that_a_relay_held_up_begins_on_no_agent_that_leaves() {
+    let mut world = World::new(1, 2);
+    world.pass(ms(200));
+    let agent = only(&world);
+    world.stalled = world.now + ms(5000);
+    world.submit(1, one_task());
+    world.pass(ms(100));
+    world.drain(&agent);
+    world.pass(ms(10_000));
+    assert!(world.starts.is_empty(), "nothing begins there");
+}
+
+/// A task began on a leaving agent: a relay carried out what a leader before had sent.
+#[test]
+fn a_start_of_an_earlier_leader_begins_on_no_agent_that_leaves() {
+    let mut world = World::new(1, 3);
+    world.pass(ms(200));
+    let agent = only(&world);
+    world.stalled = world.now + ms(5000);
+    world.submit(1, one_task());
+    world.pass(ms(100));
+    world.depose();
+    world.lead();
+    world.drain(&agent);
+    world.pass(ms(10_000));
+    assert!(world.starts.is_empty(), "nothing begins there");
+}
+
+/// A leaving was acknowledged that no later leader learnt: an older heartbeat that came after a newer
+/// one was acknowledged at once, though neither was committed.
+#[test]
+fn an_older_heartbeat_acknowledges_nothing_that_is_not_committed() {
+    let mut world = World::new(1, 4);
+    world.pass(ms(200));
+    let agent = only(&world);
+    let before = world.agents[&agent].record.clone();
+    world.drain(&agent);
+    let older = AgentRecord {
+        leaving: true,
+        ..before
+    };
+    world.late_beat(&agent, &older, ms(5));
+    world.pass(ms(100));
+}
+
+/// Agents leave in series, and others come, while relays stand still, agents don't hear, and leaders
+/// follow each other.
+fn play(seed: u64, faults: Faults) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1ea7e);
+    let mut world = World::new(6, seed);
+    world.submit(1000, JobSpec::new("x", vec![lasting(3, 1)]));
+    world.pass(ms(1000));
+    world.faults = faults;
+    let mut hosts = 6;
+    for job in 1..=40 {
+        let (tasks, millis) = (rng.random_range(1..6), rng.random_range(100..2000));
+        world.submit(job, JobSpec::new("x", vec![step(tasks, 2, millis)]));
+        let agents: Vec<_> = world.agents.keys().cloned().collect();
+        for agent in &agents {
+            if rng.random_bool(0.2) {
+                world.deafen(agent, ms(rng.random_range(200..6000)));
+            }
+        }
+        if rng.random_bool(0.4) {
+            let span = ms(rng.random_range(200..9000));
+            world.stalled = world.stalled.max(world.now + span);
+        }
+        world.pass(ms(rng.random_range(0..400)));
+        let leaving = agents.iter().filter(|agent| {
+            let agent = world.agents.get(*agent);
+            agent.is_some_and(|agent| !agent.record.leaving)
+        });
+        let leaving: Vec<_> = leaving.filter(|_| rng.random_bool(0.2)).cloned().collect();
+        for agent in leaving {
+            world.drain(&agent);
+            world.host(&format!("h{hosts}"), POOL);
+            hosts += 1;
+        }
+        world.pass(ms(rng.random_range(0..1000)));
+        if rng.random_bool(0.2) {
+            world.depose();
+            world.pass(ms(rng.random_range(0..1500)));
+            world.lead();
+        }
+    }
+    world.pass(ms(15_000));
+}
+
+#[test]
+fn whatever_holds_a_start_up_it_begins_on_no_agent_that_leaves() {
+    (0..SEEDS).for_each(|seed| play(seed, Faults::default()));
+}
+
+#[test]
+fn with_all_faults_beside_nothing_begins_on_an_agent_that_leaves() {
+    (0..SEEDS).for_each(|seed| play(seed, ALL));
+    (0..SEEDS).for_each(|seed| {
+        play_beside(World::new(6, seed), seed, ALL, true, |world, job| {
+            if job % 5 == 0 {
+                let agent = only(world);
+                world.drain(&agent);
+                world.host(&format!("h{}", 200 + job), POOL);
+            }
+        });
+    });
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod hosts;
 mod incarnations;
+mod leaving;
 mod ledger;
 mod lists;
 mod overload;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -74,6 +74,8 @@
 /// And counted from a start that was carried out late, or the last disturbance: what is steady
 /// again after three seconds has as long as ever.
 const CANCELLED_LATE: Duration = ms(6900);
+/// How long after its leaving was acknowledged an agent may still begin what it was told to start.
+pub(crate) const NOTICE: Duration = ms(2000);
 /// How long a job that is over is known.
 pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
@@ -165,6 +167,8 @@
     number: u64,
     /// Until when nothing gets through.
     cut: Now,
+    /// Until when no order gets through, while its heartbeats do.
+    deaf: Now,
     /// How many times as long its tasks take; without an end if so many that it stands still.
     pub(crate) slow: f64,
 }
@@ -199,6 +203,8 @@
         order: Order,
         /// Whether it got no answer and is carried out late.
         silent: bool,
+        /// Whether that is the agent's doing, and not a relay's.
+        astray: bool,
         /// Which incarnation got it then.
         taker: Option<MinionId>,
     },
@@ -323,6 +329,8 @@
     /// Agents and waiting steps that the leader looked at, and turns in which it decided.
     pub(crate) looks: usize,
     pub(crate) turns: usize,
+    /// When the leaving of agents was acknowledged to them.
+    told: BTreeMap<MinionId, Now>,
 }
 
 impl World {
@@ -418,6 +426,7 @@
             ends: BTreeMap::new(),
             looks: 0,
             turns: 0,
+            told: BTreeMap::new(),
         };
         for host in 0..hosts {
             world.host(&format!("h{host}"), POOL);
@@ -517,6 +526,7 @@
             ended: Vec::new(),
             number: 0,
             cut: Duration::ZERO,
+            deaf: Duration::ZERO,
             slow: 1.0,
         };
         self.agents.insert(id.clone(), agent);
@@ -800,6 +810,13 @@
         }
     }
 
+    /// No order gets through to an agent for a while, and its heartbeats do.
+    pub(crate) fn deafen(&mut self, id: &MinionId, span: Duration) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.deaf = self.now + span;
+        }
+    }
+
     /// An agent says that it will end.
     pub(crate) fn drain(&mut self, id: &MinionId) {
         if let Some(agent) = self.agents.get_mut(id) {
@@ -874,6 +891,12 @@
         let changes = self.ledger.apply(self.index, &command);
         self.note_cancel(&command);
         self.committed.push(command.clone());
+        if let Command::Agent(record) = &command
+            && record.leaving
+            && self.scheduler.is_some()
+        {
+            self.told.entry(record.id.clone()).or_insert(self.now);
+        }
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.applied(self.now, self.now, &self.ledger, &command, &changes);
         }
@@ -1004,6 +1027,7 @@
             Event::Arrive {
                 order,
                 silent: late,
+                astray: late && !stalled,
                 taker,
             },
         );
@@ -1029,8 +1053,9 @@
             Event::Arrive {
                 order,
                 silent,
+                astray,
                 taker,
-            } => self.arrive(&order, silent, taker),
+            } => self.arrive(&order, silent, astray, taker),
             Event::Waited { order, since } => {
                 let ends = self.reached(&order).map(|agent| agent.number);
                 if ends == Some(since) {
@@ -1079,7 +1104,8 @@
 
     /// The agent that an order or a look is for, if it gets through.
     fn reached(&self, order: &Order) -> Option<&Agent> {
-        self.target(order).filter(|agent| self.now >= agent.cut)
+        self.target(order)
+            .filter(|agent| self.now >= agent.cut.max(agent.deaf))
     }
 
     /// Whether another incarnation than the one that is meant takes the order.
@@ -1094,7 +1120,7 @@
         })
     }
 
-    fn arrive(&mut self, order: &Order, silent: bool, taker: Option<MinionId>) {
+    fn arrive(&mut self, order: &Order, silent: bool, astray: bool, taker: Option<MinionId>) {
         match &order.what {
             What::Hosts => {
                 let listed = |view: &&HostView| !self.unlisted.contains(&view.host);
@@ -1169,7 +1195,14 @@
             agent.token = order.term;
         }
         let answer = match &order.what {
-            What::Start(start) => self.start(&id, start, silent),
+            What::Start(start) => {
+                let before = self.is_running(&id, start);
+                let answer = self.start(&id, start, silent);
+                if !before && !astray && self.is_running(&id, start) {
+                    self.check_notice(&id, start);
+                }
+                answer
+            }
             What::Stop { task, attempt, .. } => self.stop(&id, *task, *attempt),
             What::Renew {
                 acked, until, wait, ..
@@ -1394,6 +1427,27 @@
         Answer::Done { clock }
     }
 
+    /// Whether an agent runs the attempt that a start is of.
+    fn is_running(&self, id: &MinionId, start: &StartOrder) -> bool {
+        let agent = self.agents.get(id);
+        let run = agent.and_then(|agent| agent.running.get(&start.task));
+        run.is_some_and(|run| run.attempt == start.attempt)
+    }
+
+    /// A task has begun: not on an agent whose leaving was acknowledged too long ago.
+    fn check_notice(&self, id: &MinionId, start: &StartOrder) {
+        let Some(told) = self.told.get(id) else {
+            return;
+        };
+        let since = self.now.saturating_sub(*told);
+        assert!(
+            since <= NOTICE,
+            "{} attempt {} begins at {id} {since:?} after its leaving was acknowledged",
+            start.task,
+            start.attempt
+        );
+    }
+
     fn stop(&mut self, id: &MinionId, task: TaskId, attempt: u32) -> Answer {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(id) else {
@@ -1561,6 +1615,14 @@
         };
         if let Some(news) = scheduler.heard(self.now, &self.ledger, record, clock) {
             self.propose(news);
+        } else if record.leaving {
+            let known = self.ledger.agent(&record.id);
+            assert!(
+                known.is_none_or(|known| known.leaving),
+                "the leaving of {} is committed before it is acknowledged",
+                record.id
+            );
+            self.told.entry(record.id.clone()).or_insert(self.now);
         }
     }
 }
