Acknowledge a leaving only once it is committed, whichever heartbeat says it

Cause: a heartbeat with an older number than the last one heard was acknowledged at once, as it says nothing new; but what the newer one said may still be under way in the log, and be lost with the leader. The class: an acknowledgement for what is only in memory. The other acknowledgements were looked through: good-byes, catalogs, jobs and cancels are answered by what the ledger holds, or after a commit.

--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -409,7 +409,9 @@
     /// An agent's heartbeat came in, with what it says of itself and of its clock; what is to be
     /// committed for it, if anything.
     ///
-    /// Heartbeats may come late: after their sender's end, or after newer ones.
+    /// Heartbeats may come late: after their sender's end, or after newer ones. Nothing to be committed means
+    /// that it may be acknowledged: so an older one that says that the agent leaves is proposed too, as long
+    /// as that isn't committed, though a newer one that says the same may be under way.
     pub fn heard(
         &mut self,
         now: Now,
@@ -417,17 +419,19 @@
         record: &AgentRecord,
         clock: AgentTime,
     ) -> Option<Command> {
+        let mut older = false;
         if let Some(agent) = self.agents.get_mut(&record.id) {
-            if record.sequence < agent.sequence {
-                return None;
+            older = record.sequence < agent.sequence;
+            if !older {
+                agent.sequence = record.sequence;
+                agent.hear(now);
+                agent.tell_time(now, clock);
             }
-            agent.sequence = record.sequence;
-            agent.hear(now);
-            agent.tell_time(now, clock);
         }
         let news = match ledger.agent(&record.id) {
+            Some(known) if older => record.leaving && !known.leaving,
             Some(known) => known.differs(record),
-            None => !ledger.is_over(record),
+            None => !older && !ledger.is_over(record),
         };
         news.then(|| Command::Agent(Box::new(record.clone())))
     }
