Take a list's word, and no answer's, for the end of a host's agent

Cause: the provider says that an order is done also if it had been done before, and its answer was taken for the end of what ran there. The class: an idempotent answer that is taken for an effect.

Now what runs there counts as away until a list that was asked for after the answer shows that the agent is over, or goes on. A duty whose order changed nothing ends then; it waited for another agent for ever before.

hosts::a_maintenance_that_was_done_before_ends_nothing failed before and passes.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -76,7 +76,7 @@
                 self.renewed(now, &about, &agent, answer);
             }
             About::Hosts => {
-                self.hosts_listed(sent, answer);
+                self.hosts_listed(now, sent, answer);
             }
             About::Eligible(question) => self.eligible_told(now, sent, question, answer),
             About::Duty(host) => self.duty_answered(now, order, &host, &answer),
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -38,6 +38,8 @@
     suspected: bool,
     /// Whether an agent has come since the last list was asked for.
     pub(super) newcomer: bool,
+    /// Whether the next list shows what has become of tasks at a host that got an order.
+    ended: bool,
     /// When the last list that was answered was asked for.
     pub(super) listed: Option<Now>,
     /// When the last list was asked for, and whether it is under way.
@@ -95,10 +97,21 @@
     /// The log says so; the order goes out.
     Touched,
     Ordered(OrderId),
-    /// It was done, and the host isn't back.
+    /// It was done, now or before, and the host isn't back. That its agent is over, only a list shows:
+    /// the provider says that an order is done also if an earlier leader had it done, and then does nothing.
     Away,
 }
 
+/// What has become of the agent of a host that got an order.
+enum Fate {
+    /// It is over.
+    Over,
+    /// Nothing was done to it.
+    Untouched,
+    /// The list doesn't say.
+    Open,
+}
+
 impl Scheduler {
     /// Decides what is done with hosts.
     pub(super) fn tend_hosts(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
@@ -146,7 +159,7 @@
         let mut duties = self.hosts.duties.values();
         let away = duties.any(|duty| duty.stage == Stage::Away);
         // A host that is back is known a third of a second after its agent instead of up to 0.9 s.
-        let pressing = self.hosts.suspected || (self.hosts.newcomer && away);
+        let pressing = self.hosts.suspected || self.hosts.ended || (self.hosts.newcomer && away);
         let pause = match (pressing, busy) {
             (true, _) => SETTLE,
             (false, true) => LIST.0,
@@ -156,12 +169,13 @@
             self.hosts.asked = Some(now);
             self.hosts.asking = true;
             self.hosts.newcomer = false;
+            self.hosts.ended = false;
             self.order(now, About::Hosts, What::Hosts);
         }
     }
 
     /// The provider has answered, or hasn't.
-    pub(super) fn hosts_listed(&mut self, sent: Now, answer: Answer) {
+    pub(super) fn hosts_listed(&mut self, now: Now, sent: Now, answer: Answer) {
         self.hosts.asking = false;
         let Answer::Hosts(views) = answer else {
             return;
@@ -180,6 +194,41 @@
         }
         self.hosts.views = by_host(views);
         self.judge(sent);
+        self.judge_ordered(now, sent);
+    }
+
+    /// Decides by the list what has become of agents whose hosts got an order that was done: they are over,
+    /// or nothing was done and they go on.
+    fn judge_ordered(&mut self, now: Now, sent: Now) {
+        let mut untouched = Vec::new();
+        for (host, duty) in &self.hosts.duties {
+            if duty.stage != Stage::Away || sent < duty.since {
+                continue;
+            }
+            let Some(agent) = duty.agent.as_ref().and_then(|id| self.agents.get(id)) else {
+                continue;
+            };
+            let (id, name) = (&agent.record.id, agent.record.name());
+            let fate = match self.hosts.views.get(host) {
+                Some(view) if view.state == HostState::Unknown => Fate::Open,
+                Some(view) if view.state != HostState::Up || view.agent.as_ref() != Some(name) => {
+                    Fate::Over
+                }
+                Some(_) if sent < duty.since + SETTLE => Fate::Open,
+                Some(_) => Fate::Untouched,
+                None if self.hosts.agents.is_gone(name, duty.since) => Fate::Over,
+                None => Fate::Open,
+            };
+            match fate {
+                Fate::Over => drop(self.gone.insert(id.clone())),
+                Fate::Untouched => untouched.push(host.clone()),
+                Fate::Open => self.hosts.ended |= !agent.slots.is_empty(),
+            }
+        }
+        for host in untouched {
+            log::info!(host:%; "an order about a host had been done before, and its agent goes on");
+            self.end_duty(now, &host);
+        }
     }
 
     /// Decides by the list which agents that don't answer are over.
@@ -352,12 +401,14 @@
             Answer::Done { .. } => {
                 duty.stage = Stage::Away;
                 duty.since = now;
-                if let Some(agent) = &duty.agent {
-                    self.gone.insert(agent.clone());
-                }
                 if let Purpose::Maintain(wave) = duty.what {
                     self.maintained.push((wave, host.clone()));
                 }
+                if let Some(agent) = duty.agent.as_ref().and_then(|id| self.agents.get_mut(id)) {
+                    // What it ran counts as away until a list shows otherwise.
+                    agent.ending = true;
+                    self.hosts.ended |= !agent.slots.is_empty();
+                }
             }
             // What got no answer may have been done; the same order says so.
             Answer::Silent
--- a/tests/workload/hosts.rs
+++ b/tests/workload/hosts.rs
@@ -221,7 +221,6 @@
 #[test]
 fn a_maintenance_that_was_done_before_ends_nothing() {
     let mut world = World::new(4, 1);
-    world.remembers = true;
     world.holder = ms(3000);
     world.wave(1, &["h0"], 1, ms(9000));
     world.until("it is maintained", ms(5000), |world| {
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -257,8 +257,6 @@
     ordered: BTreeMap<HostId, (u64, Now)>,
     /// How long the orders of two leaders about one host must be apart.
     pub(crate) holder: Duration,
-    /// Whether the provider says of a maintenance that was done before that it is done, and does nothing.
-    pub(crate) remembers: bool,
     /// Hosts whose maintenance was begun, by wave.
     pub(crate) maintained: BTreeSet<(WaveId, HostId)>,
     /// Hosts down for each wave now, and the most at once.
@@ -380,7 +378,6 @@
             removed: BTreeSet::new(),
             ordered: BTreeMap::new(),
             holder: ms(100),
-            remembers: false,
             maintained: BTreeSet::new(),
             down: BTreeMap::new(),
             peak: 0,
@@ -1141,7 +1138,7 @@
                     .hosts
                     .get(host)
                     .is_some_and(|view| view.state == HostState::Up);
-                if self.remembers && up && self.maintained.contains(&(*wave, host.clone())) {
+                if up && self.maintained.contains(&(*wave, host.clone())) {
                     // It was done before, and isn't done again.
                     let clock = Duration::ZERO;
                     self.answer(order, Answer::Done { clock });
