Bury a host's agent at the answer, but for busy ones of inherited waves

Now an answer ends the agent as it used to, unless it may be of an earlier leader's doing and something is placed there: a maintenance of a wave that had begun before this leader did. Only then a list decides, at its usual time.

--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -4,7 +4,10 @@
 //! Until then the agent is *cordoned*: it gets nothing new, what is short ends by itself, and what
 //! lasts is stopped and placed elsewhere as far as the budget of its step allows.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     About, Agent, Answer, HostState, HostView, MinionId, Name, Now, OrderId, PoolId, Refusal,
@@ -38,8 +41,6 @@
     suspected: bool,
     /// Whether an agent has come since the last list was asked for.
     pub(super) newcomer: bool,
-    /// Whether the next list shows what has become of tasks at a host that got an order.
-    ended: bool,
     /// When the last list that was answered was asked for.
     pub(super) listed: Option<Now>,
     /// When the last list was asked for, and whether it is under way.
@@ -52,6 +53,8 @@
     /// Hosts that each pool has beyond what it keeps, as of the last look.
     pub(super) surplus: Counts,
     pub(super) waves: BTreeMap<WaveId, WaveTime>,
+    /// Waves that had begun before this leader did.
+    pub(super) inherited: BTreeSet<WaveId>,
     pub(super) turns: Turns,
     pub(super) looked: Now,
     /// When duties and waves were looked at last.
@@ -97,21 +100,10 @@
     /// The log says so; the order goes out.
     Touched,
     Ordered(OrderId),
-    /// It was done, now or before, and the host isn't back. That its agent is over, only a list shows:
-    /// the provider says that an order is done also if an earlier leader had it done, and then does nothing.
+    /// It was done, and the host isn't back.
     Away,
 }
 
-/// What has become of the agent of a host that got an order.
-enum Fate {
-    /// It is over.
-    Over,
-    /// Nothing was done to it.
-    Untouched,
-    /// The list doesn't say.
-    Open,
-}
-
 impl Scheduler {
     /// Decides what is done with hosts.
     pub(super) fn tend_hosts(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
@@ -159,7 +151,7 @@
         let mut duties = self.hosts.duties.values();
         let away = duties.any(|duty| duty.stage == Stage::Away);
         // A host that is back is known a third of a second after its agent instead of up to 0.9 s.
-        let pressing = self.hosts.suspected || self.hosts.ended || (self.hosts.newcomer && away);
+        let pressing = self.hosts.suspected || (self.hosts.newcomer && away);
         let pause = match (pressing, busy) {
             (true, _) => SETTLE,
             (false, true) => LIST.0,
@@ -169,7 +161,6 @@
             self.hosts.asked = Some(now);
             self.hosts.asking = true;
             self.hosts.newcomer = false;
-            self.hosts.ended = false;
             self.order(now, About::Hosts, What::Hosts);
         }
     }
@@ -197,32 +188,30 @@
         self.judge_ordered(now, sent);
     }
 
-    /// Decides by the list what has become of agents whose hosts got an order that was done: they are over,
-    /// or nothing was done and they go on.
+    /// Decides by the list what has become of hosts that got an order which was done: their agents are
+    /// over, or nothing was done and they go on.
     fn judge_ordered(&mut self, now: Now, sent: Now) {
         let mut untouched = Vec::new();
         for (host, duty) in &self.hosts.duties {
             if duty.stage != Stage::Away || sent < duty.since {
                 continue;
             }
-            let Some(agent) = duty.agent.as_ref().and_then(|id| self.agents.get(id)) else {
-                continue;
-            };
-            let (id, name) = (&agent.record.id, agent.record.name());
-            let fate = match self.hosts.views.get(host) {
-                Some(view) if view.state == HostState::Unknown => Fate::Open,
-                Some(view) if view.state != HostState::Up || view.agent.as_ref() != Some(name) => {
-                    Fate::Over
+            let over = match self.hosts.views.get(host) {
+                Some(view) if view.state == HostState::Unknown => false,
+                Some(view) => view.state != HostState::Up || view.agent != duty.name,
+                None => {
+                    let mut name = duty.name.iter();
+                    name.any(|name| self.hosts.agents.is_gone(name, duty.since))
                 }
-                Some(_) if sent < duty.since + SETTLE => Fate::Open,
-                Some(_) => Fate::Untouched,
-                None if self.hosts.agents.is_gone(name, duty.since) => Fate::Over,
-                None => Fate::Open,
             };
-            match fate {
-                Fate::Over => drop(self.gone.insert(id.clone())),
-                Fate::Untouched => untouched.push(host.clone()),
-                Fate::Open => self.hosts.ended |= !agent.slots.is_empty(),
+            if over {
+                self.gone.extend(duty.agent.clone());
+                continue;
+            }
+            let up = self.hosts.views.get(host);
+            let up = up.is_some_and(|view| view.state == HostState::Up);
+            if up && duty.name.is_some() && sent >= duty.since + SETTLE {
+                untouched.push(host.clone());
             }
         }
         for host in untouched {
@@ -381,6 +370,28 @@
         }
     }
 
+    /// An order about a host was done, which ended its agent.
+    ///
+    /// The provider says so also if an earlier leader had it done, and then does nothing. If it may be that
+    /// and something is placed there, a list has to show it; what is placed counts as away until then.
+    fn end_ordered(&mut self, host: &HostId) {
+        let Some(Duty { what, agent, .. }) = self.hosts.duties.get(host) else {
+            return;
+        };
+        let Some(id) = agent.clone() else {
+            return;
+        };
+        // A host that is where it should be isn't moved.
+        let before = match what {
+            Purpose::Maintain(wave) => self.hosts.inherited.contains(wave),
+            Purpose::Move(_) => false,
+        };
+        match self.agents.get_mut(&id) {
+            Some(agent) if before && !agent.slots.is_empty() => agent.ending = true,
+            _ => drop(self.gone.insert(id)),
+        }
+    }
+
     /// An order about a host was answered.
     pub(super) fn duty_answered(
         &mut self,
@@ -404,11 +415,7 @@
                 if let Purpose::Maintain(wave) = duty.what {
                     self.maintained.push((wave, host.clone()));
                 }
-                if let Some(agent) = duty.agent.as_ref().and_then(|id| self.agents.get_mut(id)) {
-                    // What it ran counts as away until a list shows otherwise.
-                    agent.ending = true;
-                    self.hosts.ended |= !agent.slots.is_empty();
-                }
+                self.end_ordered(host);
             }
             // What got no answer may have been done; the same order says so.
             Answer::Silent
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -387,6 +387,7 @@
             }
         }
         scheduler.inherit_probes();
+        scheduler.hosts.inherited = ledger.waves().map(|wave| wave.wave).collect();
         scheduler
     }
 
