Clear a task once it is done, whichever attempt did it

What callers saw: a job is neither completed nor failed, and stays so until another node leads.

Cause: the ledger takes a task for done whichever attempt did it, and acquits its job. The leader's scheduler was told so only by the end of an attempt that is placed (Vacated). Where an attempt that had been given up turns out to be done while the next one isn't placed, nothing was told: the task stayed among the suspects, whose unit runs nothing else meanwhile, and among the tasks that wait, so that it was decided again (and refused by the log) and counted as demand.

Evidence: six shapes in tests/workload/suspects.rs. An agent is cut off with a task that it does, the lease runs out, two hosts end under the next attempts, and none is left. Five are red without the mend: a middle step, an occurrence, a gang, a step without followers, and beside another suspect; the last task of a job passed, as the end of the job clears all.

Each world now checks in each turn that whoever ends of hosts are held against can still run, and that nothing is decided to start which never runs again.

Ruled out: clearing when a step opens (an earlier trial) leaves the gang, the occurrence and steps beside; a new leader never had the fault, as it reads the evidence of tasks that aren't done.

Change: the ledger tells of each task that is done (Change::Done), for a gang of each member; the scheduler clears there, and only there and with the end of a job, what it holds against the task, and takes it from those that wait. Probes follow from the suspects with the next round. Looked at, and cleared otherwise: accepted (end of the job), proposed and check_start (the round), unbegun and freed (taken with the round; the ledger drops what doesn't stand), strays (by agent and time), learned (by pool), slots (a stop and its end). A suspect that was done by an attempt which had been given up is logged, once a task.

Also a start that lost against the end of its occurrence: its tasks may have been dropped, which was taken for a task that has to be started again, in each round. Found by reading, red in the last test of suspects.rs without the mend.

--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -41,7 +41,7 @@
     },
     job::{Job, JobState, StepId, Task, TaskId},
     odds::Odds,
-    spec::{StepIx, TaskIx},
+    spec::StepIx,
     suspicion::{Crash, Evidence, Seen},
     touched::Touched,
 };
@@ -79,6 +79,13 @@
         /// Whether the task needs another one.
         again: bool,
     },
+    /// A task is done, whichever attempt did it: it never runs again.
+    Done {
+        /// The task.
+        task: TaskId,
+        /// Whether the attempt had been given up before.
+        late: bool,
+    },
     /// The task of a placed attempt was done by another one.
     Superfluous(Placed),
     /// All ends of an agent up to this one were taken in.
@@ -518,24 +525,23 @@
         let Some(run) = found.runs.get_mut(&occurrence) else {
             return;
         };
-        let all = run.steps[step].tasks.iter_mut().enumerate();
         let mut newly = 0;
-        for (ix, task) in all {
-            let same = TaskIx::try_from(ix).is_ok_and(|ix| ix == id.task);
-            if (same || spec.gang) && !task.done {
-                task.done = true;
-                newly += 1;
-                if let Some(agent) = task.agent.clone().filter(|_| task.attempt != attempt) {
-                    let task_ix = TaskIx::try_from(ix).unwrap_or(TaskIx::MAX);
-                    changes.push(Change::Superfluous(Placed {
-                        task: TaskId {
-                            task: task_ix,
-                            ..id
-                        },
-                        attempt: task.attempt,
-                        agent,
-                    }));
-                }
+        for (ix, task) in (0..).zip(&mut run.steps[step].tasks) {
+            if task.done || !(spec.gang || ix == id.task) {
+                continue;
+            }
+            task.done = true;
+            newly += 1;
+            let other = TaskId { task: ix, ..id };
+            let same = task.attempt == attempt;
+            let late = !same || task.agent.is_none();
+            changes.push(Change::Done { task: other, late });
+            if let Some(agent) = task.agent.clone().filter(|_| !same) {
+                changes.push(Change::Superfluous(Placed {
+                    task: other,
+                    attempt: task.attempt,
+                    agent,
+                }));
             }
         }
         run.steps[step].done += newly;
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Scheduler, Settings,
-    Slot, StepSpec, Task, TaskId, Wall,
+    Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Run, Scheduler,
+    Settings, Slot, StepSpec, Task, TaskId, Wall,
     hosts::Stage,
     throttle::{INHERITED, UNTOLD},
 };
@@ -71,6 +71,7 @@
                     self.open(now, *step, job);
                 }
             }
+            Change::Done { task, late } => self.settle(*task, *late),
             Change::Superfluous(placed) => {
                 log::info!(task:% = placed.task, attempt = placed.attempt, agent:% = placed.agent; "an attempt isn't needed any more");
                 self.stop(now, &placed.agent, placed.task);
@@ -231,8 +232,18 @@
         }
         if again {
             self.free(now, ledger, placed.task);
-        } else {
-            self.suspects.clear(placed.task);
+        }
+    }
+
+    /// A task is done and never runs again: nothing of it waits, and nothing waits for it.
+    ///
+    /// An attempt that was given up may turn out to have done it, so that its last one needn't be placed.
+    fn settle(&mut self, task: TaskId, late: bool) {
+        self.ready.take(task.step, task.task);
+        let held = self.suspects.clear(task);
+        if let Some(held) = held.filter(|_| late) {
+            let hosts = held.evidence.own.hosts;
+            log::info!(task:%, hosts; "a suspect was done by an attempt that had been given up");
         }
     }
 
@@ -248,13 +259,12 @@
 
     /// Sends the starts that were committed, and forgets those that lost a race in the ledger.
     pub(super) fn check_start(&mut self, now: Now, ledger: &Ledger, start: &Placed) {
-        let task = ledger
-            .job(start.task.step.job)
-            .and_then(|job| job.task(start.task));
+        let job = ledger.job(start.task.step.job);
+        let task = job.and_then(|job| job.task(start.task));
         let stands = task.is_some_and(|task| {
             task.attempt == start.attempt && task.agent.as_ref() == Some(&start.agent)
         });
-        let over = ledger.job(start.task.step.job).is_none_or(Job::is_over);
+        let over = job.is_none_or(Job::is_over);
         if let Some(slot) = self.slot(&start.agent, start.task) {
             if stands && !over {
                 slot.enter(now, Phase::Due);
@@ -270,7 +280,11 @@
         if let Some(agent) = self.agents.get_mut(&start.agent) {
             agent.remove(now, start.task);
         }
-        if task.is_none_or(|task| task.agent.is_none() && !task.done) {
+        let needed = |task: &Task| task.agent.is_none() && !task.done;
+        // The tasks of an occurrence that is finished may have been dropped.
+        let run = job.and_then(|job| job.runs.get(&start.task.step.occurrence));
+        let open = !run.is_some_and(Run::is_finished);
+        if open && task.is_none_or(needed) {
             self.free(now, ledger, start.task);
         }
     }
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -202,9 +202,12 @@
         }
     }
 
-    /// Takes a task out, as it is being started.
+    /// Takes a task out, if it waits: it is being started, or never runs again.
     pub(super) fn take(&mut self, step: StepId, task: TaskIx) {
-        self.change(step, |free| free.remove(&task));
+        let ready = self.get(step);
+        if ready.is_some_and(|ready| ready.free.contains(&task)) {
+            self.change(step, |free| free.remove(&task));
+        }
     }
 
     /// Puts a task back; whether its step is known.
--- a/src/core/workload/scheduler/suspects.rs
+++ b/src/core/workload/scheduler/suspects.rs
@@ -37,17 +37,18 @@
 }
 
 impl Suspects {
-    /// Nothing is held against a task any more.
-    pub(super) fn clear(&mut self, task: TaskId) {
+    /// Nothing is held against a task any more; what was.
+    pub(super) fn clear(&mut self, task: TaskId) -> Option<Held> {
         let job = task.step.job;
-        if let Some(tasks) = self.jobs.get_mut(&job) {
-            if let Some(held) = tasks.remove(&task).filter(|held| held.lasting) {
-                self.explained.remove(&Unit::of(task, held.lasting));
-            }
-            if tasks.is_empty() {
-                self.jobs.remove(&job);
-            }
+        let tasks = self.jobs.get_mut(&job)?;
+        let held = tasks.remove(&task)?;
+        if tasks.is_empty() {
+            self.jobs.remove(&job);
+        }
+        if held.lasting {
+            self.explained.remove(&Unit::of(task, held.lasting));
         }
+        Some(held)
     }
 
     /// A job is over.
@@ -138,6 +139,11 @@
         self.suspects.suspected().count()
     }
 
+    /// The tasks that the ends of hosts are held against. Each of them may still run.
+    pub fn held(&self) -> impl Iterator<Item = TaskId> {
+        self.suspects.all().map(|(task, _)| task)
+    }
+
     /// The log holds this against a task of a job.
     pub(super) fn suspect(&mut self, job: &Job, task: TaskId, evidence: Evidence) {
         let lasting = !job.is_short(task);
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -20,6 +20,7 @@
 mod scarce;
 mod spec;
 mod storms;
+mod suspects;
 mod suspicion;
 mod touched;
 mod vacating;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -16,7 +16,7 @@
         workload::{
             catalog::{Catalog, Eligibility, PoolSpec, QueueSpec},
             command::{AgentRecord, Command, Ending, Submission, WaveRecord},
-            job::{JobState, StepId, TaskId},
+            job::{JobState, Run as Occurrence, StepId, TaskId},
             ledger::Ledger,
             scheduler::{
                 AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, Protections,
@@ -901,8 +901,47 @@
         true
     }
 
+    /// The ends of hosts are held against nothing that never runs again: it would keep others waiting.
+    fn check_held(&self) {
+        let held = self.scheduler.iter().flat_map(Scheduler::held);
+        for task in held {
+            assert!(
+                self.may_run(task),
+                "{task} never runs again, and the ends of hosts are still held against it"
+            );
+        }
+    }
+
+    /// Nothing is started that never runs again.
+    fn check_starts(&self, commands: &[Command]) {
+        let rounds = commands.iter().filter_map(|command| match command {
+            Command::Round(round) => Some(round),
+            _ => None,
+        });
+        for start in rounds.flat_map(|round| &round.starts) {
+            assert!(
+                self.may_run(start.task),
+                "{} never runs again, and is to be started",
+                start.task
+            );
+        }
+    }
+
+    /// Whether a task may run, or run again, some time.
+    fn may_run(&self, task: TaskId) -> bool {
+        let job = self.ledger.job(task.step.job);
+        let Some(job) = job.filter(|job| !job.is_over()) else {
+            return false;
+        };
+        let run = job.runs.get(&task.step.occurrence);
+        let finished = run.is_some_and(Occurrence::is_finished);
+        let done = job.task(task).is_some_and(|task| task.done);
+        !finished && !done
+    }
+
     /// Has the leader decide; returns how many agents and steps it looked at, and its orders.
     fn decide(&mut self) -> (usize, usize) {
+        self.check_held();
         let Some(scheduler) = &mut self.scheduler else {
             return (0, 0);
         };
@@ -914,6 +953,7 @@
             assert_eq!(plan.commands, other.commands, "nothing is overlooked");
             assert_eq!(plan.orders, other.orders, "nothing is overlooked");
         }
+        self.check_starts(&plan.commands);
         let (looks, orders) = (plan.looks, plan.orders.len());
         self.looks += looks;
         self.turns += 1;
