Claim the networks of test worlds, so that no two test programs share one

Two test programs at once may take the same loopback network: the real programs' worlds took theirs from the process id modulo 480, those of the library from the process id modulo 2000, and the two overlapped in the upper bytes 128 to 247, though a comment said that they didn't. What callers of the tests would see is nodes that can't listen, or heartbeats and orders of another world. By reading; no such run is on record here.

A world now claims its network by a UDP socket bound at an address of it. The kernel keeps the address for the process and frees it however that ends. A network that is taken is passed over, and a process tries none twice, since something may still be sent to a world that is over.

A claim keeps out only programs that claim as well: those built before this commit may still choose the same network.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,7 @@
 //! The whole path as separate processes on loopback.
 
+#[path = "../support/claim.rs"]
+mod claim;
 mod explain;
 mod faults;
 mod freezes;
--- a/tests/process/world.rs
+++ b/tests/process/world.rs
@@ -7,10 +7,7 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{
-        Condvar, Mutex, PoisonError,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::{Condvar, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -18,6 +15,8 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use crate::claim::Claim;
+
 /// How long a condition may take to come true.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
 /// How long calls must be answered before the load of a test begins.
@@ -53,9 +52,6 @@
     }
 }
 
-/// Each world of one test process has a loopback network of its own, so that ports never clash.
-static WORLDS: AtomicU8 = AtomicU8::new(1);
-
 /// A child that doesn't outlive its test.
 #[derive(Debug)]
 pub(crate) struct Process(pub(crate) Child);
@@ -103,7 +99,8 @@
     pub(crate) nodes: Vec<Option<Process>>,
     standins: Vec<Process>,
     pub(crate) platform: SocketAddr,
-    // The last field, so that it is given back when the processes are gone.
+    // The last fields, so that they are given back when the processes are gone.
+    _claim: Claim,
     _place: Place,
 }
 
@@ -151,16 +148,14 @@
 
     fn bare() -> Self {
         let place = Place::take();
-        let id = std::process::id();
-        let world = WORLDS.fetch_add(1, Ordering::Relaxed);
-        assert!(world < 32, "more worlds than networks");
-        let network = [1 + (id % 250) as u8, (id / 250 % 8) as u8 * 32 + world];
+        let claim = Claim::take();
         let mut world = Self {
-            network,
+            network: claim.halves,
             folder: tempfile::tempdir().unwrap(),
             nodes: vec![None, None, None],
             standins: Vec::new(),
             platform: SocketAddr::from(([127, 0, 0, 1], 1)),
+            _claim: claim,
             _place: place,
         };
         let platform = world.address(100, 6000).to_string();
