Take a daemon's signals before its settings are read

A SIGTERM or SIGINT that came while `egretpind` read its settings ended it by the signal, with no orderly stop and no good exit code.

Cause: both were taken after the settings were read and logging had begun. The log is opened later, so the window was short.

Change: the runtime is made and both are taken first; `--check`, which starts nothing, is a function of its own and can be interrupted as before.

--- a/src/bin/egretpind.rs
+++ b/src/bin/egretpind.rs
@@ -1,6 +1,9 @@
 //! The daemon that runs on every entry host.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use argh::FromArgs;
 use egretpin::{
@@ -38,25 +41,34 @@
 }
 
 fn run(args: &Args) -> Result<(), Box<dyn std::error::Error>> {
-    let settings = Settings::read(&args.settings)?;
     if args.check {
-        println!("{}: good", args.settings.display());
-        for advice in settings.advice() {
-            println!("advice: {advice}");
-        }
-        return Ok(());
+        return check(&args.settings);
     }
-    logs::start(settings.log.level, settings.log.file.as_deref())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, args.bootstrap))
+    runtime.block_on(serve(args))
+}
+
+fn check(path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let settings = Settings::read(path)?;
+    println!("{}: good", path.display());
+    for advice in settings.advice() {
+        println!("advice: {advice}");
+    }
+    Ok(())
 }
 
-async fn serve(settings: Settings, bootstrap: bool) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(args: &Args) -> Result<(), Box<dyn std::error::Error>> {
+    // A signal ends a process that hasn't taken it, so they are taken before anything is read.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut running = Running::start(settings, Options { bootstrap }).await?;
+    let settings = Settings::read(&args.settings)?;
+    logs::start(settings.log.level, settings.log.file.as_deref())?;
+    let options = Options {
+        bootstrap: args.bootstrap,
+    };
+    let mut running = Running::start(settings, options).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod losses;
 mod maintenance;
 mod measures;
+mod signals;
 mod voters;
 mod world;
 
--- a/tests/process/world.rs
+++ b/tests/process/world.rs
@@ -149,7 +149,8 @@
         (1..=3).map(read).collect()
     }
 
-    fn bare() -> Self {
+    /// One in which no node runs yet.
+    pub(crate) fn bare() -> Self {
         let place = Place::take();
         let id = std::process::id();
         let world = WORLDS.fetch_add(1, Ordering::Relaxed);
@@ -190,7 +191,8 @@
         self.folder.path().join(format!("data-{node}"))
     }
 
-    fn settings(&self, node: u8) -> PathBuf {
+    /// Writes the settings of a node; where.
+    pub(crate) fn settings(&self, node: u8) -> PathBuf {
         let mut text = format!(
             "node: {node}\ndata_centre: {}\nmesh: {}\ncallers: {}\nminions: {}\noperators: {}\n\
              data: {}\nplatform: http://{}\nvoters: [1, 2, 3]\ntrial: true\npeers:\n",
