--- a/tests/process/world.rs
+++ b/tests/process/world.rs
@@ -146,7 +146,8 @@
         (1..=3).map(read).collect()
     }
 
-    fn bare() -> Self {
+    /// One in which no node runs yet.
+    pub(crate) fn bare() -> Self {
         let place = Place::take();
         let claim = Claim::take();
         let mut world = Self {
@@ -185,7 +186,8 @@
         self.folder.path().join(format!("data-{node}"))
     }
 
-    fn settings(&self, node: u8) -> PathBuf {
+    /// Writes the settings of a node; where.
+    pub(crate) fn settings(&self, node: u8) -> PathBuf {
         let mut text = format!(
             "node: {node}\ndata_centre: {}\nmesh: {}\ncallers: {}\nminions: {}\noperators: {}\n\
              data: {}\nplatform: http://{}\nvoters: [1, 2, 3]\ntrial: true\npeers:\n",
