Force the orders of events in which a done task is started again

Nothing is mended here.

Cause, as far as these tests show it: an order meant for one incarnation of an agent is carried out by the next. Once that is known, what may so have begun is stopped there, and when the time of a stop is over the earlier incarnation is over and its tasks are started anew, whether or not the next one was asked what it has done. So what ended there well before its stop came is started again: where the next incarnation isn't heard in time, where the task ends between its list and the stop, and where the start comes after that list; the next look at it comes 1.2 s after the list at the soonest, and a stop takes 1 s. Each of them also at a leader that follows.

Found beside it, of the same class: ends of failed runs at the next incarnation count as no attempt (6 starts where 3 may fail, all noted); a suspect that is done while it isn't placed stays suspected, and the next step never begins; an acknowledgement that a start has overtaken makes the next incarnation forget the end of what was started.

Change: the world checks that nothing is started after a run of it has ended well, if that is taken note of then or later, and a renewal that waits is answered by an end of whoever holds it. Orders and answers can be slowed by kind, runs ended, and leaders begin unheard where agents are quiet. The stand-in agent can crash as a start comes, keep silent with heartbeats, break off what it holds and end a run just before its stop; it refuses runs that were stopped or have ended, as real ones do.

--- a/tests/workload/reborn.rs
+++ b/tests/workload/reborn.rs
@@ -6,24 +6,35 @@
 //! the agent forgot them. Cause: an id was taken for one life. Proof: the worlds here, in which agents keep
 //! their ids.
 
+use std::{ops::RangeInclusive, panic, time::Duration};
+
+use egretpin::core::{
+    types::MinionId,
+    workload::{
+        command::Command,
+        job::{JobState, StepId, TaskId},
+        spec::JobSpec,
+    },
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
     faults::play,
-    world::{Faults, World, ms, step},
+    world::{Faults, OTHER, POOL, World, ms, step},
 };
 
 /// Worlds that are played of each kind.
 const SEEDS: u64 = 24;
-use egretpin::core::workload::{job::JobState, spec::JobSpec};
+/// The variable that names other seeds of the worlds in which all comes by chance: the first and the last.
+const VARIABLE: &str = "EGRETPIN_WORLD_SEEDS";
 
 /// A task was started again after it had been done: its end was taken for one of the life before.
 #[test]
 fn what_an_agent_has_done_since_it_started_again_is_not_started_again() {
     let mut world = World::new(1, 1);
     world.keeps = 1.0;
-    world.host("h9", crate::world::POOL);
+    world.host("h9", POOL);
     let agent = world.living(&"h9".into()).unwrap();
     world.submit(1, JobSpec::new("x", vec![step(12, 1, 200)]));
     let done = |job| move |world: &World| world.state(job) == Some(JobState::Completed);
@@ -106,3 +117,328 @@
         });
     }
 }
+
+/// A step of the world's time.
+const TURN: Duration = ms(5);
+/// How often a task may fail.
+const ATTEMPTS: u32 = 3;
+/// Steps within which something that is forced happens.
+const TURNS: u32 = 60;
+/// The job that each forced order of events is about, and its only task.
+const JOB: u64 = 1;
+const TASK: TaskId = TaskId {
+    step: StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    },
+    task: 0,
+};
+
+/// Three hosts whose agents keep their ids, and one of another pool.
+fn small() -> World {
+    let mut world = World::new(0, 1);
+    world.keeps = 1.0;
+    world.counts = true;
+    for host in 1..=3 {
+        world.host(&format!("h{host}"), POOL);
+    }
+    world.host("h4", OTHER);
+    world.pass(ms(500));
+    world
+}
+
+/// A host whose agent keeps its id and is heard late when it has started again, and one of another pool.
+fn single() -> World {
+    let mut world = World::new(0, 1);
+    world.keeps = 1.0;
+    world.host("h1", POOL);
+    world.host("h4", OTHER);
+    world.pass(ms(500));
+    world.quiet = true;
+    world
+}
+
+/// Has an agent end while the start of a task of so many milliseconds is under way to it; who is the next one
+/// there.
+fn overtake(world: &mut World, millis: u64) -> MinionId {
+    let starts = world.sent.get("start").copied().unwrap_or_default();
+    world.submit(JOB, JobSpec::new("x", vec![step(1, 1, millis)]));
+    world.until("its start is under way", ms(500), |world| {
+        world.sent.get("start").copied().unwrap_or_default() > starts
+    });
+    let former = world.placed(JOB).unwrap();
+    world.reboot(&former).unwrap()
+}
+
+/// Plays on until the job is through and its ends are taken note of; whether the task was started again
+/// though a run of it had ended well, and whether that was taken note of.
+fn judge(mut world: World) -> (bool, bool) {
+    world.until("the job is through", ms(20_000), |world| {
+        world.state(JOB) == Some(JobState::Completed)
+    });
+    world.pass(ms(3000));
+    (!world.repeated.is_empty(), !world.redone.is_empty())
+}
+
+/// No order of events out of some, by their numbers, has a task started again though a run of it had ended
+/// well.
+fn none_is_redone(orders: impl Iterator<Item = u32>, play: impl Fn(u32) -> World) {
+    let (mut count, mut repeated, mut noted) = (0, Vec::new(), 0);
+    for order in orders {
+        let (again, known) = judge(play(order));
+        count += 1;
+        noted += u32::from(known);
+        repeated.extend(again.then_some(order));
+    }
+    let broken = repeated.len();
+    assert!(
+        repeated.is_empty(),
+        "in {broken} of {count} orders of events a done task was started again: {repeated:?}; in {noted} of them its end was taken note of"
+    );
+}
+
+/// A task ran to its end at the next incarnation, which wasn't heard before the earlier one was over, and was
+/// started again.
+#[test]
+fn what_an_unheard_incarnation_has_done_is_not_started_again() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        world.quiet = true;
+        let next = overtake(&mut world, 1000);
+        world.pass(TURN * turns);
+        world.finish(&next, TASK);
+        world
+    });
+}
+
+/// A task ended at the next incarnation after that had listed it as running and before the stop came, and
+/// was started again before the next list.
+#[test]
+fn what_ends_between_a_list_and_a_stop_is_not_started_again() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        let next = overtake(&mut world, 1000);
+        world.pass(TURN * turns);
+        world.finish(&next, TASK);
+        world
+    });
+}
+
+/// A start came to the next incarnation after its first list, and the task ended before the stop came; it
+/// was started again before the next list.
+#[test]
+fn what_begins_after_a_list_and_ends_before_a_stop_is_not_started_again() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        world.back = ms(40);
+        world.lags.insert("start", TURN * turns);
+        overtake(&mut world, 10);
+        world
+    });
+}
+
+/// A leader followed after the earlier incarnation had been found to be over, and started the task again
+/// before it had seen what the next one had done.
+#[test]
+fn what_an_unheard_incarnation_has_done_is_not_started_again_by_the_next_leader() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        world.quiet = true;
+        overtake(&mut world, 20);
+        world.pass(TURN * turns);
+        world.depose();
+        world.pass(ms(100));
+        world.lead();
+        world
+    });
+}
+
+/// The same beside a task that ends at any time after the next leader has begun.
+#[test]
+fn what_ends_between_a_list_and_a_stop_is_not_started_again_by_the_next_leader() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        world.quiet = true;
+        let next = overtake(&mut world, 1000);
+        world.pass(ms(5));
+        world.depose();
+        world.pass(ms(100));
+        world.lead();
+        world.pass(TURN * turns);
+        world.finish(&next, TASK);
+        world
+    });
+}
+
+/// By the younger clock of the next incarnation the lease of a start ends later than was counted: the task
+/// could be started elsewhere, as that incarnation is cut off, and still run there.
+#[test]
+fn what_runs_at_the_next_incarnation_runs_no_longer_than_is_counted() {
+    let mut world = small();
+    world.pass(ms(10_000));
+    world.quiet = true;
+    let next = overtake(&mut world, 5000);
+    world.pass(TURN * 3);
+    world.cut(&next, ms(9000));
+    world.until("the job is through", ms(30_000), |world| {
+        world.state(JOB) == Some(JobState::Completed)
+    });
+}
+
+/// A task failed at incarnations that got what was meant for the one before, and none of these ends counted
+/// as an attempt.
+#[test]
+fn what_fails_at_the_next_incarnation_counts_as_an_attempt() {
+    let mut world = small();
+    // The ends of hosts aren't held against it, and each next incarnation is heard and told that its
+    // end is known before the task is free.
+    world.protections.suspicion = false;
+    world.stopping = ms(4000);
+    world.depose();
+    world.lead();
+    world.pass(ms(2000));
+    world.faults.failing = 1.0;
+    overtake(&mut world, 5);
+    for attempt in 2..=ATTEMPTS + 1 {
+        let starts = world.sent["start"];
+        world.until("the job has failed, or is tried again", ms(6000), |world| {
+            world.sent["start"] > starts || world.state(JOB) == Some(JobState::Failed)
+        });
+        let former = world.placed(JOB).filter(|_| attempt <= ATTEMPTS);
+        former.and_then(|former| world.reboot(&former));
+        world.pass(TURN * 2);
+    }
+    world.pass(ms(1500));
+    let (starts, failures) = (
+        world.starts[&TASK],
+        world.failures.get(&TASK).copied().unwrap_or_default(),
+    );
+    assert!(
+        starts <= ATTEMPTS || failures < ATTEMPTS,
+        "{starts} starts, and {failures} ends of failed ones were taken note of"
+    );
+}
+
+/// A task was done at the next incarnation, after the earlier one had been found to be over and before it was
+/// placed again; it was suspected of that end for ever, and the step after it never began.
+#[test]
+fn what_follows_a_suspect_that_the_next_incarnation_has_done_begins() {
+    let mut world = single();
+    let mut steps = vec![step(1, 1, 20), step(1, 1, 20)];
+    steps[1].after = vec![0];
+    world.submit(JOB, JobSpec::new("x", steps));
+    world.until("its start is under way", ms(500), |world| {
+        world.sent.contains_key("start")
+    });
+    let former = world.placed(JOB).unwrap();
+    world.reboot(&former);
+    world.until("the job is through", ms(20_000), |world| {
+        world.state(JOB) == Some(JobState::Completed)
+    });
+}
+
+/// An acknowledgement for one life was overtaken by a start, and the next life forgot the end of what it had
+/// started.
+#[test]
+fn an_acknowledgement_that_a_start_overtakes_makes_the_next_life_forget_nothing() {
+    none_is_redone(0..TURNS, |turns| {
+        let mut world = small();
+        world.submit(9, JobSpec::new("x", vec![step(9, 2, 200)]));
+        world.until("others are through", ms(3000), |world| {
+            world.state(9) == Some(JobState::Completed)
+        });
+        world.lags.insert("renew", ms(100));
+        world.pass(TURN * turns);
+        overtake(&mut world, 10);
+        world
+    });
+}
+
+/// Short tasks at agents that start again in series, beside lost and late answers, jobs that are cancelled and
+/// leaders that follow each other; what was started again though a run of it had ended well.
+fn hunt(seed: u64, keeps: f64) -> Vec<String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x4e77);
+    let mut world = World::new(0, seed);
+    world.keeps = keeps;
+    world.counts = true;
+    for host in 1..=4 {
+        world.host(&format!("h{host}"), POOL);
+    }
+    world.host("h5", OTHER);
+    world.pass(ms(300));
+    world.quiet = rng.random_bool(0.5);
+    world.jitter = ms(rng.random_range(0..30));
+    world.faults.lost = [0.0, 0.03][rng.random_range(0..2)];
+    for job in 1..=120 {
+        let mut steps = vec![step(rng.random_range(1..4), 1, rng.random_range(10..60))];
+        if rng.random_bool(0.3) {
+            steps.push(step(1, 1, 20));
+            steps[1].after = vec![0];
+        }
+        world.submit(job, JobSpec::new("x", steps));
+        world.pass(ms(rng.random_range(0..60)));
+        match rng.random_range(0..24) {
+            0..4 => {
+                let host = format!("h{}", rng.random_range(1..=4)).as_str().into();
+                for _ in 0..rng.random_range(1..4) {
+                    // Its host may be away for a move.
+                    if let Some(agent) = world.living(&host) {
+                        world.reboot(&agent);
+                    }
+                    world.pass(ms(rng.random_range(0..200)));
+                }
+            }
+            4 => world.propose(Command::Cancel(rng.random_range(1..=job))),
+            5 if rng.random_bool(0.4) => {
+                world.depose();
+                world.pass(ms(rng.random_range(0..600)));
+                world.lead();
+            }
+            _ => {}
+        }
+    }
+    world.faults = Faults::default();
+    world.until("all are over", ms(60_000), |world| {
+        world.ledger.jobs().all(|(_, job)| job.is_over())
+    });
+    world.pass(ms(3000));
+    world.redone
+}
+
+/// The seeds on which something was started again though a run of it had ended well, or a check of an agent
+/// failed.
+fn hunt_all(keeps: f64) -> Vec<String> {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        match panic::catch_unwind(|| hunt(seed, keeps)) {
+            Ok(redone) if redone.is_empty() => {}
+            Ok(redone) => broken.push(format!("{seed}: {} were redone", redone.len())),
+            Err(_) => broken.push(format!("{seed}: a check of an agent")),
+        }
+    }
+    broken
+}
+
+/// All of it by chance, on many seeds.
+#[test]
+fn nothing_done_is_started_again_where_agents_start_again_in_series() {
+    let broken = hunt_all(1.0);
+    assert!(broken.is_empty(), "{} seeds: {broken:#?}", broken.len());
+}
+
+/// The same where each life has an id of its own.
+#[test]
+fn nothing_done_is_started_again_where_agents_are_replaced_in_series() {
+    let broken = hunt_all(0.0);
+    assert!(broken.is_empty(), "{} seeds: {broken:#?}", broken.len());
+}
+
+/// The seeds that the environment names, or those of every run.
+fn seeds() -> RangeInclusive<u64> {
+    let Ok(range) = std::env::var(VARIABLE) else {
+        return 0..=SEEDS;
+    };
+    let (first, last) = range.split_once('-').expect("FIRST-LAST");
+    first.parse().unwrap()..=last.parse().unwrap()
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -1,7 +1,8 @@
 //! A leader with its log, and agents that keep to their protocol, in logical time.
 //!
 //! The agents check what they are told: whoever starts a task twice at once, before the steps
-//! before it, without a committed attempt or beyond the room fails the test.
+//! before it, without a committed attempt or beyond the room fails the test. So does whoever starts one
+//! after a run of it has ended well, if that is taken note of then or later.
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -123,6 +124,21 @@
 /// From one look at how busy it was to the next.
 const SAMPLE: Duration = ms(100);
 
+/// A run that ended well at an agent, whose end may have been taken note of.
+#[derive(Clone, Debug)]
+struct Finish {
+    agent: MinionId,
+    number: u64,
+    attempt: u32,
+    at: Now,
+    /// Whether its agent was told that it is known.
+    noted: bool,
+    /// Whether the lease of its agent ran out before that.
+    lapsed: bool,
+    /// The first start after it: where, which attempt, and when.
+    again: Option<(MinionId, u32, Now)>,
+}
+
 /// What waits for a leader with a processor.
 enum Input {
     Answer(u64, OrderId, Answer),
@@ -214,8 +230,12 @@
         order: OrderId,
         answer: Answer,
     },
-    /// A renewal has waited long enough for an end.
-    Waited { order: Order, since: u64 },
+    /// A renewal has waited long enough for an end, at an incarnation that had ended so many runs.
+    Waited {
+        order: Order,
+        since: u64,
+        taker: MinionId,
+    },
     /// A host is back in a pool.
     Back { host: HostId },
     /// A heartbeat that was under way for long arrives.
@@ -242,8 +262,15 @@
     pub(crate) stopping: Duration,
     /// The part of the agents that start again under the id that they had.
     pub(crate) keeps: f64,
-    /// Whether those are heard with the next round of heartbeats only, and not at once.
+    /// Whether those are heard with the next round of heartbeats only, and not at once; a new leader hears
+    /// all agents only then, too.
     pub(crate) quiet: bool,
+    /// One way from an agent to the leader.
+    pub(crate) back: Duration,
+    /// How much longer orders of a kind take to an agent.
+    pub(crate) lags: BTreeMap<&'static str, Duration>,
+    /// How much longer each order and each answer may take, so that they overtake each other.
+    pub(crate) jitter: Duration,
     /// How long a host that ended by itself is away.
     pub(crate) away: Duration,
     /// Lasting tasks that orders ended and that aren't at work again.
@@ -329,6 +356,17 @@
     pub(crate) turns: usize,
     /// When the leaving of agents was acknowledged to them.
     told: BTreeMap<MinionId, Now>,
+    /// Runs that ended well, by task, but for those whose ends were lost with their agents.
+    finished: BTreeMap<TaskId, Finish>,
+    /// Runs of each task that failed, as far as that was taken note of.
+    pub(crate) failures: BTreeMap<TaskId, u32>,
+    /// Tasks that were started after a run of theirs had ended well, and that end was taken note of.
+    pub(crate) redone: Vec<String>,
+    /// Tasks that were started after a run of theirs had ended well at an agent that still lived then,
+    /// whether or not that was taken note of.
+    pub(crate) repeated: BTreeSet<TaskId>,
+    /// Whether a test looks at these itself; what was redone fails the test otherwise.
+    pub(crate) counts: bool,
 }
 
 impl World {
@@ -372,6 +410,9 @@
             stopping: STOP,
             keeps: 0.0,
             quiet: false,
+            back: HOP,
+            lags: BTreeMap::new(),
+            jitter: Duration::ZERO,
             away: AWAY,
             taken: BTreeSet::new(),
             overdrawn: Vec::new(),
@@ -424,6 +465,11 @@
             looks: 0,
             turns: 0,
             told: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            redone: Vec::new(),
+            repeated: BTreeSet::new(),
+            counts: false,
         };
         for host in 0..hosts {
             world.host(&format!("h{host}"), POOL);
@@ -555,6 +601,9 @@
             &self.ledger,
         );
         self.scheduler = Some(scheduler);
+        if self.quiet {
+            return;
+        }
         let agents: Vec<_> = self.agents.keys().cloned().collect();
         agents.iter().for_each(|id| self.beat(id));
     }
@@ -701,6 +750,7 @@
         let Some(agent) = self.agents.remove(id) else {
             return;
         };
+        self.lose_ends(id);
         if let Some(view) = self.hosts.get_mut(&agent.host) {
             view.state = HostState::Down;
             view.agent = None;
@@ -770,6 +820,7 @@
         let Agent {
             record, host, cut, ..
         } = self.agents.remove(id)?;
+        self.lose_ends(id);
         self.haunt(&record.id, &record);
         let never = format!("{id}-unheard").into();
         self.haunt(&never, &record);
@@ -808,6 +859,16 @@
         }
     }
 
+    /// What an agent runs of a task ends well now.
+    pub(crate) fn finish(&mut self, id: &MinionId, task: TaskId) {
+        let agent = self.agents.get_mut(id);
+        let run = agent.and_then(|agent| agent.running.get_mut(&task));
+        if let Some(run) = run.filter(|run| !run.stopping) {
+            run.ends = self.now;
+            run.how = Ending::Done;
+        }
+    }
+
     /// No order gets through to an agent for a while, and its heartbeats do.
     pub(crate) fn deafen(&mut self, id: &MinionId, span: Duration) {
         if let Some(agent) = self.agents.get_mut(id) {
@@ -823,6 +884,13 @@
         self.beat(id);
     }
 
+    /// Where the first task of a job is placed.
+    pub(crate) fn placed(&self, job: u64) -> Option<MinionId> {
+        let found = self.ledger.job(job)?;
+        let (_, agent) = found.placements(job).next()?;
+        Some(agent)
+    }
+
     /// The agents that run something of a job, and what.
     pub(crate) fn runs(&self, job: u64) -> Vec<(MinionId, TaskId)> {
         let agents = self.agents.iter();
@@ -1018,7 +1086,8 @@
         } else if late {
             Duration::from_secs_f64(self.rng.random_range(2.0..12.0))
         } else {
-            HOP
+            let lag = self.lags.get(kind).copied().unwrap_or_default();
+            HOP + lag + self.lag()
         };
         self.at(
             self.now + delay,
@@ -1054,7 +1123,7 @@
                 astray,
                 taker,
             } => self.arrive(&order, silent, astray, taker),
-            Event::Waited { order, since } => {
+            Event::Waited { order, since, .. } => {
                 let ends = self.reached(&order).map(|agent| agent.number);
                 if ends == Some(since) {
                     self.report(&order);
@@ -1078,11 +1147,21 @@
         }
     }
 
+    /// How much longer something takes on its way.
+    fn lag(&mut self) -> Duration {
+        if self.jitter.is_zero() {
+            return Duration::ZERO;
+        }
+        let most = self.jitter.as_secs_f64();
+        Duration::from_secs_f64(self.rng.random_range(0.0..most))
+    }
+
     fn answer(&mut self, order: &Order, answer: Answer) {
         if !self.rng.random_bool(self.faults.lost) {
             let (term, order) = (order.term, order.id);
+            let delay = self.back + self.lag();
             self.at(
-                self.now + HOP,
+                self.now + delay,
                 Event::Answer {
                     term,
                     order,
@@ -1213,8 +1292,13 @@
                     }
                 } else if !silent {
                     let since = agent.number;
-                    let order = order.clone();
-                    self.at(now + *wait, Event::Waited { order, since });
+                    let (order, taker) = (order.clone(), id.clone());
+                    let waited = Event::Waited {
+                        order,
+                        since,
+                        taker,
+                    };
+                    self.at(now + *wait, waited);
                 }
                 return;
             }
@@ -1310,7 +1394,9 @@
         change(view);
         view.state = state;
         view.agent = None;
-        let agent = self.living(host).and_then(|id| self.agents.remove(&id));
+        let living = self.living(host);
+        living.iter().for_each(|id| self.lose_ends(id));
+        let agent = living.and_then(|id| self.agents.remove(&id));
         for (task, run) in agent.iter().flat_map(|agent| &agent.running) {
             self.ended += 1;
             if run.is_at_work() {
@@ -1420,11 +1506,64 @@
             serves: spec.tail.is_some(),
         };
         agent.running.insert(start.task, run);
+        self.check_again(id, start);
         self.check_cap(start.task, &room, late);
         *self.starts.entry(start.task).or_default() += 1;
         Answer::Done { clock }
     }
 
+    /// What an agent has ended and wasn't told that it is known is lost with it.
+    fn lose_ends(&mut self, id: &MinionId) {
+        self.finished
+            .retain(|_, finish| finish.noted || finish.agent != *id);
+    }
+
+    /// A task has begun: not after a run of it has ended well, if that is taken note of then or later.
+    fn check_again(&mut self, id: &MinionId, start: &StartOrder) {
+        let Some(finish) = self.finished.get_mut(&start.task) else {
+            return;
+        };
+        let again = (id.clone(), start.attempt, self.now);
+        finish.again.get_or_insert(again);
+        self.repeated.insert(start.task);
+        if finish.noted {
+            self.note_redone(start.task);
+        }
+    }
+
+    /// An agent was told that its ends are known, through this one.
+    fn note_ends(&mut self, id: &MinionId, acked: u64) {
+        let mut redone = Vec::new();
+        for (task, finish) in &mut self.finished {
+            let open = !finish.noted && !finish.lapsed;
+            if open && finish.agent == *id && finish.number <= acked {
+                finish.noted = true;
+                if finish.again.is_some() {
+                    redone.push(*task);
+                }
+            }
+        }
+        redone.into_iter().for_each(|task| self.note_redone(task));
+    }
+
+    fn note_redone(&mut self, task: TaskId) {
+        let Some(finish) = self.finished.get(&task) else {
+            return;
+        };
+        let Finish {
+            agent,
+            attempt,
+            at,
+            again,
+            ..
+        } = finish;
+        let what = format!(
+            "{task} was done by attempt {attempt} at {agent} at {at:?} and started again: {again:?}"
+        );
+        assert!(self.counts || self.lax, "{what}");
+        self.redone.push(what);
+    }
+
     /// Whether an agent runs the attempt that a start is of.
     fn is_running(&self, id: &MinionId, start: &StartOrder) -> bool {
         let agent = self.agents.get(id);
@@ -1495,11 +1634,16 @@
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
+        let noted = agent.ended.iter().filter(|end| end.number <= acked);
+        for end in noted.filter(|end| end.how == Ending::Failed) {
+            *self.failures.entry(end.task).or_default() += 1;
+        }
         agent.ended.retain(|end| end.number > acked);
         if let Some(until) = until {
             let most = agent.clock(now) + longest;
             agent.lease = agent.lease.max(if fresh { most } else { until.min(most) });
         }
+        self.note_ends(id, acked);
     }
 
     fn report(&mut self, order: &Order) {
@@ -1533,8 +1677,11 @@
     fn run_agents(&mut self) {
         let now = self.now;
         let mut ended = BTreeSet::new();
+        let finished = &mut self.finished;
         for (id, agent) in &mut self.agents {
             let lapsed = agent.clock(now) >= agent.lease;
+            let ends = finished.values_mut().filter(|finish| finish.agent == *id);
+            ends.for_each(|finish| finish.lapsed |= lapsed && !finish.noted);
             let over: Vec<_> = agent
                 .running
                 .iter()
@@ -1564,17 +1711,26 @@
                     how,
                     checkpoint: None,
                 });
+                if how == Ending::Done {
+                    let finish = Finish {
+                        agent: id.clone(),
+                        number: agent.number,
+                        attempt: run.attempt,
+                        at: now,
+                        noted: false,
+                        lapsed: false,
+                        again: None,
+                    };
+                    finished.entry(task).or_insert(finish);
+                }
                 let last = agent.over.entry(task).or_default();
                 *last = (*last).max(run.attempt);
                 ended.insert(id.clone());
             }
         }
-        // A renewal that waits is answered by an end.
+        // A renewal that waits is answered by an end, whichever incarnation it names.
         let waiting = self.events.iter().filter(|(_, event)| match event {
-            Event::Waited { order, .. } => match &order.what {
-                What::Renew { to, .. } => ended.contains(&to.agent),
-                _ => false,
-            },
+            Event::Waited { taker, .. } => ended.contains(taker),
             _ => false,
         });
         let waiting: Vec<_> = waiting.map(|(key, _)| *key).collect();
