Log by what an agent is replaced, and attempts that lists and refusals give up

Which answer told of an agent that had started again couldn't be read from a leader's log: its own answer as the later incarnation, whose list is read, or one to what was ordered of the earlier one, whose list isn't. Nor could it be read that an attempt was given up as it wasn't listed or its start was refused, or when an end came in of what wasn't placed there.

"an agent has started again" now says by whom, with nothing if only an answer to an order showed it. There is a line for each attempt that is given up by a list or a refusal (by leases, deadlines and ends of agents there is one already), and for each end that is listed of what isn't placed there. Each is one line an attempt at most, but for the last, which is one an end.

No logic has changed.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -155,6 +155,7 @@
             Answer::Refused { .. } if slot.unanswered.is_none() => {
                 slot.enter(now, Phase::Ended);
                 let attempt = slot.attempt;
+                log::info!(agent:% = id, task:%, attempt, answer:?; "an attempt is given up, as its start was refused");
                 self.freed.push(Placed {
                     task,
                     attempt,
@@ -234,7 +235,7 @@
             Answer::Elsewhere => {
                 self.gone.insert(id.clone());
             }
-            Answer::Reborn => self.replace(now, id),
+            Answer::Reborn => self.replace(now, id, None),
             _ => {
                 if agent.trouble.is_none() {
                     log::info!(agent:% = id; "an agent doesn't answer");
@@ -280,6 +281,7 @@
             let settled = matches!(slot.phase, Phase::Unsure | Phase::Stopped | Phase::Running)
                 && slot.since <= sent;
             if settled && !here && !ended.contains(&key) {
+                log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:? = slot.phase; "an attempt is given up, as its agent doesn't list it");
                 slot.enter(now, Phase::Ended);
                 self.freed.push(Placed {
                     task: *task,
@@ -344,7 +346,11 @@
             agent.proposed = ended.number;
             let same = |slot: &&mut Slot| slot.attempt == ended.attempt;
             let mut took = None;
-            if let Some(slot) = agent.slots.get_mut(&ended.task).filter(same) {
+            let slot = agent.slots.get_mut(&ended.task).filter(same);
+            if slot.is_none() {
+                log::info!(agent:% = id, task:% = ended.task, attempt = ended.attempt, number = ended.number, how:? = ended.how; "an end is listed of what isn't placed there");
+            }
+            if let Some(slot) = slot {
                 let ran = slot.phase == Phase::Running && ended.how == Ending::Done;
                 took = ran.then(|| slot.clone());
                 slot.enter(now, Phase::Ended);
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -155,7 +155,7 @@
             let agent = self.agents.get(&other);
             if agent.is_some_and(|agent| *agent.record.name() == name) {
                 self.inherit_strays(&other, id);
-                self.replace(now, &other);
+                self.replace(now, &other, Some(id));
             } else {
                 self.gone.insert(other);
             }
@@ -172,7 +172,10 @@
     ///
     /// It takes what is ordered of this one, as orders name the agent. What may so be begun there is
     /// stopped before this one is over and its tasks are started anew.
-    pub(super) fn replace(&mut self, now: Now, id: &MinionId) {
+    ///
+    /// `by` is the later one if it has answered as itself; until it does, only its answers to what is
+    /// ordered of this one show that it is there.
+    pub(super) fn replace(&mut self, now: Now, id: &MinionId, by: Option<&MinionId>) {
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
@@ -188,7 +191,8 @@
             slot.enter(now, Phase::Stopping(None));
             count += 1;
         }
-        log::info!(agent:% = id, unsettled = count; "an agent has started again");
+        let by = by.map_or("", |id| &**id);
+        log::info!(agent:% = id, by, unsettled = count; "an agent has started again");
         self.replaced.insert(id.clone());
     }
 
