Take a replaced agent for over once its successor has told what it did

Cause: an order names an agent, and the next incarnation of it under the same id carries it out. When the leader sees that, it stops what may so have begun, and took the earlier incarnation for over once the stops were confirmed and the time of a stop had passed. A confirmed stop says that nothing of it runs, and not that it didn't run to its end. Only a list of the next incarnation does, and none was waited for. Its class: the absence of a run is taken for the absence of its effect.

Change: an incarnation that was replaced is over once the one that lives in its place has answered with a list that was asked for when the stops were through, and the ends in it are in the log. An end that it lists of an attempt placed at the earlier one is that attempt's end: it counts as failed, keeps its checkpoint, and nothing is held against the task. If yet another incarnation lives there, or its list shows what was stopped, the stops begin anew. Without such a list only the lease frees the tasks, counted for the next incarnation's clock.

--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -495,12 +495,18 @@
         });
     }
 
+    /// Takes in an end that an agent listed.
+    ///
+    /// It is of an attempt that is placed there, or at an earlier incarnation: orders name the agent, so that
+    /// the next one may have carried it out.
     fn take_end(&mut self, agent: &MinionId, end: &End, changes: &mut Vec<Change>) {
+        let holder = self.task(end.task).filter(|t| t.attempt == end.attempt);
+        let holder = holder.and_then(|task| task.agent.clone());
+        let holder = holder.filter(|holder| self.are_one_agent(holder, agent));
         let Some(task) = self.task_mut(end.task) else {
             return;
         };
-        let stands = is_at(task, agent) && task.attempt == end.attempt;
-        if stands {
+        if holder.is_some() {
             task.failures += u32::from(end.how == Ending::Failed);
             if end.checkpoint.is_some() {
                 task.checkpoint.clone_from(&end.checkpoint);
@@ -509,12 +515,18 @@
         if end.how == Ending::Done {
             self.done(end.task, end.attempt, changes);
         }
-        if stands {
-            self.unplace(end.task, agent);
-            self.vacate(end.task, agent, changes);
+        if let Some(holder) = holder {
+            self.unplace(end.task, &holder);
+            self.vacate(end.task, &holder, changes);
         }
     }
 
+    /// Whether two incarnations are of one agent.
+    fn are_one_agent(&self, one: &MinionId, other: &MinionId) -> bool {
+        let name = |id| self.agents.get(id).map(AgentRecord::name);
+        one == other || name(one).is_some_and(|one| Some(one) == name(other))
+    }
+
     /// A task is done, whichever attempt did it; with it its whole gang.
     ///
     /// An attempt that was given up when its agent's lease ran out may turn out to have been done
@@ -558,6 +570,7 @@
         }
         run.steps[step].done += newly;
         found.acquit(job);
+        let over = found.is_over();
         let Some(run) = found.runs.get(&occurrence) else {
             return;
         };
@@ -566,7 +579,8 @@
         }
         for (ix, later) in found.spec.steps.iter().enumerate() {
             let follows = later.after.iter().any(|&b| usize::from(b) == step);
-            if follows && later.after.iter().all(|&b| run.is_done(b)) {
+            // Nothing follows in a job that was cancelled or has failed.
+            if !over && follows && later.after.iter().all(|&b| run.is_done(b)) {
                 changes.push(Change::Opened(StepId {
                     job,
                     occurrence,
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -76,6 +76,10 @@
     pub(super) next: Now,
     /// When the last look was sent that showed what runs there, if none showed a stray attempt.
     pub(super) looked: Option<Now>,
+    /// When the last look was sent that was answered with a list.
+    pub(super) listed: Option<Now>,
+    /// A list is waited for that was asked for then or later.
+    pub(super) awaited: Option<Now>,
     /// The last of its ends that was proposed to the log.
     pub(super) proposed: u64,
     /// The last of its ends that it was told we know.
@@ -195,6 +199,8 @@
             renewal: None,
             next: now,
             looked: None,
+            listed: None,
+            awaited: None,
             proposed: acked,
             told: acked,
             fenced: None,
@@ -293,6 +299,16 @@
         self.renewed.is_none_or(|sent| now >= sent + lease / 2)
     }
 
+    /// Whether a list is waited for that it hasn't answered with.
+    pub(super) fn owes_list(&self) -> bool {
+        self.awaited > self.listed
+    }
+
+    /// Whether all of its ends that were listed for a look sent then or later are in the log.
+    pub(super) fn has_told(&self, since: Now) -> bool {
+        self.listed.is_some_and(|sent| sent >= since) && self.proposed <= self.record.acked
+    }
+
     /// What is left of its room.
     pub(super) fn free(&self) -> Resources {
         self.record.room.minus(&self.used)
@@ -502,15 +518,6 @@
         self.is_unseen() || (self.may_run() && self.unanswered.is_some())
     }
 
-    /// Whether nothing runs any more of what was to be stopped, given how long a stop takes.
-    pub(super) fn is_stopped(&self, now: Now, stop: Duration) -> bool {
-        match self.phase {
-            Phase::Stopping(_) => false,
-            Phase::Stopped => now >= self.since + stop,
-            _ => true,
-        }
-    }
-
     /// Whether it has run for longer than that.
     pub(super) fn has_run(&self, now: Now, limit: Duration) -> bool {
         self.phase == Phase::Running && !self.lasting && now >= self.since + limit
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -219,6 +219,8 @@
         };
         agent.renewal = None;
         match answer {
+            // It was answered before the next incarnation lived; what is asked now goes there.
+            Answer::Report(report) if agent.replaced => self.take_ends(now, id, &report),
             Answer::Report(report) => {
                 agent.hear(now);
                 agent.trouble = None;
@@ -245,8 +247,8 @@
                 }
                 agent.trouble.get_or_insert(sent);
                 agent.silent.get_or_insert(now);
-                let idle = agent.slots.is_empty();
-                agent.next = now + if idle { ACK_DELAY } else { RENEW_RETRY };
+                let rests = agent.slots.is_empty() && !agent.owes_list();
+                agent.next = now + if rests { ACK_DELAY } else { RENEW_RETRY };
             }
         }
     }
@@ -314,11 +316,13 @@
         let strays = strays.filter(|r| !known(&r.task, r.attempt));
         let strays: Vec<_> = strays.map(|r| (r.task, r.attempt)).collect();
         agent.looked = strays.is_empty().then_some(sent);
+        agent.listed = agent.listed.max(Some(sent));
         let to = agent.target();
         // A start that is sent meanwhile brings the next look forward.
-        if agent.slots.is_empty() {
+        if agent.slots.is_empty() && !agent.owes_list() {
             agent.next = agent.next.max(now + ACK_DELAY);
         }
+        self.stop_again(now, sent, id, &strays);
         for (task, attempt) in strays {
             log::warn!(agent:% = id, task:%, attempt; "an attempt runs that was given up; it is stopped");
             let to = to.clone();
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -3,11 +3,22 @@
 use std::time::Duration;
 
 use super::{
-    Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Run, Scheduler,
+    Agent, AgentRecord, Change, Job, Ledger, MinionId, Now, Phase, Placed, Run, STRAY, Scheduler,
     Settings, Slot, StepSpec, Task, TaskId, Wall,
     hosts::Stage,
     throttle::{INHERITED, UNTOLD},
 };
+use crate::core::types::Attempt;
+
+/// How far it is known what came of what was ordered of an agent that was replaced.
+enum Settling {
+    /// Something of it may run, or whoever lives in its place isn't known.
+    Open,
+    /// Nothing of it has run since then; whether it ran to its end, only a list of its successor tells.
+    Asks { successor: MinionId, since: Now },
+    /// All of it is known.
+    Over,
+}
 
 impl Scheduler {
     /// Takes an agent over from an earlier leader.
@@ -152,14 +163,20 @@
             *other != id && there && agent.known <= sent
         });
         let former: Vec<_> = former.map(|(other, _)| other.clone()).collect();
-        for other in former {
-            let agent = self.agents.get(&other);
-            if agent.is_some_and(|agent| *agent.record.name() == name) {
-                self.inherit_strays(&other, id);
-                self.replace(now, &other, Some(id));
-            } else {
-                self.gone.insert(other);
-            }
+        let (same, others): (Vec<_>, Vec<_>) = former.into_iter().partition(|other| {
+            let agent = self.agents.get(other);
+            agent.is_some_and(|agent| *agent.record.name() == name)
+        });
+        self.gone.extend(others);
+        let replaced = |other: &MinionId| self.replaced.contains(other);
+        let (before, newly): (Vec<_>, Vec<_>) = same.into_iter().partition(replaced);
+        // Whoever confirmed their stops is over, too, and this one may still be told to begin what was stopped.
+        if !newly.is_empty() {
+            before.iter().for_each(|other| self.stop_anew(now, other));
+        }
+        for other in before.iter().chain(&newly) {
+            self.inherit_strays(other, id);
+            self.replace(now, other, Some(id));
         }
         // An order for one before it may have come to it, with a longer lease than was given here.
         if let Some(agent) = self.agents.get_mut(id)
@@ -183,8 +200,10 @@
         if std::mem::replace(&mut agent.replaced, true) {
             return;
         }
-        agent.trouble.get_or_insert(now);
+        // What was known of its trouble before says nothing of the incarnation that lives now.
+        agent.trouble = Some(now);
         agent.silent.get_or_insert(now);
+        agent.outlive(now, &self.settings);
         let unsettled = agent.slots.values_mut().filter(|slot| slot.is_unsettled());
         let mut count = 0;
         for slot in unsettled {
@@ -197,25 +216,109 @@
         self.replaced.insert(id.clone());
     }
 
-    /// Agents that were replaced are over once nothing that was ordered of them can begin any more.
+    /// Agents that were replaced are over once nothing that was ordered of them can begin any more, and
+    /// what came of it is in the log.
     pub(super) fn settle_replaced(&mut self, now: Now) {
-        let Self {
-            agents,
-            replaced,
-            gone,
-            settings,
-            ..
-        } = self;
-        replaced.retain(|id| {
-            let open = agents.get(id).is_some_and(|agent| {
-                let mut slots = agent.slots.values();
-                slots.any(|slot| !slot.is_stopped(now, settings.stop))
-            });
-            if !open {
-                gone.insert(id.clone());
+        for id in self.replaced.clone() {
+            match self.settling(now, &id) {
+                Settling::Open => {}
+                Settling::Asks { successor, since } => self.await_list(now, &successor, since),
+                Settling::Over => {
+                    self.replaced.remove(&id);
+                    self.gone.insert(id);
+                }
             }
-            open
-        });
+        }
+    }
+
+    /// How far it is known what came of what was ordered of an agent that was replaced.
+    ///
+    /// A stop that is confirmed says that nothing of it runs, and not that it didn't run to its end. Only
+    /// the incarnation that took the orders knows, and a list that it was asked for before the stops were
+    /// through may lack an end.
+    fn settling(&self, now: Now, id: &MinionId) -> Settling {
+        let Some(agent) = self.agents.get(id) else {
+            return Settling::Over;
+        };
+        let mut since = None;
+        for slot in agent.slots.values() {
+            match slot.phase {
+                Phase::Stopping(_) => return Settling::Open,
+                Phase::Stopped => since = since.max(Some(slot.since + self.settings.stop)),
+                _ => {}
+            }
+        }
+        // Nothing was to be stopped there, or all of it is known.
+        let Some(since) = since else {
+            return Settling::Over;
+        };
+        let successor = self.agents.named(agent.record.name());
+        let successor = successor.filter(|next| !next.replaced && !next.unseen);
+        match successor {
+            Some(next) if now >= since && next.has_told(since) => Settling::Over,
+            Some(next) if now >= since => Settling::Asks {
+                successor: next.record.id.clone(),
+                since,
+            },
+            _ => Settling::Open,
+        }
+    }
+
+    /// Asks an agent for a list, unless it has answered with one that was asked for since then.
+    fn await_list(&mut self, now: Now, id: &MinionId, since: Now) {
+        let known = self.agents.get(id);
+        if known.is_none_or(|agent| agent.awaited >= Some(since)) {
+            return;
+        }
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.awaited = Some(since);
+            agent.next = agent.next.min(now);
+        }
+    }
+
+    /// Stops anew what was stopped of an agent that was replaced.
+    fn stop_anew(&mut self, now: Now, id: &MinionId) {
+        let Some(agent) = self.agents.get_mut(id) else {
+            return;
+        };
+        agent.outlive(now, &self.settings);
+        for slot in agent.slots.values_mut() {
+            if matches!(slot.phase, Phase::Stopping(_) | Phase::Stopped) {
+                slot.tries = 0;
+                slot.enter(now, Phase::Stopping(None));
+            }
+        }
+    }
+
+    /// Stops anew what was stopped of earlier incarnations of an agent, if its list shows any of it though it
+    /// was asked for when that had to be over.
+    pub(super) fn stop_again(
+        &mut self,
+        now: Now,
+        sent: Now,
+        id: &MinionId,
+        running: &[(TaskId, Attempt)],
+    ) {
+        if self.replaced.is_empty() {
+            return;
+        }
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let stop = self.settings.stop;
+        let late = |agent: &Agent| {
+            running.iter().any(|(task, attempt)| {
+                let slot = agent.slots.get(task);
+                let slot = slot.filter(|slot| slot.attempt == *attempt);
+                slot.is_some_and(|s| s.phase == Phase::Stopped && sent >= s.since + stop)
+            })
+        };
+        let former = self.agents.incarnations(agent.record.name());
+        let former = former.filter(|former| former.replaced && late(former));
+        let former: Vec<_> = former.map(|agent| agent.record.id.clone()).collect();
+        for former in former {
+            self.stop_anew(now, &former);
+        }
     }
 
     /// Starts that were sent to an incarnation and got no answer may be carried out by the next.
@@ -294,6 +397,17 @@
     }
 }
 
+impl Agent {
+    /// What was ordered of it may be carried out by the next incarnation, with the longest lease by that one's
+    /// clock, and later if it got no answer.
+    fn outlive(&mut self, now: Now, settings: &Settings) {
+        let unanswered = self.slots.values().filter_map(|slot| slot.unanswered).max();
+        let astray = unanswered.map(|sent| sent + STRAY + settings.lease);
+        let lease = inherited_lease(now, settings);
+        self.lease = self.lease.max(lease).max(astray.unwrap_or(lease));
+    }
+}
+
 /// By when a lease that somebody else gave has surely run out.
 fn inherited_lease(now: Now, settings: &Settings) -> Now {
     now + settings.lease.mul_f64(1.03) + Duration::from_millis(300)
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -158,7 +158,8 @@
         }
         let doubtful = settings.protections.looks && self.is_doubtful(strays);
         let sought = self.unseen && now < self.heard + settings.silence;
-        let wanted = !self.slots.is_empty() || self.record.acked != self.told || doubtful || sought;
+        let unacked = self.record.acked != self.told;
+        let wanted = !self.slots.is_empty() || unacked || doubtful || sought || self.owes_list();
         wanted.then_some(self.next)
     }
 }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -21,7 +21,8 @@
 //! Which incarnation lives at an address is what the address itself says. Orders name the agent that
 //! they are for, and another refuses them; a later incarnation of the same one takes them, and only its
 //! lists tell that it is another. So what was ordered of an incarnation and wasn't seen there is stopped
-//! at the next one before it is given up. A heartbeat alone ends nobody, as it may be late. Whoever
+//! at the next one before it is given up, and a list of that one is waited for which tells whether it had
+//! ended before. A heartbeat alone ends nobody, as it may be late. Whoever
 //! is heard for the first time gets nothing until it has answered, and its answer ends those that
 //! were known there before.
 //!
