Give a cluster an id, and refuse nodes of another one

The mesh didn't know of which cluster a peer is. A stray control node at the address of a voter was heard, its vote counted and its log could take the place of the cluster's: a node's id holds its address, and first voters have folder 0, so a first voter of an earlier cluster at the same addresses has the very id.

Now the first leader proposes a random id (Command::Found), which the log, the image and a file of each data folder keep. The entry lists the voters of that moment with the numbers of their folders, so that a node that hasn't learnt the id yet is told from a stray too. Each end of a link says its node, folder and cluster, and again in a text message when it learns that, which earlier releases pass over. Both ends refuse who can't be of one cluster, drop open links when it turns out, log each stranger once (16 at most) and count egretpin_links_refused_total.

Upgrade: the hello has new fields only, so control nodes can be upgraded one by one; the id is made once all voters and all other control nodes that are heard say their folder. An earlier release can't read the entry: no way back after it.

--- a/src/adapters/disk/identity.rs
+++ b/src/adapters/disk/identity.rs
@@ -4,10 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::types::NodeId;
+pub use crate::core::cluster::FolderId;
 
-/// A number that a folder gets when it is made, to tell it from any other of the same node.
-pub type FolderId = u64;
+use crate::core::types::NodeId;
 
 /// The owner of a folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -6,7 +6,10 @@
 use tokio::{net::TcpStream, sync::mpsc, time::sleep};
 use tokio_tungstenite::client_async_with_config;
 
-use super::{MeshError, STALL, Shared, link};
+use super::{
+    MeshError, STALL, Shared,
+    link::{self, Greeted},
+};
 use crate::core::types::NodeId;
 
 /// The wait before the first dial that follows a failure, and its bound after more of them.
@@ -38,14 +41,15 @@
         let sender = sender.downgrade();
         while !queue.is_closed() {
             match connect(&shared, address, expected).await {
-                Ok((socket, peer)) => {
+                Ok(greeted) => {
                     wait = RETRY.0;
+                    let peer = greeted.peer.node;
                     log::debug!(peer, address:%; "mesh link up");
                     if let Some(sender) = sender.upgrade() {
-                        shared.dialled(peer, sender);
+                        shared.dialled(&greeted.peer, sender);
                     }
                     let end = link::End::Dialler;
-                    let ended = link::run(socket, end, peer, &mut queue, &shared).await;
+                    let ended = link::run(greeted, end, &mut queue, &shared).await;
                     shared.hung_up(peer);
                     match ended {
                         Ok(true) => return,
@@ -79,19 +83,20 @@
     shared: &Shared,
     address: SocketAddr,
     expected: Option<NodeId>,
-) -> Result<(link::Socket, NodeId), MeshError> {
+) -> Result<Greeted, MeshError> {
     let dial = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/mesh");
         let (mut socket, _) = client_async_with_config(url, stream, Some(link::config())).await?;
-        link::introduce(&mut socket, shared.node).await?;
+        let ours = link::introduce(&mut socket, shared).await?;
         let peer = link::greet(&mut socket).await?;
-        if expected.is_some_and(|e| e != peer) {
-            let what = format!("node {peer} is there");
+        if expected.is_some_and(|e| e != peer.node) {
+            let what = format!("node {} is there", peer.node);
             return Err(MeshError::Handshake { what });
         }
-        Ok((socket, peer))
+        shared.admit(&peer)?;
+        Ok(Greeted { socket, ours, peer })
     };
     link::within(STALL, dial).await
 }
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -4,6 +4,9 @@
 //! wait for ever for one that does the same.
 //!
 //! The end that dialled pings and counts on the answers; the other counts on the pings.
+//!
+//! Each end introduces itself first, and again in a text message when it learns its cluster; nodes
+//! of earlier releases pass over text.
 
 use std::time::Duration;
 
@@ -16,7 +19,7 @@
 use tokio::{
     net::TcpStream,
     select,
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
 };
 use tokio_tungstenite::{
@@ -25,7 +28,10 @@
 };
 
 use super::{LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
-use crate::core::types::NodeId;
+use crate::core::{
+    cluster::{Claim, Cluster, FolderId},
+    types::NodeId,
+};
 
 /// Bytes that are read at once. The library fills what a read leaves of them with zeros, each time,
 /// and nearly all messages are of a few hundred bytes: with its default of 128 KiB that was a fifth of
@@ -65,29 +71,74 @@
 }
 
 /// The first message in each direction: who is there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 struct Hello {
     /// The sender's [`PROTOCOL`].
     protocol: u32,
     /// The sender.
     node: NodeId,
+    /// Its data folder. Nodes of earlier releases say none and pass over it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    folder: Option<FolderId>,
+    /// Its cluster. Nodes of earlier releases say none and pass over it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    cluster: Option<Cluster>,
+}
+
+impl Hello {
+    fn new(claim: &Claim) -> Self {
+        Self {
+            protocol: PROTOCOL,
+            node: claim.node,
+            folder: claim.folder,
+            cluster: claim.cluster.clone(),
+        }
+    }
+
+    /// What the sender says of itself.
+    ///
+    /// # Errors
+    ///
+    /// It speaks another protocol.
+    fn claim(self) -> Result<Claim, MeshError> {
+        if self.protocol != PROTOCOL {
+            let what = format!("peer speaks protocol {}, not {PROTOCOL}", self.protocol);
+            return Err(MeshError::Handshake { what });
+        }
+        Ok(Claim {
+            node: self.node,
+            folder: self.folder,
+            cluster: self.cluster,
+        })
+    }
+}
+
+/// A connection whose ends have introduced themselves.
+pub(super) struct Greeted {
+    /// The connection.
+    pub(super) socket: Socket,
+    /// What this node says of itself, as it changes after the introduction.
+    pub(super) ours: watch::Receiver<Claim>,
+    /// What the peer said.
+    pub(super) peer: Claim,
 }
 
-/// Tells the peer who we are.
+/// Tells the peer who we are; returns what changes of that later.
 ///
 /// # Errors
 ///
 /// The connection failed.
-pub(super) async fn introduce(socket: &mut Socket, node: NodeId) -> Result<(), MeshError> {
-    let hello = Hello {
-        protocol: PROTOCOL,
-        node,
-    };
+pub(super) async fn introduce(
+    socket: &mut Socket,
+    shared: &Shared,
+) -> Result<watch::Receiver<Claim>, MeshError> {
+    let mut ours = shared.claim.subscribe();
+    let hello = Hello::new(&ours.borrow_and_update());
     let mut bytes = Vec::new();
     ciborium::into_writer(&hello, &mut bytes).expect("a vector takes every write");
     socket.send(Message::binary(bytes)).await?;
-    Ok(())
+    Ok(ours)
 }
 
 /// Hears who the peer is.
@@ -95,7 +146,7 @@
 /// # Errors
 ///
 /// It speaks another protocol, or the connection failed.
-pub(super) async fn greet(socket: &mut Socket) -> Result<NodeId, MeshError> {
+pub(super) async fn greet(socket: &mut Socket) -> Result<Claim, MeshError> {
     let hello = match socket.next().await.transpose()? {
         Some(Message::Binary(bytes)) => bytes,
         _ => Bytes::new(),
@@ -104,11 +155,7 @@
         ciborium::from_reader(hello.as_ref()).map_err(|error| MeshError::Handshake {
             what: error.to_string(),
         })?;
-    if hello.protocol != PROTOCOL {
-        let what = format!("peer speaks protocol {}, not {PROTOCOL}", hello.protocol);
-        return Err(MeshError::Handshake { what });
-    }
-    Ok(hello.node)
+    hello.claim()
 }
 
 /// Writes what is queued and hands on what comes in, until the queue is closed (`Ok(true)`), the
@@ -116,27 +163,47 @@
 ///
 /// # Errors
 ///
-/// The connection failed, went silent or made no progress.
+/// The connection failed, went silent or made no progress, or the peer turned out to be of another
+/// cluster.
 pub(super) async fn run(
-    socket: Socket,
+    greeted: Greeted,
     end: End,
-    peer: NodeId,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
 ) -> Result<bool, MeshError> {
+    let Greeted { socket, ours, peer } = greeted;
+    let (said, theirs) = watch::channel(peer);
     let (sink, stream) = socket.split();
     select! {
-        written = write(sink, end, queue, shared) => written.map(|()| true),
-        read = read(stream, end, peer, shared) => read.map(|()| false),
+        written = write(sink, end, ours.clone(), queue, shared) => written.map(|()| true),
+        read = read(stream, end, &said, shared) => read.map(|()| false),
+        part = part(ours, theirs, shared) => part.map(|()| false),
+    }
+}
+
+/// Returns once the two ends can't be of one cluster.
+async fn part(
+    mut ours: watch::Receiver<Claim>,
+    mut theirs: watch::Receiver<Claim>,
+    shared: &Shared,
+) -> Result<(), MeshError> {
+    loop {
+        shared.admit(&theirs.borrow_and_update())?;
+        // Both are open for as long as the connection runs.
+        let _ = select! {
+            changed = ours.changed() => changed,
+            changed = theirs.changed() => changed,
+        };
     }
 }
 
 async fn read(
     mut stream: SplitStream<Socket>,
     end: End,
-    peer: NodeId,
+    said: &watch::Sender<Claim>,
     shared: &Shared,
 ) -> Result<(), MeshError> {
+    let peer = said.borrow().node;
     let mut shown = Instant::now();
     loop {
         let message = timeout_at(shown + SILENT, stream.next())
@@ -151,19 +218,40 @@
         match message {
             Message::Binary(bytes) => {
                 shared.traffic.count_received(bytes.len());
+                // Whoever waits for a change may run after this.
+                shared.admit(&said.borrow())?;
                 if !shared.faults.drops(peer) {
                     (shared.receive)(peer, bytes);
                 }
             }
+            Message::Text(text) => {
+                if let Some(claim) = reintroduced(peer, &text) {
+                    shared.said(&claim);
+                    said.send_replace(claim);
+                }
+            }
             Message::Close(_) => return Ok(()),
             _ => {}
         }
     }
 }
 
+/// What a peer says of itself on an open connection; nothing if it says something else.
+fn reintroduced(peer: NodeId, text: &str) -> Option<Claim> {
+    let hello: Hello = serde_json::from_str(text).ok()?;
+    hello.claim().ok().filter(|claim| claim.node == peer)
+}
+
+/// The text for what [`reintroduced`] reads.
+fn reintroduction(claim: &Claim) -> Message {
+    let text = serde_json::to_string(&Hello::new(claim));
+    Message::text(text.expect("numbers and lists are written always"))
+}
+
 async fn write(
     mut sink: SplitSink<Socket, Message>,
     end: End,
+    mut ours: watch::Receiver<Claim>,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
 ) -> Result<(), MeshError> {
@@ -175,6 +263,7 @@
                 Some(bytes) => Message::Binary(bytes),
                 None => return Ok(()),
             },
+            Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
             _ = ping.tick(), if end == End::Dialler => Message::Ping(Bytes::new()),
         };
         within(STALL, write_all(&mut sink, message, queue, shared)).await?;
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -9,7 +9,10 @@
 };
 use tokio_tungstenite::accept_async_with_config;
 
-use super::{MeshError, QUEUE, STALL, Shared, link};
+use super::{
+    MeshError, QUEUE, STALL, Shared,
+    link::{self, Greeted},
+};
 use crate::adapters::accept::Acceptor;
 
 /// Accepts peers until `stopped` closes.
@@ -42,13 +45,16 @@
     let greeted = link::within(STALL, async {
         let mut socket = accept_async_with_config(stream, Some(link::config())).await?;
         let peer = link::greet(&mut socket).await?;
-        link::introduce(&mut socket, shared.node).await?;
-        Ok((socket, peer))
+        // Said to a stranger too, so that its own log tells why it isn't heard.
+        let ours = link::introduce(&mut socket, shared).await?;
+        shared.admit(&peer)?;
+        Ok(Greeted { socket, ours, peer })
     });
-    let (socket, peer) = greeted.await?;
+    let greeted = greeted.await?;
+    let peer = greeted.peer.node;
     let (sender, mut queue) = mpsc::channel(QUEUE);
-    let serial = shared.accepted(peer, sender);
-    let ended = link::run(socket, link::End::Listener, peer, &mut queue, shared).await;
+    let serial = shared.accepted(&greeted.peer, sender);
+    let ended = link::run(greeted, link::End::Listener, &mut queue, shared).await;
     shared.dropped(peer, serial);
     ended.map(|_| ())
 }
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -16,11 +16,16 @@
 //! dialled drops it when nothing came for as long. Most links are idle and each ping is charged to
 //! small hosts, so only one end pings: 8 bytes for a ping and its answer, some 170 with the heads of
 //! TCP and IP and the acknowledgements, 2.5 times a second.
+//!
+//! Each end says which cluster it is of, once it knows. Two that can't be of one cluster aren't
+//! linked ([`Claim::admits`]), and a link is dropped when that turns out later, so nothing that
+//! a node of another cluster says is handed on.
 
 mod dial;
 mod faults;
 mod link;
 mod listen;
+mod strangers;
 mod traffic;
 
 use std::{
@@ -33,11 +38,19 @@
 };
 
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
 use snafu::Snafu;
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
 
+use self::strangers::Strangers;
 pub use self::{faults::Faults, traffic::Traffic};
-use crate::core::types::{Map, NodeId, Set};
+use crate::core::{
+    cluster::{Claim, Cluster, FolderId},
+    types::{Map, NodeId, Set},
+};
 
 /// The version of the mesh's handshake; peers of another one are refused.
 pub const PROTOCOL: u32 = 2;
@@ -56,12 +69,18 @@
 pub(crate) const STALL: Duration = Duration::from_secs(2);
 
 /// What the mesh needs to know.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Config {
     /// This node.
     pub node: NodeId,
     /// The other nodes and their addresses.
     pub peers: Vec<(NodeId, SocketAddr)>,
+    /// This node's data folder, if it has one.
+    pub folder: Option<FolderId>,
+    /// This node's cluster, if it is known already.
+    pub cluster: Option<Cluster>,
+    /// Counts links that were refused or dropped, as the peer is of another cluster.
+    pub refused: Counter,
 }
 
 /// What is called with each message that comes in, on the task of its connection.
@@ -86,6 +105,12 @@
     /// It took too long.
     #[snafu(display("no progress in time"))]
     Stalled,
+    /// The peer is of another cluster.
+    #[snafu(display("node {node} is of another cluster"))]
+    Stranger {
+        /// Which node it claims to be.
+        node: NodeId,
+    },
     /// The peer said something else than a handshake first.
     #[snafu(display("handshake: {what}"))]
     Handshake {
@@ -111,6 +136,8 @@
     accepted: Option<(u64, mpsc::Sender<Bytes>)>,
     /// Where messages to a peer that is always dialled wait for the next connection.
     waiting: Option<mpsc::Sender<Bytes>>,
+    /// What the peer said of itself last.
+    said: Option<Claim>,
 }
 
 impl Route {
@@ -118,11 +145,17 @@
         let accepted = self.accepted.as_ref().map(|(_, sender)| sender);
         self.dialled.as_ref().or(accepted).or(self.waiting.as_ref())
     }
+
+    fn is_open(&self) -> bool {
+        self.dialled.is_some() || self.accepted.is_some()
+    }
 }
 
 /// What all links of a mesh share.
 struct Shared {
-    node: NodeId,
+    /// What this node says of itself.
+    claim: watch::Sender<Claim>,
+    strangers: Strangers,
     receive: Receive,
     routes: RwLock<Map<NodeId, Route>>,
     serial: AtomicU64,
@@ -135,8 +168,26 @@
         self.change(peer, |route| route.waiting = Some(sender));
     }
 
-    fn dialled(&self, peer: NodeId, sender: mpsc::Sender<Bytes>) {
-        self.change(peer, |route| route.dialled = Some(sender));
+    /// Refuses a peer of another cluster.
+    fn admit(&self, peer: &Claim) -> Result<(), MeshError> {
+        let ours = self.claim.borrow();
+        if ours.admits(peer) {
+            return Ok(());
+        }
+        self.strangers.refuse(&ours, peer);
+        Err(MeshError::Stranger { node: peer.node })
+    }
+
+    fn dialled(&self, peer: &Claim, sender: mpsc::Sender<Bytes>) {
+        self.change(peer.node, |route| {
+            route.said = Some(peer.clone());
+            route.dialled = Some(sender);
+        });
+    }
+
+    /// Keeps what a linked peer says of itself.
+    fn said(&self, peer: &Claim) {
+        self.change(peer.node, |route| route.said = Some(peer.clone()));
     }
 
     fn hung_up(&self, peer: NodeId) {
@@ -144,9 +195,12 @@
     }
 
     /// Keeps a connection that a peer dialled; returns its serial number.
-    fn accepted(&self, peer: NodeId, sender: mpsc::Sender<Bytes>) -> u64 {
+    fn accepted(&self, peer: &Claim, sender: mpsc::Sender<Bytes>) -> u64 {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
-        self.change(peer, |route| route.accepted = Some((serial, sender)));
+        self.change(peer.node, |route| {
+            route.said = Some(peer.clone());
+            route.accepted = Some((serial, sender));
+        });
         serial
     }
 
@@ -185,7 +239,7 @@
 impl std::fmt::Debug for Mesh {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Mesh")
-            .field("node", &self.shared.node)
+            .field("claim", &*self.shared.claim.borrow())
             .finish_non_exhaustive()
     }
 }
@@ -194,8 +248,14 @@
     /// Listens and dials every peer.
     pub fn start(config: Config, listener: TcpListener, receive: Receive) -> Self {
         let (stop, stopped) = mpsc::channel(1);
-        let shared = Arc::new(Shared {
+        let claim = Claim {
             node: config.node,
+            folder: config.folder,
+            cluster: config.cluster,
+        };
+        let shared = Arc::new(Shared {
+            claim: watch::Sender::new(claim),
+            strangers: Strangers::new(config.refused),
             receive,
             routes: RwLock::default(),
             serial: AtomicU64::new(0),
@@ -242,6 +302,32 @@
         !self.shared.faults.drops(to) && self.shared.send(to, message)
     }
 
+    /// What this node says of itself.
+    pub fn claim(&self) -> Claim {
+        self.shared.claim.borrow().clone()
+    }
+
+    /// What a peer says of itself, while it is linked.
+    pub fn said(&self, peer: NodeId) -> Option<Claim> {
+        let routes = self.shared.routes.read();
+        let routes = routes.unwrap_or_else(PoisonError::into_inner);
+        let route = routes.get(&peer).filter(|route| route.is_open())?;
+        route.said.clone()
+    }
+
+    /// This node has learnt its cluster; all peers are told, and those of another one dropped. The
+    /// first that is learnt stays. Returns whether it was this one.
+    pub fn join(&self, cluster: Cluster) -> bool {
+        self.shared.claim.send_if_modified(|claim| {
+            let first = claim.cluster.is_none();
+            if first {
+                log::info!(cluster = cluster.id; "this node has learnt its cluster");
+                claim.cluster = Some(cluster);
+            }
+            first
+        })
+    }
+
     /// The peers that there is a way to now.
     pub fn peers(&self) -> Vec<NodeId> {
         let routes = self.shared.routes.read();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod activation;
 pub mod admission;
 pub mod claims;
+pub mod cluster;
 pub mod consensus;
 pub mod declaration;
 pub mod dispatch;
--- a/src/core/workload/command.rs
+++ b/src/core/workload/command.rs
@@ -12,9 +12,12 @@
     suspicion::Crash,
     touched::Touch,
 };
-use crate::core::types::{
-    Attempt, DataCentreId, HostId, MinionId, Name, PoolId, RackId, Resources, Wall, WaveId,
-    WorkspaceId,
+use crate::core::{
+    cluster::Cluster,
+    types::{
+        Attempt, DataCentreId, HostId, MinionId, Name, PoolId, RackId, Resources, Wall, WaveId,
+        WorkspaceId,
+    },
 };
 
 /// One change. All that is in it was decided by the leader; applying it decides nothing.
@@ -46,6 +49,8 @@
     Forget(Vec<JobId>),
     /// An incarnation of an agent is over, and what ran there may have ended it.
     Crashed(Crash),
+    /// The cluster gets its id, unless it has one. Earlier releases can't read this.
+    Found(Cluster),
 }
 
 impl Command {
--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -46,6 +46,7 @@
     touched::Touched,
 };
 use crate::core::{
+    cluster::Cluster,
     consensus::{Index, Payload},
     types::{Attempt, HostId, MinionId, Name, Resources, Wall, WaveId, WorkspaceId},
 };
@@ -136,6 +137,9 @@
     /// How likely a job of each queue ends its hosts, if any did. Older images hold none.
     #[serde(default)]
     odds: BTreeMap<Name, Odds>,
+    /// The cluster that it is of. Older images hold none.
+    #[serde(default)]
+    cluster: Option<Cluster>,
     /// Derived: jobs of each queue of which nothing has been started.
     #[serde(skip)]
     pending: BTreeMap<Name, u64>,
@@ -163,6 +167,9 @@
             Command::Maintained { wave, hosts } => self.maintained(*wave, hosts, &mut changes),
             Command::Forget(jobs) => self.forget(jobs),
             Command::Crashed(crash) => self.crash(crash, &mut changes),
+            Command::Found(cluster) => {
+                self.cluster.get_or_insert_with(|| cluster.clone());
+            }
         }
         changes
     }
@@ -172,6 +179,11 @@
         self.applied
     }
 
+    /// The cluster that it is of, once it has an id.
+    pub fn cluster(&self) -> Option<&Cluster> {
+        self.cluster.as_ref()
+    }
+
     /// The catalog in force, as it was sent.
     pub fn document(&self) -> Option<&Document> {
         self.document.as_ref()
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -4,7 +4,7 @@
 //! step. Whatever came in while it was busy is taken in together and its writes go to the disk
 //! together: the busier the leader, the larger the groups.
 
-use std::{sync::Arc, time::Duration};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -13,6 +13,7 @@
 
 use super::{
     ask::{Ask, Refused, Reply},
+    cluster::Kept,
     frame::{AskId, Frame, View},
     load::Load,
     membership::Members,
@@ -61,7 +62,7 @@
 const LEAVE: Duration = Duration::from_millis(2500);
 
 /// An event of the task.
-enum Input {
+pub(super) enum Input {
     Frame(NodeId, Frame),
     Disk(DiskEvent),
     Ask(Ask, oneshot::Sender<Reply>),
@@ -74,11 +75,13 @@
         order: OrderId,
         answer: Answer,
     },
+    /// The cluster was written to the data folder, or why not.
+    Kept(Result<(), String>),
     Leave,
 }
 
 /// An event, and when it came.
-struct Queued {
+pub(super) struct Queued {
     came: Instant,
     input: Input,
 }
@@ -149,6 +152,7 @@
     })?;
     let epoch = Instant::now();
     let node = Node::new(Duration::ZERO, config.consensus, config.restored);
+    let known = ports.mesh.claim().cluster.is_some();
     let mut task = Task {
         epoch,
         node,
@@ -171,6 +175,15 @@
         settings: config.scheduler,
         writes: Vec::new(),
         disk,
+        folder: config.folder,
+        kept: if known {
+            Kept::Yes
+        } else {
+            Kept::No {
+                due: Duration::ZERO,
+            }
+        },
+        found_due: None,
         full: false,
         compacted: 0,
         bytes: 0,
@@ -229,6 +242,12 @@
     settings: Settings,
     pub(super) writes: Vec<Write>,
     disk: std::sync::mpsc::Sender<Vec<Write>>,
+    /// The data folder.
+    pub(super) folder: PathBuf,
+    /// Whether the data folder holds the cluster.
+    pub(super) kept: Kept,
+    /// When an id of the cluster may be proposed again; at once if not given.
+    pub(super) found_due: Option<Now>,
     pub(super) full: bool,
     pub(super) compacted: Index,
     /// Bytes applied since the last snapshot.
@@ -241,7 +260,7 @@
     pub(super) view_due: Option<Now>,
     pub(super) view: Option<View>,
     failed: bool,
-    sender: mpsc::WeakSender<Queued>,
+    pub(super) sender: mpsc::WeakSender<Queued>,
     load: Load,
     pub(super) ports: Ports,
 }
@@ -301,6 +320,7 @@
                 let answers = self.carried.entry((leader, tenure)).or_default();
                 answers.push((order, answer));
             }
+            Input::Kept(kept) => self.kept(kept),
             Input::Leave => self.leave(),
         }
     }
--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -203,8 +203,15 @@
         for (node, _) in &view.controls {
             self.mesh.dial(address(*node, self.mesh_port));
         }
+        let joined = view.leader == Some(from) && self.join(from);
         self.known.send_if_modified(|known| {
             let mut changed = false;
+            if joined {
+                // What was known may have come from a stray.
+                known.term = view.term;
+                known.leader = view.leader;
+                changed = true;
+            }
             if let Some(limits) = view.limits
                 && known.limits != limits
             {
@@ -225,6 +232,17 @@
         });
     }
 
+    /// Holds to the cluster of a node that leads one, if this node knows none yet. A stray alone
+    /// leads nobody. Returns whether it does so from now on.
+    fn join(&self, leader: NodeId) -> bool {
+        let cluster = self.mesh.said(leader).and_then(|claim| claim.cluster);
+        let joined = cluster.is_some_and(|cluster| self.mesh.join(cluster));
+        if joined {
+            self.metrics.joined.set(1);
+        }
+        joined
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         // Each change under the lock is whole by itself.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/manager/identity.rs
+++ b/src/manager/identity.rs
@@ -22,6 +22,7 @@
 /// Why a node can't know who it is.
 #[derive(Debug)]
 #[derive(Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum IdentityError {
     /// The file can't be read or written.
     #[snafu(display("{}: {source}; the data folder must be writable", path.display()))]
@@ -39,6 +40,14 @@
         /// What it holds.
         text: String,
     },
+    /// The file holds something else than a cluster.
+    #[snafu(display("{}: {source}; empty the data folder", path.display()))]
+    Cluster {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        source: serde_json::Error,
+    },
     /// The folder was made at another address.
     #[snafu(display("{} belongs to {there}, and this is {here}; give each node its own folder", path.display()))]
     Address {
@@ -89,7 +98,7 @@
     // A loss of power may have left the file without its content; nothing was promised then.
     if text.trim().is_empty() {
         let id = node_id(ip, number);
-        keep(folder, &path, id).context(AccessSnafu { path })?;
+        keep(folder, &path, &id.to_string()).context(AccessSnafu { path })?;
         return Ok(id);
     }
     let Ok(id) = text.trim().parse::<NodeId>() else {
@@ -103,11 +112,12 @@
     Ok(id)
 }
 
-fn keep(folder: &Path, path: &Path, id: NodeId) -> io::Result<()> {
+/// Puts a file of one line in place, synced.
+pub(super) fn keep(folder: &Path, path: &Path, line: &str) -> io::Result<()> {
     fs::create_dir_all(folder)?;
     let beside = path.with_extension("new");
     let mut file = File::create(&beside)?;
-    writeln!(file, "{id}")?;
+    writeln!(file, "{line}")?;
     file.sync_all()?;
     fs::rename(&beside, path)?;
     File::open(folder)?.sync_all()
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -99,6 +99,10 @@
     pub suspected: Gauge,
     /// Jobs that have failed since a task of theirs ends the hosts that run it; the leader's alone.
     pub convicted: Counter,
+    /// 1 once this node knows its cluster.
+    pub joined: Gauge,
+    /// Links refused or dropped, as the peer is of another cluster.
+    pub refused: Counter,
     /// The part of the last second that the thread of the tasks was busy.
     pub busy: Gauge<f64, AtomicU64>,
     input_wait: Histogram,
@@ -129,6 +133,8 @@
             under_way: Gauge::default(),
             suspected: Gauge::default(),
             convicted: Counter::default(),
+            joined: Gauge::default(),
+            refused: Counter::default(),
             busy: Gauge::default(),
             input_wait: times(),
             batch: Histogram::new(exponential_buckets(1.0, 2.0, 9)),
@@ -192,6 +198,7 @@
                 "Voters that this node hears, itself included",
                 &self.voters_heard,
             ),
+            ("joined", "1 once this node knows its cluster", &self.joined),
             ("agents", "Agents that are known", &self.agents),
             (
                 "tasks_waiting",
@@ -218,6 +225,11 @@
             "Jobs that have failed since a task of theirs ends the hosts that run it",
             self.convicted.clone(),
         );
+        registry.register(
+            "links_refused",
+            "Links refused or dropped, as the peer is of another cluster",
+            self.refused.clone(),
+        );
         registry.register(
             "busy_ratio",
             "The part of the last second that the thread of the tasks was busy",
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -8,10 +8,12 @@
 //! - [`entry`]: finds the leader and asks it, again if need be;
 //! - [`ask`]: what may be asked, and what is answered;
 //! - [`identity`]: which node a data folder belongs to;
+//! - [`cluster`]: and which cluster;
 //! - [`membership`]: which control nodes should vote;
 //! - [`ports`]: what a control node is given.
 
 pub mod ask;
+pub mod cluster;
 pub mod control;
 pub mod entry;
 pub mod frame;
--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -36,6 +36,7 @@
                     self.catalog = None;
                     self.compacted = index;
                     self.bytes = 0;
+                    self.join();
                 }
                 Err(error) => self.fail(format!("snapshot at {index}: {error}")),
             },
@@ -107,6 +108,9 @@
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.applied(now, wall(), &self.ledger, command, &changes);
         }
+        if let Command::Found(_) = command {
+            self.join();
+        }
         if let Command::Submit(submission) = command {
             let submitted = self.submitting.remove(&submission.job);
             let waiting = submitted.map_or_else(Vec::new, |submitted| submitted.waiting);
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -39,12 +39,16 @@
         self.watch_voters(now);
         self.members.forget(now);
         self.find_relays(now);
+        if self.kept.is_due(now) {
+            self.join();
+        }
         if self.leaving && self.node.is_leader() {
             return self.hand_over(now);
         }
         if self.scheduler.is_none() || !self.leads() || self.node.is_changing() {
             return;
         }
+        self.found(now);
         let voting = Voting {
             leader: me,
             voters: self.node.voters(),
@@ -125,6 +129,8 @@
         metrics.votes.set(i64::from(self.node.is_voter()));
         metrics.voters.set(size(self.voting.0.len()));
         metrics.voters_heard.set(size(self.voting.1.len()));
+        let known = self.ports.mesh.claim().cluster.is_some();
+        metrics.joined.set(i64::from(known));
         metrics.agents.set(size(self.ledger.agents().count()));
         metrics
             .waiting
--- a/src/manager/ports.rs
+++ b/src/manager/ports.rs
@@ -3,7 +3,7 @@
 //! Everything outside is handed in as a closure or a channel, so that a control node knows no
 //! protocol but its own.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{path::PathBuf, pin::Pin, sync::Arc, time::Duration};
 
 use tokio::sync::{mpsc, watch};
 
@@ -33,6 +33,8 @@
     pub restored: Restored,
     /// Its disk.
     pub disk: Disk,
+    /// Its data folder.
+    pub folder: PathBuf,
     /// Its data centre.
     pub data_centre: DataCentreId,
     /// The port of every node's mesh.
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -348,6 +348,7 @@
             .iter()
             .map(|peer| (peer.node, peer.mesh))
             .collect(),
+        ..mesh::Config::default()
     };
     let receive = Arc::new(move |from, bytes| {
         // A node that is too far behind loses messages, as from a lossy network.
--- a/tests/consensus/checks.rs
+++ b/tests/consensus/checks.rs
@@ -2,7 +2,11 @@
 
 use std::time::Instant;
 
-use egretpin::core::consensus::Protections;
+use egretpin::core::{
+    cluster::{Claim, Cluster, Founder},
+    consensus::Protections,
+    types::NodeId,
+};
 
 use crate::model::{Appends, Bounds, Model, State};
 
@@ -193,6 +197,50 @@
     check("together", model, Model::elected).holds();
 }
 
+/// The cluster with an id that three nodes have founded, each with a folder of its own.
+fn cluster(id: u64) -> Cluster {
+    let founder = |node| Founder {
+        node,
+        folder: id * 10 + node,
+    };
+    let founders = [1, 2, 3].map(founder).to_vec();
+    Cluster { id, founders }
+}
+
+/// A node of a cluster, which it may know.
+fn claim(node: NodeId, of: u64, knows: bool) -> Claim {
+    Claim {
+        node,
+        folder: Some(of * 10 + node),
+        cluster: knows.then(|| cluster(of)),
+    }
+}
+
+/// A stray with a voter's id was elected, and took all that was committed with it.
+#[test]
+fn a_stray_voter_of_another_cluster_counts_for_nothing() {
+    let bounds = Bounds {
+        timeouts: 2,
+        proposals: 1,
+        ..Bounds::default()
+    };
+    let knowing = [claim(1, 7, true), claim(2, 7, true)];
+    let late = [claim(1, 7, true), claim(2, 7, false)];
+    for (ours, stray) in [
+        (knowing.clone(), claim(3, 8, true)),
+        (knowing, claim(3, 8, false)),
+        (late, claim(3, 8, true)),
+    ] {
+        let mut model = Model::new(bounds).bare().only(&[2, 3], &[]);
+        model.claims = ours.into_iter().chain([stray]).collect();
+        let check = check("stray", model, Model::strayed).holds();
+        let mut weak = check.model.clone();
+        weak.claims.clear();
+        let found = check.search(&weak, "stray without the check");
+        assert_eq!(found, Some(LACKS));
+    }
+}
+
 #[test]
 fn two_changes_of_voters_in_a_row_hold() {
     let bounds = Bounds {
--- a/tests/consensus/model.rs
+++ b/tests/consensus/model.rs
@@ -14,6 +14,7 @@
 };
 
 use egretpin::core::{
+    cluster::Claim,
     consensus::{
         Config, Content, Entry, Index, Input, Message, Node, Output, Payload, Protections, Record,
         Restored, Term, Verdict,
@@ -28,6 +29,9 @@
 /// One unit of the models' clocks.
 pub(crate) const UNIT: Duration = Duration::from_millis(100);
 
+/// The last term of a stray's own cluster.
+const STRAY: Term = 4;
+
 /// How much of each thing a search may do.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Bounds {
@@ -82,6 +86,8 @@
     pub(crate) steady: bool,
     /// How many steps a search goes at most.
     pub(crate) limit: u32,
+    /// What hosts say of themselves, by which they admit each other; all do if none is given.
+    pub(crate) claims: Vec<Claim>,
 }
 
 /// The result of a search.
@@ -223,6 +229,7 @@
             appends: Appends::Entries,
             steady: false,
             limit: u32::MAX,
+            claims: Vec::new(),
         }
     }
 
@@ -318,6 +325,39 @@
         state
     }
 
+    /// Host 1 leads, and at the place of host 3 is one with the disk of another cluster.
+    pub(crate) fn strayed(&self) -> State {
+        let mut state = self.elected();
+        let contents = [
+            Content::Voters(self.voters.clone()),
+            Content::Noop,
+            Content::Command(Payload::from(vec![9])),
+        ];
+        let entries = contents.into_iter().zip(1..);
+        let entries = entries.map(|(content, index)| Entry {
+            term: if index == 1 { 0 } else { STRAY },
+            index,
+            content,
+        });
+        let disk = Restored {
+            voting: Some(true),
+            term: STRAY,
+            entries: entries.collect(),
+            ..Restored::default()
+        };
+        state.restart(2, self.config(3), disk);
+        state
+    }
+
+    /// Whether two hosts may be linked.
+    fn admits(&self, one: NodeId, other: NodeId) -> bool {
+        let claim = |id| self.claims.iter().find(|claim| claim.node == id);
+        match (claim(one), claim(other)) {
+            (Some(one), Some(other)) => one.admits(other),
+            _ => true,
+        }
+    }
+
     /// Searches all that can follow from a state.
     pub(crate) fn search(&self, start: State) -> Report {
         let (mut states, mut depth) = (0, 0);
@@ -370,6 +410,9 @@
             let Some(at) = state.find(packet.to) else {
                 continue;
             };
+            if !self.admits(packet.to, packet.from) {
+                continue;
+            }
             let Packet { from, message, .. } = Packet::clone(packet);
             let input = Input::Receive { from, message };
             let mut once = state.clone();
--- /dev/null
+++ b/tests/manager/cluster.rs
@@ -0,0 +1,73 @@
+//! The cluster's id, as a control node makes it and keeps it.
+
+use std::fs;
+
+use egretpin::{
+    core::{
+        cluster::{Cluster, Founder},
+        types::NodeId,
+        workload::{command::Command, ledger::Ledger},
+    },
+    manager::cluster::{founders, keep, recall},
+};
+
+fn cluster(id: u64) -> Cluster {
+    let founders = vec![Founder {
+        node: 1,
+        folder: 40,
+    }];
+    Cluster { id, founders }
+}
+
+#[test]
+fn an_id_is_made_only_when_all_can_read_it() {
+    let said = |node: NodeId| (node != 3).then_some(node + 40);
+    let made = founders(&[1, 2], &[4], said).unwrap();
+    assert_eq!(
+        made[1],
+        Founder {
+            node: 2,
+            folder: 42
+        }
+    );
+    assert_eq!(made.len(), 2);
+    assert_eq!(founders(&[1, 2, 3], &[], said), None);
+    assert_eq!(founders(&[1, 2], &[3], said), None);
+}
+
+#[test]
+fn a_folder_keeps_its_cluster() {
+    let folder = tempfile::tempdir().unwrap();
+    assert_eq!(recall(folder.path()).unwrap(), None);
+    keep(folder.path(), &cluster(7)).unwrap();
+    assert_eq!(recall(folder.path()).unwrap(), Some(cluster(7)));
+    fs::write(folder.path().join("cluster"), "{").unwrap();
+    assert!(recall(folder.path()).is_err());
+}
+
+#[test]
+fn the_first_id_of_a_ledger_stays_and_is_in_its_image() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.cluster(), None);
+    for (index, id) in [(1, 7), (2, 8)] {
+        let encoded = Command::Found(cluster(id)).encode();
+        ledger.apply(index, &Command::decode(&encoded).unwrap());
+    }
+    assert_eq!(ledger.cluster(), Some(&cluster(7)));
+    let restored = Ledger::from_image(&ledger.image()).unwrap();
+    assert_eq!(restored.cluster(), Some(&cluster(7)));
+}
+
+/// Earlier releases wrote images that have no such field.
+#[test]
+fn an_image_of_an_earlier_release_has_no_id() {
+    let image = Ledger::default().image();
+    let mut value: ciborium::Value = ciborium::from_reader(image.as_ref()).unwrap();
+    let fields = value.as_map_mut().unwrap();
+    let before = fields.len();
+    fields.retain(|(name, _)| name.as_text() != Some("cluster"));
+    assert_eq!(fields.len() + 1, before);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&value, &mut bytes).unwrap();
+    assert_eq!(Ledger::from_image(&bytes).unwrap().cluster(), None);
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 #[path = "../support/proxy.rs"]
 mod proxy;
 mod silent;
+mod strangers;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -43,6 +44,7 @@
     let config = Config {
         node,
         peers: peers.into_iter().collect(),
+        ..Config::default()
     };
     Peer {
         mesh: Mesh::start(config, listener, receive),
