--- a/src/manager/cluster.rs
+++ b/src/manager/cluster.rs
@@ -85,7 +85,7 @@
 /// ```
 /// use egretpin::manager::cluster::founders;
 ///
-/// let said = |node| (node < 3).then_some(node + 40);
+/// let said = |node: u64| (node < 3).then_some(node + 40);
 /// assert_eq!(founders(&[1, 2], &[], said).map(|f| f.len()), Some(2));
 /// assert_eq!(founders(&[1, 2, 3], &[], said), None, "a voter isn't heard, or is of an earlier release");
 /// assert_eq!(founders(&[1, 2], &[3], said), None, "another control node is");
