--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -5,7 +5,7 @@
 //! after a run of it has ended well, if that is taken note of then or later.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque, btree_map::Entry},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -133,8 +133,6 @@
     at: Now,
     /// Whether its agent was told that it is known.
     noted: bool,
-    /// Whether the lease of its agent ran out before that.
-    lapsed: bool,
     /// The first start after it: where, which attempt, and when.
     again: Option<(MinionId, u32, Now)>,
 }
@@ -358,6 +356,8 @@
     told: BTreeMap<MinionId, Now>,
     /// Runs that ended well, by task, but for those whose ends were lost with their agents.
     finished: BTreeMap<TaskId, Finish>,
+    /// Those of each agent that may still be taken note of.
+    untold: BTreeMap<MinionId, Vec<TaskId>>,
     /// Runs of each task that failed, as far as that was taken note of.
     pub(crate) failures: BTreeMap<TaskId, u32>,
     /// Tasks that were started after a run of theirs had ended well, and that end was taken note of.
@@ -466,6 +466,7 @@
             turns: 0,
             told: BTreeMap::new(),
             finished: BTreeMap::new(),
+            untold: BTreeMap::new(),
             failures: BTreeMap::new(),
             redone: Vec::new(),
             repeated: BTreeSet::new(),
@@ -1554,6 +1555,7 @@
 
     /// What an agent has ended and wasn't told that it is known is lost with it.
     fn lose_ends(&mut self, id: &MinionId) {
+        self.untold.remove(id);
         self.finished
             .retain(|_, finish| finish.noted || finish.agent != *id);
     }
@@ -1573,16 +1575,22 @@
 
     /// An agent was told that its ends are known, through this one.
     fn note_ends(&mut self, id: &MinionId, acked: u64) {
+        let Some(untold) = self.untold.get_mut(id) else {
+            return;
+        };
         let mut redone = Vec::new();
-        for (task, finish) in &mut self.finished {
-            let open = !finish.noted && !finish.lapsed;
-            if open && finish.agent == *id && finish.number <= acked {
-                finish.noted = true;
-                if finish.again.is_some() {
-                    redone.push(*task);
-                }
+        let finished = &mut self.finished;
+        untold.retain(|task| {
+            let finish = finished.get_mut(task);
+            let Some(finish) = finish.filter(|finish| finish.number <= acked) else {
+                return true;
+            };
+            finish.noted = true;
+            if finish.again.is_some() {
+                redone.push(*task);
             }
-        }
+            false
+        });
         redone.into_iter().for_each(|task| self.note_redone(task));
     }
 
@@ -1717,11 +1725,11 @@
     fn run_agents(&mut self) {
         let now = self.now;
         let mut ended = BTreeSet::new();
-        let finished = &mut self.finished;
         for (id, agent) in &mut self.agents {
             let lapsed = agent.clock(now) >= agent.lease;
-            let ends = finished.values_mut().filter(|finish| finish.agent == *id);
-            ends.for_each(|finish| finish.lapsed |= lapsed && !finish.noted);
+            if lapsed {
+                self.untold.remove(id);
+            }
             let over: Vec<_> = agent
                 .running
                 .iter()
@@ -1758,10 +1766,12 @@
                         attempt: run.attempt,
                         at: now,
                         noted: false,
-                        lapsed: false,
                         again: None,
                     };
-                    finished.entry(task).or_insert(finish);
+                    if let Entry::Vacant(place) = self.finished.entry(task) {
+                        place.insert(finish);
+                        self.untold.entry(id.clone()).or_default().push(task);
+                    }
                 }
                 let last = agent.over.entry(task).or_default();
                 *last = (*last).max(run.attempt);
