Give a delayed leader's first question a whole lease to be answered

Cause, one of two: a leader that had sent nothing for 0.41 s (it applied 7,800 entries in one turn) sent a heartbeat and judged the silence 60 ms later by the last answer, 0.47 s before. `grant_grace` asked whether the heartbeat was overdue at the moment of judging, and the one just sent had reset that. Ruled out: answers unread in the inbox (none waited, by the trace from outside).

Change: the silence counts from the first heartbeat that no quorum has answered. If a heartbeat was in flight when the leader was delayed, it asks once more, as before only once between two answers. lease_until() is as it was, so that the lease isn't longer.

--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -108,6 +108,14 @@
     pub(super) until: Now,
 }
 
+/// A heartbeat that waits for the answers of a quorum.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Question {
+    pub(super) sent: Now,
+    /// Whether it replaces an earlier one because the leader was delayed.
+    pub(super) repeated: bool,
+}
+
 /// The state of a leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Leader {
@@ -119,8 +127,9 @@
     pub(super) predecessor: Option<(NodeId, Now)>,
     /// When the next heartbeat is due.
     pub(super) heartbeat_due: Now,
-    /// When it last gave a quorum another lease to answer, having been delayed itself.
-    pub(super) grace_start: Option<Now>,
+    /// The first heartbeat that no quorum has answered yet. `None` if a quorum has answered it or
+    /// anything sent later.
+    pub(super) unanswered: Option<Question>,
     /// The other voters, and a node that is about to become one.
     pub(super) peers: BTreeMap<NodeId, Progress>,
     /// The change of voters that waits until its new voter has caught up.
@@ -138,7 +147,7 @@
             elected: now,
             predecessor,
             heartbeat_due: now,
-            grace_start: None,
+            unanswered: None,
             peers,
             joining,
             handover,
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -7,7 +7,7 @@
 
 use super::{
     interface::{Content, Entry, Index, Output, Payload, Record, Resignation, Term},
-    leader::{Progress, quorum},
+    leader::{Progress, Question, quorum},
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node, Role},
     restored::Snapshot,
@@ -50,8 +50,8 @@
 
     /// Sends heartbeats, and steps down when no quorum answers any more or the disk has stalled.
     pub(super) fn tick_leader(&mut self) {
-        let quorum_lost =
-            self.config.protections.lease && self.has_lost_quorum() && !self.grant_grace();
+        self.update_question();
+        let quorum_lost = self.config.protections.lease && self.has_lost_quorum();
         if quorum_lost || self.is_disk_stalled() {
             self.resign(if quorum_lost {
                 Resignation::NoQuorum
@@ -69,6 +69,10 @@
             return;
         }
         leader.heartbeat_due = now + heartbeat;
+        leader.unanswered.get_or_insert(Question {
+            sent: now,
+            repeated: false,
+        });
         self.send_heartbeats();
     }
 
@@ -86,31 +90,36 @@
         }
     }
 
-    fn has_lost_quorum(&self) -> bool {
-        let Role::Leader(leader) = &self.role else {
-            return false;
-        };
-        let acked = self.quorum_acked().max(leader.grace_start);
-        let acked = acked.unwrap_or_default().max(leader.elected);
-        self.now >= acked + self.config.lease
-    }
-
-    /// Whether a leader that no quorum answered may wait for answers once more. If its own
-    /// heartbeat is overdue by a whole interval, it was delayed itself, so the silence says nothing
-    /// about the others, which may still wait for it. Stepping down would cost a needless election.
-    /// This doesn't extend its lease, and it happens once between two answers of a quorum.
-    fn grant_grace(&mut self) -> bool {
+    /// Forgets the unanswered heartbeat once a quorum has answered it. If the next one is overdue
+    /// by a whole interval, this leader was delayed itself: the heartbeat may have left it late, or
+    /// its answers may not have been read. It then asks once more, and only once.
+    fn update_question(&mut self) {
         let (now, heartbeat) = (self.now, self.config.heartbeat);
         let acked = self.quorum_acked();
         let Role::Leader(leader) = &mut self.role else {
-            return false;
+            return;
         };
         let delayed = now >= leader.heartbeat_due + heartbeat;
-        let answered = leader.grace_start.is_none() || acked > leader.grace_start;
-        if delayed && answered {
-            leader.grace_start = Some(now);
-        }
-        delayed && answered
+        leader.unanswered = match leader.unanswered {
+            Some(question) if acked >= Some(question.sent) => None,
+            Some(question) if delayed && !question.repeated => Some(Question {
+                sent: now,
+                repeated: true,
+            }),
+            question => question,
+        };
+    }
+
+    /// Whether no quorum has answered for a whole lease since it was asked. The time in which a
+    /// delayed leader asked nothing doesn't count: the others may still wait for it, and stepping
+    /// down would cost a needless election. Its lease doesn't depend on this.
+    fn has_lost_quorum(&self) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        leader
+            .unanswered
+            .is_some_and(|question| self.now >= question.sent + self.config.lease)
     }
 
     /// Hands new entries to the disk and to the peers. While writes are pending, new entries
--- a/tests/consensus/elections.rs
+++ b/tests/consensus/elections.rs
@@ -66,6 +66,32 @@
     assert_eq!(world.node(leader).term(), term);
 }
 
+/// A leader that had sent nothing for almost a lease asked once, and stepped down before the others
+/// could answer.
+#[test]
+fn a_delayed_leader_gives_its_first_question_a_whole_lease() {
+    let delays = [(20, 30), (30, 30), (35, 20), (41, 10), (41, 30), (44, 30)];
+    // The delay begins while a heartbeat is in flight, or after it was answered.
+    let all = [0, 5]
+        .into_iter()
+        .flat_map(|wait| delays.map(|(delay, silence)| (wait, delay, silence)));
+    for (wait, delay, silence) in all {
+        let case = format!("{wait}, {delay}, {silence} hundredths");
+        let mut world = World::voters(3);
+        let leader = world.elect();
+        let term = world.node(leader).term();
+        world.run(SECOND * wait / 100);
+        world.now += SECOND * delay / 100;
+        world.cut(&[1, 2, 3], &[leader]);
+        world.run(SECOND * silence / 100);
+        world.heal();
+        world.run(SECOND / 5);
+        assert_eq!(world.resigned, [], "{case}");
+        assert_eq!(world.leader(), Some(leader), "{case}");
+        assert_eq!(world.node(leader).term(), term, "{case}");
+    }
+}
+
 #[test]
 fn a_leader_delayed_repeatedly_without_a_quorum_steps_down() {
     let mut world = World::voters(3);
