Say why a long-running task is away for too long

Two kinds of cause look alike: an attempt that may still run at an agent that doesn't answer (it is held for the longest transit and the lease after its last unanswered start, 22.5 s where agents accept leases of 10 s, and again from each takeover), or no agent that takes the task.

Change: once a second the leader notes the long-running tasks that wait or whose agents don't answer, and logs those away for three seconds or more with the reason: agent, attempt, silence and expiry; or how many agents of the pool accept work, have the room and may run it, the evidence against the task, and its workspace's cap. It decides nothing.

--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -170,7 +170,7 @@
 impl Slot {
     /// When the attempt has certainly ended if its agent doesn't answer, given the end of the
     /// agent's lease; `None` if the attempt isn't there yet, or its end is known.
-    fn expiry(&self, lease: Now, settings: &Settings) -> Option<Now> {
+    pub(super) fn expiry(&self, lease: Now, settings: &Settings) -> Option<Now> {
         if matches!(self.phase, Phase::Proposed | Phase::Ended) {
             return None;
         }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -54,6 +54,7 @@
 mod balance;
 mod caps;
 mod changes;
+mod delayed;
 mod demand;
 mod eligible;
 mod forecast;
@@ -85,14 +86,11 @@
     time::Duration,
 };
 
-pub use self::order::{
-    AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
-    Running, StartOrder, Target,
-};
 use self::{
     agent::{Agent, Phase, Slot},
     agents::Agents,
     caps::Proposed,
+    delayed::AwayTasks,
     eligible::{Eligible, Question},
     host_intents::HostIntents,
     hosts::Hosts,
@@ -104,6 +102,13 @@
     ready::{ReadyQueue, ReadyStep},
     suspects::Suspects,
 };
+pub use self::{
+    delayed::{Candidates, DelayReason, DelayedTask},
+    order::{
+        AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
+        Running, StartOrder, Target,
+    },
+};
 use super::{
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
@@ -301,6 +306,7 @@
     probes: Probes,
     losses: Losses,
     completions: Completions,
+    away: AwayTasks,
     /// Hosts whose maintenance has begun, by wave, to be committed as such.
     maintained: Vec<(WaveId, HostId)>,
     orders: Vec<Order>,
@@ -379,6 +385,7 @@
             probes: Probes::default(),
             losses: Losses::new(now, ledger.failure_rate()),
             completions: Completions::default(),
+            away: AwayTasks::default(),
             maintained: Vec::new(),
             orders: Vec::new(),
             agent_ages: Vec::new(),
@@ -511,6 +518,7 @@
         self.send_stops(now, &stirred);
         self.renew(now, &stirred);
         self.schedule_agents(now);
+        self.check_delayed(now, ledger);
         Plan {
             commands,
             orders: std::mem::take(&mut self.orders),
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -19,7 +19,7 @@
     types::{Now, PoolId, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
-        job::StepId,
+        job::{StepId, TaskId},
         spec::{StepSpec, TaskIx},
     },
 };
@@ -273,6 +273,22 @@
         self.millicores.get(workspace).copied().unwrap_or_default()
     }
 
+    /// The long-running tasks that wait to be started.
+    pub(super) fn waiting_long_running(&self) -> Vec<TaskId> {
+        let pools = self.pools.values();
+        let ranks = pools.flat_map(|line| {
+            let ranks = line.ranks.iter();
+            ranks.take_while(|rank| rank.class == Class::LongRunning)
+        });
+        let steps = ranks.inspect(|_| self.count_visit());
+        let ready = steps.filter_map(|rank| self.get(rank.step).map(|ready| (rank.step, ready)));
+        let tasks = ready.flat_map(|(step, ready)| {
+            let tasks = ready.free.iter();
+            tasks.map(move |task| TaskId { step, task: *task })
+        });
+        tasks.collect()
+    }
+
     /// All steps with ready tasks, including steps whose tasks are all placed.
     pub(super) fn iter(&self) -> impl Iterator<Item = (StepId, &ReadyStep)> {
         let steps = self.steps.iter().inspect(|_| self.count_visit());
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -5,6 +5,7 @@
 mod caps;
 mod catalog;
 mod completed_suspects;
+mod delayed;
 mod eligible;
 mod faults;
 mod hosts;
