--- a/src/core/workload/ledger.rs
+++ b/src/core/workload/ledger.rs
@@ -32,7 +32,7 @@
 //! assert_eq!(ledger.pending("alerts"), 1);
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque, btree_map::Entry};
+use std::collections::{BTreeMap, BTreeSet, btree_map::Entry};
 
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,7 @@
     poison_rate::PoisonRate,
     spec::StepIx,
     suspicion::{Crash, Evidence, FailureRate},
+    terminated::TerminatedAgents,
 };
 use crate::core::{
     cluster::Cluster,
@@ -54,15 +55,6 @@
     types::{Attempt, HostId, MinionId, Name, Resources, Wall, WaveId, WorkspaceId},
 };
 
-/// The most terminated incarnations of agents that are remembered; the oldest are forgotten first. Each takes
-/// about 15 bytes of a snapshot.
-///
-/// A heartbeat may arrive after the end of its sender, by as long as a network partition lasts. If 500 hosts
-/// each lose an agent every ten seconds, this covers the last 80 seconds. Forgetting an incarnation does no
-/// harm by itself: an agent that is heard for the first time has to answer at its address before anything
-/// depends on it.
-const MAX_TERMINATED: usize = 4096;
-
 /// A change of the state, reported to the leader's scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -120,14 +112,6 @@
     Wave(WaveId),
 }
 
-/// A terminated incarnation of an agent, with the number of its last committed heartbeat.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
-struct TerminatedAgent(MinionId, HeartbeatNumber);
-
-/// The number of a heartbeat of one incarnation.
-type HeartbeatNumber = u64;
-
 /// The replicated state of jobs and agents.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -137,9 +121,9 @@
     jobs: BTreeMap<JobId, Job>,
     agents: BTreeMap<MinionId, AgentRecord>,
     waves: BTreeMap<WaveId, WaveRecord>,
-    /// Terminated incarnations of agents, the latest last. Absent in snapshots of earlier releases.
+    /// The terminated incarnations of agents. Absent in snapshots of earlier releases.
     #[serde(rename = "over", default)]
-    terminated: VecDeque<TerminatedAgent>,
+    terminated: TerminatedAgents,
     /// The hosts that leaders have recently sent orders about. Absent in snapshots of earlier releases.
     #[serde(rename = "touched", default)]
     intents: OrderIntents,
@@ -228,11 +212,7 @@
     /// than the last committed one. An incarnation that was declared terminated by mistake sends later
     /// heartbeats; it has to answer at its address like a new agent.
     pub fn is_stale(&self, record: &AgentRecord) -> bool {
-        let ended = self
-            .terminated
-            .iter()
-            .find(|TerminatedAgent(agent, _)| *agent == record.id);
-        ended.is_some_and(|TerminatedAgent(_, last)| record.sequence <= *last)
+        self.terminated.is_stale(&record.id, record.sequence)
     }
 
     /// The tasks that are placed at an agent.
@@ -372,8 +352,7 @@
         {
             return self.assign_id(record, changes);
         }
-        self.terminated
-            .retain(|TerminatedAgent(agent, _)| *agent != record.id);
+        self.terminated.remove(&record.id);
         changes.push(Change::Agent(record.id.clone()));
         self.agents.insert(record.id.clone(), record);
     }
@@ -399,18 +378,9 @@
     fn remove_agent(&mut self, agent: &MinionId, changes: &mut Vec<Change>) {
         let known = self.agents.get(agent);
         // The end of an incarnation may be committed before its first heartbeat.
-        if known.is_some()
-            || self
-                .terminated
-                .iter()
-                .all(|TerminatedAgent(other, _)| other != agent)
-        {
+        if known.is_some() || !self.terminated.contains(agent) {
             let last = known.map_or(0, |known| known.sequence);
-            self.terminated
-                .push_back(TerminatedAgent(agent.clone(), last));
-        }
-        while self.terminated.len() > MAX_TERMINATED {
-            self.terminated.pop_front();
+            self.terminated.insert(agent.clone(), last);
         }
         if self.agents.remove(agent).is_none() {
             return;
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -14,7 +14,8 @@
 //!   renew. Each new leader rebuilds it from the ledger.
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
-//! - [`intents`] records which hosts a leader is about to send orders about.
+//! - [`terminated`] remembers incarnations of agents that have terminated, and [`intents`] which hosts a leader
+//!   is about to send orders about.
 //!
 //! This module does no I/O. Its driver commits the [`Command`](command::Command)s that the scheduler proposes
 //! and carries out its [`Order`](scheduler::Order)s.
@@ -28,4 +29,5 @@
 pub mod scheduler;
 pub mod spec;
 pub mod suspicion;
+pub mod terminated;
 pub mod workspace;
