Say which renewals of agents with long-running tasks are overdue

Callers saw long-running tasks end with the leases of their agents while a leader was in office. The log told nothing of it: a task that the leader takes for running isn't away, so no line named it, and an agent whose renewal is pending for good doesn't count as failing. From outside it looked as if nobody led.

The scheduler now keeps the agents with long-running tasks in the order of their last answered renewals, updated for the agents that a plan visits anyway. While one of them has answered none for half of the longest lease, the leader logs once a second at most how many tasks and agents that concerns, how many of the agents are known not to answer, and of one agent its age, its pending renewal, since when, and the relay. Only overdue agents are visited for it. A gauge shows the longest time without an answer. No decision changes.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -71,6 +71,8 @@
     pub(super) lease_end: Now,
     /// When the latest answered renewal that extended the lease was sent.
     last_renewal: Option<Now>,
+    /// When that answer arrived.
+    renewed_at: Option<Now>,
     /// The renewal that is under way: its order, and when it was sent.
     pub(super) renewal: Option<(OrderId, Now)>,
     /// When the next renewal is due.
@@ -201,6 +203,7 @@
             busy_until: now,
             lease_end: now,
             last_renewal: None,
+            renewed_at: None,
             renewal: None,
             renewal_due: now,
             clean_report: None,
@@ -296,8 +299,25 @@
     }
 
     /// Notes the answer to a renewal that extended the lease and was sent at `sent`.
-    pub(super) fn record_renewal(&mut self, sent: Now) {
+    pub(super) fn record_renewal(&mut self, now: Now, sent: Now) {
         self.last_renewal = self.last_renewal.max(Some(sent));
+        self.renewed_at = Some(now);
+    }
+
+    /// When a renewal that extended the lease was last answered, and the number of long-running
+    /// tasks that run here as far as the leader knows; `None` if there are none. If none was
+    /// answered since these tasks started: when the first of them started, or when this leader took
+    /// it over.
+    pub(super) fn oldest_renewal(&self) -> Option<(Now, usize)> {
+        if self.long_running == 0 {
+            return None;
+        }
+        let slots = self.slots.values();
+        let running = slots.filter(|slot| {
+            slot.long_running && matches!(slot.phase, Phase::Running | Phase::Unsure)
+        });
+        let since = running.clone().map(|slot| slot.phase_since).min()?;
+        Some((self.renewed_at.max(Some(since))?, running.count()))
     }
 
     /// Whether its lease may soon run out, apart from what a start granted, which only lasts until
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -40,6 +40,11 @@
     dirty: Vec<MinionId>,
     /// The agents that don't answer, as of the last [`Agents::update_indexes`].
     unresponsive: BTreeSet<MinionId>,
+    /// The agents that run long-running tasks, ordered by when they last answered a renewal, as of
+    /// their last visit.
+    renewals: BTreeSet<(Now, MinionId)>,
+    /// The number of long-running tasks that run at these agents.
+    running: usize,
     /// The number of visits of agents.
     visits: Cell<usize>,
 }
@@ -52,6 +57,8 @@
     due: Option<Now>,
     /// The free thousandths of a core of its entry in its pool.
     free: u64,
+    /// The time of its entry in `renewals`, and the long-running tasks that run there.
+    renewal: Option<(Now, usize)>,
 }
 
 impl Entry {
@@ -101,6 +108,7 @@
             dirty: true,
             due: None,
             free,
+            renewal: None,
         };
         self.dirty.push(id.clone());
         self.ids.insert(id.clone());
@@ -109,7 +117,11 @@
 
     pub(super) fn remove(&mut self, id: &MinionId) {
         let Some(Entry {
-            agent, due, free, ..
+            agent,
+            due,
+            free,
+            renewal,
+            ..
         }) = self.entries.remove(id)
         else {
             return;
@@ -128,6 +140,10 @@
             self.timers.remove(&(due, id.clone()));
         }
         self.unresponsive.remove(id);
+        if let Some((since, running)) = renewal {
+            self.renewals.remove(&(since, id.clone()));
+            self.running -= running;
+        }
     }
 
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
@@ -251,14 +267,26 @@
         ids
     }
 
-    /// Schedules the next visit of the dirty agents for the time that `next` returns. They are
-    /// dirty no more.
+    /// Schedules the next visit of the dirty agents for the time that `next` returns, and records
+    /// their renewals. They are dirty no more.
     pub(super) fn schedule_visits(&mut self, next: impl Fn(&MinionId, &Agent) -> Option<Now>) {
         for id in std::mem::take(&mut self.dirty) {
             let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.dirty) else {
                 continue;
             };
             entry.dirty = false;
+            let renewal = entry.agent.oldest_renewal();
+            let before = std::mem::replace(&mut entry.renewal, renewal);
+            if renewal != before {
+                if let Some((since, running)) = before {
+                    self.renewals.remove(&(since, id.clone()));
+                    self.running -= running;
+                }
+                if let Some((since, running)) = renewal {
+                    self.renewals.insert((since, id.clone()));
+                    self.running += running;
+                }
+            }
             let due = next(&id, &entry.agent);
             if due == entry.due {
                 continue;
@@ -272,6 +300,30 @@
         }
     }
 
+    /// The number of long-running tasks that run, as far as the leader knows.
+    pub(super) fn running(&self) -> usize {
+        self.running
+    }
+
+    /// When the agent with long-running tasks that has answered no renewal for the longest time last
+    /// answered one.
+    pub(super) fn oldest_renewal(&self) -> Option<Now> {
+        self.renewals.first().map(|(since, _)| *since)
+    }
+
+    /// The agents with long-running tasks that have answered no renewal since `limit`, the longest
+    /// first, each with the time of its last answer and the number of these tasks.
+    pub(super) fn overdue(&self, limit: Now) -> impl Iterator<Item = (Now, usize, &Agent)> {
+        let overdue = self.renewals.iter();
+        let overdue = overdue.take_while(move |(since, _)| *since <= limit);
+        overdue.filter_map(|(since, id)| {
+            self.count_visit();
+            let entry = self.entries.get(id)?;
+            let (_, running) = entry.renewal?;
+            Some((*since, running, &entry.agent))
+        })
+    }
+
     /// The number of visits since the last call.
     pub(super) fn take_visits(&self) -> usize {
         self.visits.take()
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -236,7 +236,7 @@
                 agent.failing_since = None;
                 agent.acked_end = agent.acked_end.max(acked);
                 if extends {
-                    agent.record_renewal(sent);
+                    agent.record_renewal(now, sent);
                 }
                 agent.record_clock(now, report.clock);
                 agent.renewal_due = next;
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -65,6 +65,7 @@
 mod leases;
 mod losses;
 mod order;
+mod overdue;
 mod place;
 mod poison_queues;
 mod presence;
@@ -108,6 +109,7 @@
         AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
         Running, StartOrder, Target,
     },
+    overdue::OverdueRenewals,
 };
 use super::{
     catalog::{Catalog, JobId},
@@ -257,6 +259,8 @@
     pub agent_ages: Vec<Duration>,
     /// For each start sent since the last plan, the time from its decision to sending it.
     pub start_delays: Vec<Duration>,
+    /// The agents whose renewals are overdue, if there are any; once a second at most.
+    pub overdue: Option<OverdueRenewals>,
     /// How many agents and waiting steps were visited to make this plan.
     pub visits: usize,
 }
@@ -307,6 +311,8 @@
     losses: Losses,
     completions: Completions,
     away: AwayTasks,
+    /// When overdue renewals may be reported again; `None` if at once.
+    overdue_due: Option<Now>,
     /// Hosts whose maintenance has begun, by wave, to be committed as such.
     maintained: Vec<(WaveId, HostId)>,
     orders: Vec<Order>,
@@ -386,6 +392,7 @@
             losses: Losses::new(now, ledger.failure_rate()),
             completions: Completions::default(),
             away: AwayTasks::default(),
+            overdue_due: None,
             maintained: Vec::new(),
             orders: Vec::new(),
             agent_ages: Vec::new(),
@@ -519,11 +526,13 @@
         self.renew(now, &stirred);
         self.schedule_agents(now);
         self.check_delayed(now, ledger);
+        let overdue = self.report_overdue(now);
         Plan {
             commands,
             orders: std::mem::take(&mut self.orders),
             agent_ages: std::mem::take(&mut self.agent_ages),
             start_delays: std::mem::take(&mut self.start_delays),
+            overdue,
             visits: self.agents.take_visits() + self.ready.take_visits(),
         }
     }
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -485,6 +485,9 @@
         for delay in &plan.start_delays {
             self.ports.metrics.record_start_delay(*delay);
         }
+        if let Some(overdue) = &plan.overdue {
+            self.relays.log_overdue(overdue);
+        }
         for command in plan.commands {
             self.propose(ReplyTo::Discard, command);
         }
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -95,6 +95,9 @@
     pub placed: Gauge,
     /// Number of orders that wait for an answer. Only the leader sets it.
     pub under_way: Gauge,
+    /// The longest time for which an agent with long-running tasks has answered no renewal, in
+    /// seconds. Only the leader sets it.
+    pub renewal_age: Gauge<f64, AtomicU64>,
     /// Number of tasks that are suspected of crashing the hosts that run them. Only the leader sets
     /// it.
     pub suspected: Gauge,
@@ -133,6 +136,7 @@
             waiting: Gauge::default(),
             placed: Gauge::default(),
             under_way: Gauge::default(),
+            renewal_age: Gauge::default(),
             suspected: Gauge::default(),
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
@@ -238,6 +242,11 @@
             "The part of the last second that the thread of the tasks was busy",
             self.busy_ratio.clone(),
         );
+        registry.register(
+            "renewal_age_seconds",
+            "The longest that an agent with long-running tasks has answered no renewal",
+            self.renewal_age.clone(),
+        );
         registry.register(
             "input_wait_seconds",
             "The longest that an input of a turn of the control task waited for it",
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -144,6 +144,9 @@
         metrics
             .under_way
             .set(size(scheduler.map_or(0, Scheduler::under_way)));
+        let now = self.now();
+        let renewal_age = scheduler.map_or(Duration::ZERO, |scheduler| scheduler.renewal_age(now));
+        metrics.renewal_age.set(renewal_age.as_secs_f64());
         metrics
             .suspected
             .set(size(scheduler.map_or(0, Scheduler::suspected)));
--- a/src/manager/relays.rs
+++ b/src/manager/relays.rs
@@ -62,7 +62,7 @@
 
 use crate::core::{
     types::{DataCentreId, Map, NodeId, Now, Set},
-    workload::scheduler::{Order, OrderId, OrderKind},
+    workload::scheduler::{Order, OrderId, OrderKind, OverdueRenewals},
 };
 
 /// Added to the time limit of an exchange with an agent, for both ways through the mesh and a turn
@@ -188,6 +188,28 @@
         true
     }
 
+    /// The relay that an order without an answer was assigned to, if any.
+    pub fn carrier(&self, order: OrderId) -> Option<NodeId> {
+        self.in_flight.get(&order).map(|carried| carried.relay)
+    }
+
+    /// Logs the agents whose renewals are overdue.
+    pub(super) fn log_overdue(&self, overdue: &OverdueRenewals) {
+        let OverdueRenewals {
+            running,
+            overdue,
+            agents,
+            failing,
+            agent,
+            age,
+            pending,
+            unanswered,
+        } = overdue;
+        let (order, pending) = pending.unzip();
+        let relay = order.and_then(|order| self.carrier(order));
+        log::warn!(running, overdue, agents, failing, agent:%, age:?, order, pending:?, unanswered:?, relay; "leases of agents with long-running tasks aren't renewed");
+    }
+
     /// Records that the leader executes an order to an agent that its relay doesn't reach.
     pub fn record_direct(&mut self, order: &Order) {
         let to = order.kind.target().map(|to| to.address);
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -20,6 +20,7 @@
 mod poison_queues;
 mod poison_tasks;
 mod relays;
+mod renewals;
 mod restarted_agents;
 mod scarce_hosts;
 mod spec;
--- /dev/null
+++ b/tests/workload/renewals.rs
@@ -0,0 +1,71 @@
+//! The renewals of agents with long-running tasks, and what the leader says when they aren't
+//! answered.
+//!
+//! Long-running tasks ended with the leases of agents that were well, under a leader that took the
+//! tasks for running and said nothing.
+
+use egretpin::core::workload::{scheduler::OverdueRenewals, spec::JobSpec};
+
+use crate::world::{World, long_running, ms};
+
+const LONG_RUNNING: u64 = 1;
+const TASKS: usize = 3;
+
+/// A world of four hosts whose long-running job takes five cores of each of three.
+fn world(seed: u64) -> World {
+    let mut world = World::new(4, seed);
+    let job = JobSpec::new("x", vec![long_running(3, 5)]);
+    world.submit(LONG_RUNNING, job);
+    world.until("all run", ms(4000), |world| {
+        world.runs(LONG_RUNNING).len() == TASKS
+    });
+    world
+}
+
+fn overdue(world: &World) -> Option<OverdueRenewals> {
+    world
+        .scheduler
+        .as_ref()
+        .unwrap()
+        .overdue_renewals(world.now)
+}
+
+#[test]
+fn nothing_is_overdue_while_agents_answer() {
+    let mut world = world(1);
+    for _ in 0..200 {
+        world.pass(ms(100));
+        assert_eq!(overdue(&world), None);
+        let age = world.scheduler.as_ref().unwrap().renewal_age(world.now);
+        assert!(age < ms(2000), "{age:?}");
+    }
+}
+
+#[test]
+fn an_agent_that_answers_no_renewal_is_reported_until_its_lease_has_expired() {
+    let mut world = world(1);
+    world.pass(ms(3000));
+    let (agent, _) = world.runs(LONG_RUNNING)[0].clone();
+    // Its heartbeats go on.
+    world.block_orders(&agent, ms(20_000));
+    world.pass(ms(4600));
+    let Some(reported) = overdue(&world) else {
+        panic!("nothing is reported");
+    };
+    let OverdueRenewals {
+        running,
+        overdue: tasks,
+        agents,
+        failing,
+        agent: at,
+        age,
+        unanswered,
+        ..
+    } = reported;
+    assert_eq!((running, tasks, agents, failing), (TASKS, 1, 1, 1));
+    assert_eq!(at, agent);
+    assert!(age >= ms(3000), "{age:?}");
+    assert!(unanswered.is_some_and(|since| since <= age));
+    world.pass(ms(10_000));
+    assert_eq!(overdue(&world), None);
+}
