Decide orders anew that a leader planned and didn't send

What callers saw: long-running tasks ended together, within some hundredths of a second, though their agents were well and a leader was in office; the leader took them for running and logged nothing of them, so that nobody started them elsewhere.

Cause: a leader checks its lease before it plans and again before it sends. If the lease had expired in between, the plan's orders were dropped, but the scheduler went on waiting for their answers. A lease may become valid again in the same term, as when the answers that extend it lie in the inbox while the leader is busy, or when its process stood still. From then on every agent with a dropped renewal had a renewal pending for good, so that no other followed, and every dropped start stayed under way for good.

Ruled out for this picture: renewals lost with a relay or its link. They expire with the relay's deadlines, count as unanswered, are logged as such, and are sent again 0.3 s later.

The change: the control task hands such orders back. A renewal or start becomes due at once, as it was certainly not carried out; all else counts as unanswered. A log line says how many orders that concerned.

Evidence: tests/manager/leader_lease.rs runs two real control nodes, whose leader is held up in a plan for longer than its lease.

Conclusion: a leader in office that doesn't renew is possible by this fault.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -84,6 +84,33 @@
         }
     }
 
+    /// Takes back orders of the last plan that weren't sent, because the leader's lease expired
+    /// while it planned. The lease may become valid again in the same term, and an order that is
+    /// never sent gets no answer. So its renewal or start becomes due at once; all else that wasn't
+    /// sent counts as unanswered.
+    pub fn take_back(&mut self, now: Now, orders: impl IntoIterator<Item = OrderId>) {
+        for order in orders {
+            match self.pending.get(&order).map(|pending| &pending.about) {
+                Some(About::Renew { agent, .. }) => {
+                    if let Some(agent) = self.agents.get_mut(agent) {
+                        agent.renewal = None;
+                    }
+                    self.pending.remove(&order);
+                }
+                Some(About::Start(agent, task)) => {
+                    let agent = self.agents.get_mut(agent);
+                    let slot = agent.and_then(|agent| agent.slots.get_mut(task));
+                    if let Some(slot) = slot.filter(|slot| slot.phase == Phase::Starting(order)) {
+                        slot.tries -= 1;
+                        slot.set_phase(now, Phase::Due);
+                    }
+                    self.pending.remove(&order);
+                }
+                _ => self.answered(now, order, Answer::Silent),
+            }
+        }
+    }
+
     fn start_answered(&mut self, now: Now, start: &SentStart<'_>, answer: &Answer) {
         let SentStart {
             order,
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -494,6 +494,11 @@
         // Checks the lease again, because the process may have been suspended since the first
         // check.
         if !self.holds_lease() {
+            let unsent = plan.orders.iter().map(|order| order.id);
+            log::warn!(orders = unsent.len(); "orders weren't sent, as the leader's lease had expired");
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.take_back(now, unsent);
+            }
             return;
         }
         let tenure = self.tenure;
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the parts of control nodes that need no running process.
 
 mod cluster;
+mod leader_lease;
 mod membership;
 mod relays;
--- a/tests/workload/renewals.rs
+++ b/tests/workload/renewals.rs
@@ -5,11 +5,15 @@
 //! tasks for running and said nothing.
 
 use egretpin::core::workload::{scheduler::OverdueRenewals, spec::JobSpec};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
-use crate::world::{World, long_running, ms};
+use crate::world::{World, long_running, ms, step};
 
 const LONG_RUNNING: u64 = 1;
 const TASKS: usize = 3;
+/// The number of seeds.
+const SEEDS: u64 = 50;
 
 /// A world of four hosts whose long-running job takes five cores of each of three.
 fn world(seed: u64) -> World {
@@ -69,3 +73,23 @@
     world.pass(ms(10_000));
     assert_eq!(overdue(&world), None);
 }
+
+/// A plan's orders that were never sent left its renewals pending for good: no further renewal
+/// followed, and the leases of well agents expired.
+#[test]
+fn a_leader_whose_lease_expires_while_it_plans_renews_afterwards() {
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x1ea5e);
+        let mut world = world(seed);
+        for job in 2..=10 {
+            let (tasks, millis) = (rng.random_range(1..6), rng.random_range(100..2000));
+            world.submit(job, JobSpec::new("x", vec![step(tasks, 1, millis)]));
+            world.pass(ms(rng.random_range(0..1500)));
+            world.lease_expires = true;
+        }
+        world.pass(ms(10_000));
+        assert_eq!(overdue(&world), None, "seed {seed}");
+        assert_eq!(world.lapsed_runs, 0, "seed {seed}");
+        assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
+    }
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -312,6 +312,11 @@
     pub(crate) interference: f64,
     /// The number of starts of each task.
     pub(crate) starts: BTreeMap<TaskId, u32>,
+    /// The number of runs that ended because the lease of their agent had expired.
+    pub(crate) lapsed_runs: usize,
+    /// Whether the leader's lease expires while it makes its next plan with orders, and is valid
+    /// again in the turn after that.
+    pub(crate) lease_expires: bool,
     catalog: Arc<Catalog>,
     term: u64,
     index: u64,
@@ -453,6 +458,8 @@
             service_down: false,
             interference: 0.0,
             starts: BTreeMap::new(),
+            lapsed_runs: 0,
+            lease_expires: false,
             catalog: Arc::new(Catalog::new(
                 1,
                 vec![queue(QUEUE, POOL), queue(OTHER_QUEUE, OTHER_POOL), guided],
@@ -1099,6 +1106,13 @@
         for command in plan.commands {
             self.propose(command);
         }
+        if self.lease_expires && orders > 0 {
+            self.lease_expires = false;
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.take_back(self.now, plan.orders.iter().map(|order| order.id));
+            }
+            return (visits, 0);
+        }
         for order in plan.orders {
             self.send(order);
         }
@@ -1834,6 +1848,7 @@
             let lapsed = agent.clock(now) >= agent.lease_end;
             if lapsed {
                 self.unreported.remove(id);
+                self.lapsed_runs += agent.running.len();
             }
             let finished: Vec<_> = agent
                 .running
