--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -485,12 +485,20 @@
         for delay in &plan.start_delays {
             self.ports.metrics.record_start_delay(*delay);
         }
+        if let Some(overdue) = &plan.overdue {
+            self.relays.log_overdue(overdue);
+        }
         for command in plan.commands {
             self.propose(ReplyTo::Discard, command);
         }
         // Checks the lease again, because the process may have been suspended since the first
         // check.
         if !self.holds_lease() {
+            let unsent = plan.orders.iter().map(|order| order.id);
+            log::warn!(orders = unsent.len(); "orders weren't sent, as the leader's lease had expired");
+            if let Some(scheduler) = &mut self.scheduler {
+                scheduler.take_back(now, unsent);
+            }
             return;
         }
         let tenure = self.tenure;
