Say in the log why a mesh link made no progress

Callers saw nothing of it by itself. Operators saw `mesh link lost: no progress in time` for a leader's links to nodes that were well, and couldn't tell a peer that is silent from a link that is full or a node that was held up itself.

Change: the two halves of a link share a pulse, which notes when the peer showed last that it is there, when the last ping was handed to the connection, and since when a write is under way. The line for a link without progress names the half that gave up, these three, how late this node judged, and the messages and bytes that were dropped with the link. The texts are as they were. Cost: a lock that nobody else holds and at most three reads of the clock for each write, and one for each answer; the queue is counted as it is emptied.

Not done: a metric by reason.

--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -54,14 +54,20 @@
                     match ended {
                         Ok(true) => return,
                         Ok(false) => log::info!(peer; "mesh link closed by its peer"),
-                        Err(error) => {
-                            log::info!(peer, error:%; "mesh link lost");
-                            // It took long enough; whoever is there may be well.
-                            if matches!(error, MeshError::Stalled) {
-                                drain(&mut queue);
-                                continue;
-                            }
+                        // It took long enough; whoever is there may be well.
+                        Err(error @ MeshError::Lost { stall }) => {
+                            let (queued, bytes) = drain(&mut queue);
+                            log::info!(
+                                peer, error:%, gave_up = stall.half.label(),
+                                writing_ms = stall.writing.map(millis),
+                                pinged_ms = stall.pinged.map(millis),
+                                shown_ms = millis(stall.shown), late_ms = millis(stall.late),
+                                queued, bytes;
+                                "mesh link lost"
+                            );
+                            continue;
                         }
+                        Err(error) => log::info!(peer, error:%; "mesh link lost"),
                     }
                 }
                 Err(error) => log::debug!(address:%, error:%; "mesh dial failed"),
@@ -74,9 +80,18 @@
 }
 
 /// Drops what waited for a link that was lost: it is stale, and its senders have given up on it or
-/// will repeat it.
-fn drain(queue: &mut mpsc::Receiver<Bytes>) {
-    while queue.try_recv().is_ok() {}
+/// will repeat it. Returns how many messages and bytes that were.
+fn drain(queue: &mut mpsc::Receiver<Bytes>) -> (usize, usize) {
+    let (mut queued, mut bytes) = (0, 0);
+    while let Ok(message) = queue.try_recv() {
+        queued += 1;
+        bytes += message.len();
+    }
+    (queued, bytes)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 async fn connect(
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -27,7 +27,10 @@
     tungstenite::{Message, protocol::WebSocketConfig},
 };
 
-use super::{LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
+use super::{
+    LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared,
+    pulse::{Half, Pulse},
+};
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
     types::NodeId,
@@ -174,9 +177,10 @@
     let Greeted { socket, ours, peer } = greeted;
     let (said, theirs) = watch::channel(peer);
     let (sink, stream) = socket.split();
+    let pulse = Pulse::new();
     select! {
-        written = write(sink, end, ours.clone(), queue, shared) => written.map(|()| true),
-        read = read(stream, end, &said, shared) => read.map(|()| false),
+        written = write(sink, end, ours.clone(), queue, shared, &pulse) => written.map(|()| true),
+        read = read(stream, end, &said, shared, &pulse) => read.map(|()| false),
         part = part(ours, theirs, shared) => part.map(|()| false),
     }
 }
@@ -202,18 +206,21 @@
     end: End,
     said: &watch::Sender<Claim>,
     shared: &Shared,
+    pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let peer = said.borrow().node;
-    let mut shown = Instant::now();
     loop {
-        let message = timeout_at(shown + SILENT, stream.next())
+        let due = pulse.shown() + SILENT;
+        let message = timeout_at(due, stream.next())
             .await
-            .map_err(|_| MeshError::Stalled)?;
+            .map_err(|_| MeshError::Lost {
+                stall: pulse.stall(Half::Reading, due),
+            })?;
         let Some(message) = message.transpose()? else {
             return Ok(());
         };
         if end.is_shown_by(&message) {
-            shown = Instant::now();
+            pulse.show();
         }
         match message {
             Message::Binary(bytes) => {
@@ -254,6 +261,7 @@
     mut ours: watch::Receiver<Claim>,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
+    pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let mut ping = interval_at(Instant::now() + PING, PING);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -264,9 +272,20 @@
                 None => return Ok(()),
             },
             Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
-            _ = ping.tick(), if end == End::Dialler => Message::Ping(Bytes::new()),
+            _ = ping.tick(), if end == End::Dialler => {
+                pulse.ping();
+                Message::Ping(Bytes::new())
+            }
         };
-        within(STALL, write_all(&mut sink, message, queue, shared)).await?;
+        pulse.begin();
+        let due = Instant::now() + STALL;
+        timeout_at(due, write_all(&mut sink, message, queue, shared))
+            .await
+            .unwrap_or_else(|_| {
+                let stall = pulse.stall(Half::Writing, due);
+                Err(MeshError::Lost { stall })
+            })?;
+        pulse.end();
     }
 }
 
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -25,6 +25,7 @@
 mod faults;
 mod link;
 mod listen;
+mod pulse;
 mod strangers;
 mod traffic;
 
@@ -45,8 +46,8 @@
     sync::{mpsc, watch},
 };
 
-use self::strangers::Strangers;
 pub use self::{faults::Faults, traffic::Traffic};
+use self::{pulse::Stall, strangers::Strangers};
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
     types::{Map, NodeId, Set},
@@ -102,9 +103,15 @@
         /// Why.
         source: std::io::Error,
     },
-    /// It took too long.
+    /// A dial or a handshake took too long.
     #[snafu(display("no progress in time"))]
     Stalled,
+    /// An open connection showed nothing of its peer, or took nothing, for too long.
+    #[snafu(display("no progress in time"))]
+    Lost {
+        /// What is known of it.
+        stall: Stall,
+    },
     /// The peer is of another cluster.
     #[snafu(display("node {node} is of another cluster"))]
     Stranger {
