Read what waits on a mesh link before its peer is judged

What was seen: links dropped as `no progress in time` whose peer is well.

Cause: the runtime interrupts a task that has read 128 times in a row, and the time limit around the read is looked at then. A node that was held up for a second, or that finds more than 1 MiB in front of an answer, drops the link although the answer waits in its socket.

Ruled out: an answer with less than that in front of it.

Change: when the limit is over, the reader lets the runtime ask the system what has arrived, and takes the next message without interruption; it judges if there is none. It reads 8 MiB more at most, so that a peer that sends much and answers nothing is judged too.

--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use futures_util::{
-    SinkExt, StreamExt,
+    FutureExt, SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
 use serde::{Deserialize, Serialize};
@@ -20,11 +20,12 @@
     net::TcpStream,
     select,
     sync::{mpsc, watch},
+    task::{unconstrained, yield_now},
     time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
 };
 use tokio_tungstenite::{
     WebSocketStream,
-    tungstenite::{Message, protocol::WebSocketConfig},
+    tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 
 use super::{
@@ -42,9 +43,16 @@
 /// takes two reads.
 const READ: usize = 8 << 10;
 
+/// Bytes that are read at most before a peer is judged whose answer is due: more than a socket
+/// holds, unless its host is set up for that.
+const BACKLOG: usize = 8 << 20;
+
 /// A websocket between two nodes.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
+/// What comes from a websocket.
+type Arrival = Result<Message, tungstenite::Error>;
+
 /// Which end of a connection this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum End {
@@ -209,18 +217,26 @@
     pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let peer = said.borrow().node;
+    // Bytes that were read while the judgement is due.
+    let mut overdue = 0;
     loop {
         let due = pulse.shown() + SILENT;
-        let message = timeout_at(due, stream.next())
-            .await
-            .map_err(|_| MeshError::Lost {
-                stall: pulse.stall(Half::Reading, due),
-            })?;
+        let message = match timeout_at(due, stream.next()).await {
+            Ok(message) => Some(message),
+            Err(_) if overdue > BACKLOG => None,
+            Err(_) => waiting(&mut stream).await,
+        };
+        let message = message.ok_or_else(|| MeshError::Lost {
+            stall: pulse.stall(Half::Reading, due),
+        })?;
         let Some(message) = message.transpose()? else {
             return Ok(());
         };
         if end.is_shown_by(&message) {
             pulse.show();
+            overdue = 0;
+        } else if Instant::now() >= due {
+            overdue += message.len();
         }
         match message {
             Message::Binary(bytes) => {
@@ -243,6 +259,14 @@
     }
 }
 
+/// What has arrived and wasn't read yet, as this node was held up or had much else to read: the
+/// runtime interrupts whoever reads for long, and looks at the time then.
+async fn waiting(stream: &mut SplitStream<Socket>) -> Option<Option<Arrival>> {
+    // Lets the runtime ask the system what has arrived.
+    yield_now().await;
+    unconstrained(stream.next()).now_or_never()
+}
+
 /// What a peer says of itself on an open connection; nothing if it says something else.
 fn reintroduced(peer: NodeId, text: &str) -> Option<Claim> {
     let hello: Hello = serde_json::from_str(text).ok()?;
--- /dev/null
+++ b/tests/mesh/delays.rs
@@ -0,0 +1,190 @@
+//! Peers and nodes that are slow or held up, and well.
+
+use std::{
+    io::Write,
+    net::{TcpListener as StdListener, TcpStream as StdStream},
+    sync::mpsc::{Receiver, Sender, channel},
+    thread,
+};
+
+use bytes::Bytes;
+use egretpin::{adapters::mesh::PROTOCOL, core::types::NodeId};
+use serde::Serialize;
+use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio_tungstenite::tungstenite::{Message, WebSocket, accept};
+
+use crate::{PATIENCE, Peer, bind, proxy::Proxy, start, until_delivered};
+
+/// A chunk of a snapshot.
+const CHUNK: usize = 64 << 10;
+/// The pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(1);
+/// Longer than a link may show nothing of its peer.
+const HELD: Duration = Duration::from_millis(1100);
+/// Until a peer that doesn't read is noticed, and the time of a late timer.
+const UNREAD: Duration = Duration::from_millis(2500);
+
+#[derive(Serialize)]
+struct Hello {
+    protocol: u32,
+    node: NodeId,
+}
+
+/// A peer whose every message is written by the test, on a thread of its own.
+struct Puppet {
+    socket: WebSocket<StdStream>,
+}
+
+impl Puppet {
+    /// Takes the next connection, and introduces itself.
+    fn accept(listener: &StdListener) -> Self {
+        let (stream, _) = listener.accept().unwrap();
+        let mut socket = accept(stream).unwrap();
+        assert!(socket.read().unwrap().is_binary());
+        let (protocol, node) = (PROTOCOL, 2);
+        let mut hello = Vec::new();
+        ciborium::into_writer(&Hello { protocol, node }, &mut hello).unwrap();
+        socket.send(Message::binary(hello)).unwrap();
+        Self { socket }
+    }
+
+    /// Reads up to the next ping, and doesn't answer it yet.
+    fn pinged(&mut self) {
+        while !self.socket.read().unwrap().is_ping() {}
+    }
+
+    /// Sends messages, and answers no ping before them: the library would after the first.
+    fn sends_ahead(&mut self, messages: usize) {
+        let frame = [&[0x82, 126, 0x0f, 0xa0][..], &[0; 4000]].concat();
+        let frames = frame.repeat(messages);
+        self.socket.get_mut().write_all(&frames).unwrap();
+    }
+}
+
+/// Node 1, on this thread, with a link to a puppet, and what the puppet says to the test.
+async fn with_puppet<T: Send + 'static>(
+    play: impl FnOnce(StdListener, Sender<T>) + Send + 'static,
+) -> (Peer, Receiver<T>) {
+    let listener = StdListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (said, heard) = channel();
+    thread::spawn(move || play(listener, said));
+    let (own, _) = bind().await;
+    (start(1, own, [(2, address)]), heard)
+}
+
+async fn hears<T>(heard: &Receiver<T>) -> T {
+    let said = async {
+        loop {
+            if let Ok(said) = heard.try_recv() {
+                return said;
+            }
+            sleep(LOOK).await;
+        }
+    };
+    timeout(PATIENCE, said).await.expect("the puppet speaks")
+}
+
+/// A turn that no other task of this node's thread gets through.
+fn hold_up(time: Duration) {
+    thread::sleep(time);
+}
+
+/// Guards against dropping a link whose answer waits behind what came before it.
+#[tokio::test]
+async fn an_answer_that_waits_is_read_before_its_peer_is_judged() {
+    let (one, heard) = with_puppet(|listener, said| {
+        let mut puppet = Puppet::accept(&listener);
+        puppet.pinged();
+        said.send("pinged").unwrap();
+        // The node is held up by now.
+        hold_up(Duration::from_millis(100));
+        puppet.sends_ahead(400);
+        puppet.socket.flush().expect("the link stays");
+        puppet.pinged();
+        said.send("pinged again").unwrap();
+    })
+    .await;
+    assert_eq!(hears(&heard).await, "pinged");
+    hold_up(HELD);
+    assert_eq!(hears(&heard).await, "pinged again");
+    assert_eq!(one.mesh.peers(), [2]);
+}
+
+/// Guards against reading on for ever before a peer is judged.
+#[tokio::test]
+async fn a_peer_that_sends_much_and_answers_nothing_is_noticed() {
+    let (_one, heard) = with_puppet(|listener, said| {
+        let mut puppet = Puppet::accept(&listener);
+        puppet.pinged();
+        said.send("pinged").unwrap();
+        thread::spawn(move || {
+            loop {
+                puppet.sends_ahead(400);
+            }
+        });
+        let _next = Puppet::accept(&listener);
+        said.send("dialled again").unwrap();
+    })
+    .await;
+    assert_eq!(hears(&heard).await, "pinged");
+    let again = timeout(UNREAD, hears(&heard)).await;
+    assert_eq!(again.expect("in time"), "dialled again");
+}
+
+/// Keeps the queue of the link from node 1 to node 2 full.
+async fn flood(one: &Peer) {
+    let chunk = Bytes::from(vec![0; CHUNK]);
+    loop {
+        while one.mesh.send(2, chunk.clone()) {}
+        sleep(LOOK).await;
+    }
+}
+
+/// Guards against waiting for a peer that takes nothing more.
+#[tokio::test]
+async fn a_peer_that_does_not_read_is_noticed_on_a_full_link() {
+    let (one, heard) = with_puppet(|listener, said| {
+        let mut puppet = Puppet::accept(&listener);
+        puppet.pinged();
+        said.send("reads no more").unwrap();
+        let _next = Puppet::accept(&listener);
+        said.send("dialled again").unwrap();
+    })
+    .await;
+    assert_eq!(hears(&heard).await, "reads no more");
+    let begun = Instant::now();
+    let again = async {
+        tokio::select! {
+            () = flood(&one) => {}
+            said = hears(&heard) => assert_eq!(said, "dialled again"),
+        }
+    };
+    assert!(timeout(UNREAD, again).await.is_ok(), "in time");
+    assert!(begun.elapsed() < UNREAD);
+}
+
+/// Guards against taking what a silent way swallows for read.
+#[tokio::test]
+async fn a_silence_is_noticed_on_a_full_link() {
+    let (la, _) = bind().await;
+    let (lb, b) = bind().await;
+    let proxy = Proxy::start(b).await;
+    let one = start(1, la, [(2, proxy.address)]);
+    let mut two = start(2, lb, []);
+    until_delivered(&one.mesh, 2, &mut two.inbox).await;
+    let _ = timeout(Duration::from_millis(200), flood(&one)).await;
+    proxy.silence();
+    let again = async {
+        while proxy.opened() == 1 {
+            sleep(LOOK).await;
+        }
+    };
+    let noticed = async {
+        tokio::select! {
+            () = flood(&one) => {}
+            () = again => {}
+        }
+    };
+    assert!(timeout(UNREAD, noticed).await.is_ok(), "in time");
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,6 +14,7 @@
     time::timeout,
 };
 
+mod delays;
 #[path = "../support/proxy.rs"]
 mod proxy;
 mod silent;
