Judge the peer of a mesh link only by what was asked

What was seen: links dropped as `no progress in time` whose peer is well; a leader lost several in one moment.

Cause: the end that dialled counted the silence from the last answer, although it may have asked nothing since. A node that is held up from an answer to a second after it sends no ping in that time, and gave up each of its links in the moment that it went on.

Change: the end that dialled gives up a second after the last answer, and 600 ms after the first ping without an answer: the same moment as before, unless the ping went out late. As long as it has asked nothing it goes on waiting; the next ping is due at once. The timer of an idle link never fires, as before.

Left as it is: the end that was dialled counts on pings, and drops a link on which it has read nothing for a second. So a node that was held up for a second and has sent nothing else in that time loses the link by its peer's judgement, which can't tell that from a silence.

--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{
-    LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared,
+    LARGEST, MeshError, PING, PROTOCOL, STALL, Shared,
     pulse::{Half, Pulse},
 };
 use crate::core::{
@@ -220,9 +220,11 @@
     // Bytes that were read while the judgement is due.
     let mut overdue = 0;
     loop {
-        let due = pulse.shown() + SILENT;
+        let due = pulse.due(end);
         let message = match timeout_at(due, stream.next()).await {
             Ok(message) => Some(message),
+            // Asked since, or held up before it could ask.
+            Err(_) if pulse.due(end) > Instant::now() => continue,
             Err(_) if overdue > BACKLOG => None,
             Err(_) => waiting(&mut stream).await,
         };
--- a/src/adapters/mesh/pulse.rs
+++ b/src/adapters/mesh/pulse.rs
@@ -11,6 +11,11 @@
 
 use tokio::time::Instant;
 
+use super::{PING, SILENT, link::End};
+
+/// How long an answer may take: what is left of [`SILENT`] at the first ping after a sign.
+const ANSWER: Duration = SILENT.saturating_sub(PING);
+
 /// Which half of a connection gave up on the peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Half {
@@ -58,6 +63,8 @@
     shown: Instant,
     /// When the last ping was handed to the connection.
     pinged: Option<Instant>,
+    /// When the first ping was that has no answer yet.
+    asked: Option<Instant>,
     /// Since when a write is under way.
     writing: Option<Instant>,
 }
@@ -68,6 +75,7 @@
         let state = State {
             shown: Instant::now(),
             pinged: None,
+            asked: None,
             writing: None,
         };
         Self {
@@ -77,17 +85,30 @@
 
     /// Something showed that the peer is there.
     pub(super) fn show(&self) {
-        self.state().shown = Instant::now();
+        let mut state = self.state();
+        state.shown = Instant::now();
+        state.asked = None;
     }
 
-    /// When something showed last that the peer is there.
-    pub(super) fn shown(&self) -> Instant {
-        self.state().shown
+    /// When this end has to be shown that the peer is there.
+    ///
+    /// The end that dialled counts on answers. As long as it has asked nothing, which lasts longer
+    /// than from one ping to the next only if it was held up, it goes on waiting until it has.
+    pub(super) fn due(&self, end: End) -> Instant {
+        let state = self.state();
+        let due = state.shown + SILENT;
+        match (end, state.asked) {
+            (End::Listener, _) => due,
+            (End::Dialler, Some(asked)) => due.max(asked + ANSWER),
+            (End::Dialler, None) => due.max(Instant::now() + PING),
+        }
     }
 
     /// A ping is handed to the connection.
     pub(super) fn ping(&self) {
-        self.state().pinged = Some(Instant::now());
+        let (mut state, now) = (self.state(), Instant::now());
+        state.pinged = Some(now);
+        state.asked.get_or_insert(now);
     }
 
     /// A write begins.
--- a/tests/mesh/delays.rs
+++ b/tests/mesh/delays.rs
@@ -132,6 +132,28 @@
     assert_eq!(again.expect("in time"), "dialled again");
 }
 
+/// Guards against counting a silence in which this node, held up, asked nothing.
+#[tokio::test]
+async fn a_node_that_was_held_up_asks_before_it_judges() {
+    let (one, heard) = with_puppet(|listener, said| {
+        let mut puppet = Puppet::accept(&listener);
+        puppet.pinged();
+        puppet.socket.flush().unwrap();
+        said.send("answered").unwrap();
+        puppet.pinged();
+        puppet.socket.flush().unwrap();
+        puppet.pinged();
+        said.send("pinged again").unwrap();
+    })
+    .await;
+    assert_eq!(hears(&heard).await, "answered");
+    // The answer is read.
+    sleep(Duration::from_millis(20)).await;
+    hold_up(HELD);
+    assert_eq!(hears(&heard).await, "pinged again");
+    assert_eq!(one.mesh.peers(), [2]);
+}
+
 /// Keeps the queue of the link from node 1 to node 2 full.
 async fn flood(one: &Peer) {
     let chunk = Bytes::from(vec![0; CHUNK]);
