Judge a mesh peer that sends without end and answers nothing

What was seen: `a_peer_that_sends_much_and_answers_nothing_is_noticed` failed in 1 of 4 runs, `in time: Elapsed`, and took 1.76 s instead of 1.05 s in 1 of 10.

Cause: the limit of a read is looked at when there is nothing to read, or when the runtime interrupts the reader and the timer had fired before.

--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -225,12 +225,12 @@
             Ok(message) => Some(message),
             // Asked since, or held up before it could ask.
             Err(_) if pulse.due(end) > Instant::now() => continue,
-            Err(_) if overdue > BACKLOG => None,
             Err(_) => waiting(&mut stream).await,
         };
-        let message = message.ok_or_else(|| MeshError::Lost {
+        let lost = || MeshError::Lost {
             stall: pulse.stall(Half::Reading, due),
-        })?;
+        };
+        let message = message.ok_or_else(lost)?;
         let Some(message) = message.transpose()? else {
             return Ok(());
         };
@@ -238,7 +238,11 @@
             pulse.show();
             overdue = 0;
         } else if Instant::now() >= due {
+            // As long as there is something to read, the limit of a read isn't reached.
             overdue += message.len();
+            if overdue > BACKLOG {
+                return Err(lost());
+            }
         }
         match message {
             Message::Binary(bytes) => {
