--- a/tests/mesh/delays.rs
+++ b/tests/mesh/delays.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::Write,
-    net::{TcpListener as StdListener, TcpStream as StdStream},
+    net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream},
     sync::mpsc::{Receiver, Sender, channel},
     thread,
 };
@@ -10,13 +10,24 @@
 use bytes::Bytes;
 use egretpin::{adapters::mesh::PROTOCOL, core::types::NodeId};
 use serde::Serialize;
-use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpSocket, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    time::{Duration, Instant, interval, sleep, timeout},
+};
 use tokio_tungstenite::tungstenite::{Message, WebSocket, accept};
 
 use crate::{PATIENCE, Peer, bind, proxy::Proxy, start, until_delivered};
 
 /// A chunk of a snapshot.
 const CHUNK: usize = 64 << 10;
+/// What the smallest entry hosts take in a second: 2 Mbit.
+const SLOW: usize = 250_000;
+/// How long a link is kept full.
+const FULL: Duration = Duration::from_secs(4);
 /// The pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(1);
 /// Longer than a link may show nothing of its peer.
@@ -154,15 +165,93 @@
     assert_eq!(one.mesh.peers(), [2]);
 }
 
-/// Keeps the queue of the link from node 1 to node 2 full.
-async fn flood(one: &Peer) {
+/// Carries what comes at [`SLOW`].
+async fn slowly(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut buffer = vec![0; SLOW / 50];
+    let mut tick = interval(Duration::from_millis(20));
+    loop {
+        tick.tick().await;
+        match from.read(&mut buffer).await {
+            Ok(read @ 1..) if to.write_all(&buffer[..read]).await.is_ok() => {}
+            _ => return,
+        }
+    }
+}
+
+/// Carries what comes to a target and what comes back at [`SLOW`]; returns where, and counts the
+/// connections.
+async fn slow_way(target: SocketAddr) -> (SocketAddr, Receiver<()>) {
+    let small = 16 << 10;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(small).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(8).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (opened, count) = channel();
+    tokio::spawn(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            if opened.send(()).is_err() {
+                return;
+            }
+            let far = TcpStream::connect(target).await.unwrap();
+            let (near_in, near_out) = near.into_split();
+            let (far_in, far_out) = far.into_split();
+            tokio::spawn(slowly(near_in, far_out));
+            tokio::spawn(slowly(far_in, near_out));
+        }
+    });
+    (address, count)
+}
+
+/// Keeps the queue of the link to a node full.
+async fn flood(peer: &Peer, to: NodeId) {
     let chunk = Bytes::from(vec![0; CHUNK]);
     loop {
-        while one.mesh.send(2, chunk.clone()) {}
+        while peer.mesh.send(to, chunk.clone()) {}
         sleep(LOOK).await;
     }
 }
 
+/// Node 1, which dialled, and node 2, with a slow way between them, and its connections.
+async fn slowly_linked() -> (Peer, Peer, Receiver<()>) {
+    let (la, _) = bind().await;
+    let (lb, b) = bind().await;
+    let (address, opened) = slow_way(b).await;
+    let mut one = start(1, la, [(2, address)]);
+    let mut two = start(2, lb, []);
+    until_delivered(&one.mesh, 2, &mut two.inbox).await;
+    until_delivered(&two.mesh, 1, &mut one.inbox).await;
+    (one, two, opened)
+}
+
+/// The link was kept, and carried at least half of what its way carries.
+fn assert_kept(to: &mut Peer, opened: &Receiver<()>, span: Duration) {
+    assert_eq!(opened.try_iter().count(), 1, "connections");
+    let mut chunks = 0;
+    while let Ok((_, message)) = to.inbox.try_recv() {
+        chunks += usize::from(message.len() == CHUNK);
+    }
+    let least = SLOW * span.as_secs() as usize / CHUNK / 2;
+    assert!(chunks >= least, "{chunks} chunks of at least {least}");
+}
+
+/// Guards against pings that wait behind all that is queued.
+#[tokio::test]
+async fn a_full_link_to_a_slow_peer_that_reads_stays() {
+    let (one, mut two, opened) = slowly_linked().await;
+    assert!(timeout(FULL, flood(&one, 2)).await.is_err());
+    assert_kept(&mut two, &opened, FULL);
+}
+
+/// Guards against answers that wait behind all that is queued.
+#[tokio::test]
+async fn a_full_link_from_a_peer_that_dialled_stays() {
+    let (mut one, two, opened) = slowly_linked().await;
+    assert!(timeout(FULL, flood(&two, 1)).await.is_err());
+    assert_kept(&mut one, &opened, FULL);
+}
+
 /// Guards against waiting for a peer that takes nothing more.
 #[tokio::test]
 async fn a_peer_that_does_not_read_is_noticed_on_a_full_link() {
@@ -178,7 +267,7 @@
     let begun = Instant::now();
     let again = async {
         tokio::select! {
-            () = flood(&one) => {}
+            () = flood(&one, 2) => {}
             said = hears(&heard) => assert_eq!(said, "dialled again"),
         }
     };
@@ -195,7 +284,7 @@
     let one = start(1, la, [(2, proxy.address)]);
     let mut two = start(2, lb, []);
     until_delivered(&one.mesh, 2, &mut two.inbox).await;
-    let _ = timeout(Duration::from_millis(200), flood(&one)).await;
+    let _ = timeout(Duration::from_millis(200), flood(&one, 2)).await;
     proxy.silence();
     let again = async {
         while proxy.opened() == 1 {
@@ -204,7 +293,7 @@
     };
     let noticed = async {
         tokio::select! {
-            () = flood(&one) => {}
+            () = flood(&one, 2) => {}
             () = again => {}
         }
     };
