--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -3,7 +3,8 @@
 //! Both ends write and read at the same time: an end that only wrote until its peer had read would
 //! wait for ever for one that does the same.
 //!
-//! The end that dialled pings and counts on the answers; the other counts on the pings.
+//! The end that dialled pings and counts on the answers; the other counts on the pings. An end that
+//! writes much pings as well, and waits with the rest until it is answered.
 //!
 //! Each end introduces itself first, and again in a text message when it learns its cluster; nodes
 //! of earlier releases pass over text.
@@ -12,7 +13,7 @@
 
 use bytes::Bytes;
 use futures_util::{
-    SinkExt, StreamExt,
+    FutureExt, SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
 use serde::{Deserialize, Serialize};
@@ -20,14 +21,18 @@
     net::TcpStream,
     select,
     sync::{mpsc, watch},
+    task::{unconstrained, yield_now},
     time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
 };
 use tokio_tungstenite::{
     WebSocketStream,
-    tungstenite::{Message, protocol::WebSocketConfig},
+    tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 
-use super::{LARGEST, MeshError, PING, PROTOCOL, SILENT, STALL, Shared};
+use super::{
+    LARGEST, MeshError, PING, PROTOCOL, STALL, Shared,
+    pulse::{Half, Pulse, SPAN},
+};
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
     types::NodeId,
@@ -39,9 +44,16 @@
 /// takes two reads.
 const READ: usize = 8 << 10;
 
+/// Bytes that are read at most before a peer is judged whose answer is due: more than a socket
+/// holds, unless its host is set up for that.
+const BACKLOG: usize = 8 << 20;
+
 /// A websocket between two nodes.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
+/// What comes from a websocket.
+type Arrival = Result<Message, tungstenite::Error>;
+
 /// Which end of a connection this is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum End {
@@ -174,9 +186,10 @@
     let Greeted { socket, ours, peer } = greeted;
     let (said, theirs) = watch::channel(peer);
     let (sink, stream) = socket.split();
+    let pulse = Pulse::new();
     select! {
-        written = write(sink, end, ours.clone(), queue, shared) => written.map(|()| true),
-        read = read(stream, end, &said, shared) => read.map(|()| false),
+        written = write(sink, end, ours.clone(), queue, shared, &pulse) => written.map(|()| true),
+        read = read(stream, end, &said, shared, &pulse) => read.map(|()| false),
         part = part(ours, theirs, shared) => part.map(|()| false),
     }
 }
@@ -202,22 +215,43 @@
     end: End,
     said: &watch::Sender<Claim>,
     shared: &Shared,
+    pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let peer = said.borrow().node;
-    let mut shown = Instant::now();
+    // Bytes that were read while the judgement is due.
+    let mut overdue = 0;
     loop {
-        let message = timeout_at(shown + SILENT, stream.next())
-            .await
-            .map_err(|_| MeshError::Stalled)?;
+        let due = pulse.due(end);
+        let message = match timeout_at(due, stream.next()).await {
+            Ok(message) => Some(message),
+            // Asked since, or held up before it could ask.
+            Err(_) if pulse.due(end) > Instant::now() => continue,
+            Err(_) => waiting(&mut stream).await,
+        };
+        let lost = || MeshError::Lost {
+            stall: pulse.stall(Half::Reading, due),
+        };
+        let message = message.ok_or_else(lost)?;
         let Some(message) = message.transpose()? else {
             return Ok(());
         };
+        if let Message::Pong(held) = &message {
+            pulse.answer(held);
+        }
         if end.is_shown_by(&message) {
-            shown = Instant::now();
+            pulse.show();
+            overdue = 0;
+        } else if Instant::now() >= due {
+            // As long as there is something to read, the limit of a read isn't reached.
+            overdue += message.len();
+            if overdue > BACKLOG {
+                return Err(lost());
+            }
         }
         match message {
             Message::Binary(bytes) => {
                 shared.traffic.count_received(bytes.len());
+                pulse.receive(bytes.len());
                 // Whoever waits for a change may run after this.
                 shared.admit(&said.borrow())?;
                 if !shared.faults.drops(peer) {
@@ -236,6 +270,14 @@
     }
 }
 
+/// What has arrived and wasn't read yet, as this node was held up or had much else to read: the
+/// runtime interrupts whoever reads for long, and looks at the time then.
+async fn waiting(stream: &mut SplitStream<Socket>) -> Option<Option<Arrival>> {
+    // Lets the runtime ask the system what has arrived.
+    yield_now().await;
+    unconstrained(stream.next()).now_or_never()
+}
+
 /// What a peer says of itself on an open connection; nothing if it says something else.
 fn reintroduced(peer: NodeId, text: &str) -> Option<Claim> {
     let hello: Hello = serde_json::from_str(text).ok()?;
@@ -254,39 +296,77 @@
     mut ours: watch::Receiver<Claim>,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
+    pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let mut ping = interval_at(Instant::now() + PING, PING);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let message = select! {
-            message = queue.recv() => match message {
-                Some(bytes) => Message::Binary(bytes),
+        let full = pulse.is_full();
+        let first = select! {
+            biased;
+            _ = ping.tick(), if end == End::Dialler => Some(pulse.ping()),
+            Ok(()) = ours.changed() => Some(reintroduction(&ours.borrow_and_update())),
+            message = queue.recv(), if !full => match message {
+                Some(bytes) => Some(Message::Binary(bytes)),
                 None => return Ok(()),
             },
-            Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
-            _ = ping.tick(), if end == End::Dialler => Message::Ping(Bytes::new()),
+            () = pulse.answered(), if full => None,
         };
-        within(STALL, write_all(&mut sink, message, queue, shared)).await?;
+        pulse.begin();
+        let due = Instant::now() + STALL;
+        timeout_at(due, write_some(&mut sink, first, queue, shared, pulse))
+            .await
+            .unwrap_or_else(|_| {
+                let stall = pulse.stall(Half::Writing, due);
+                Err(MeshError::Lost { stall })
+            })?;
+        pulse.end();
     }
 }
 
-/// Writes one message and whatever else already waits, then flushes once.
-async fn write_all(
+/// Writes a message and some of what else already waits, then flushes once. Little enough that a
+/// ping doesn't wait for long, and that a slow peer takes it in time.
+async fn write_some(
     sink: &mut SplitSink<Socket, Message>,
-    first: Message,
+    mut next: Option<Message>,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
+    pulse: &Pulse,
 ) -> Result<(), MeshError> {
-    shared.traffic.count_sent(first.len());
-    sink.feed(first).await?;
-    while let Ok(bytes) = queue.try_recv() {
-        shared.traffic.count_sent(bytes.len());
-        sink.feed(Message::Binary(bytes)).await?;
+    let mut written = 0;
+    loop {
+        if let Some(message) = next.take() {
+            written += message.len();
+            feed(sink, message, shared, pulse).await?;
+        }
+        if written >= SPAN || pulse.is_full() {
+            break;
+        }
+        let Ok(bytes) = queue.try_recv() else { break };
+        next = Some(Message::Binary(bytes));
+    }
+    if pulse.has_to_ask() {
+        feed(sink, pulse.ping(), shared, pulse).await?;
     }
     sink.flush().await?;
     Ok(())
 }
 
+/// Hands a message to the connection, and notes that.
+async fn feed(
+    sink: &mut SplitSink<Socket, Message>,
+    message: Message,
+    shared: &Shared,
+    pulse: &Pulse,
+) -> Result<(), MeshError> {
+    shared.traffic.count_sent(message.len());
+    if !message.is_ping() {
+        pulse.write(message.len());
+    }
+    sink.feed(message).await?;
+    Ok(())
+}
+
 /// Gives up on what takes too long.
 ///
 /// # Errors
