--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -19,7 +19,8 @@
 //!
 //! An end that writes much pings after each 64 KiB, whoever dialled, and has 128 KiB and a message on
 //! the way at most: a ping behind all that is queued would be answered too late on a slow link to a
-//! peer that is well. A link that carries 2 Mbit/s stays, however much is queued.
+//! peer that is well. A link that carries 2 Mbit/s stays, however much is queued, as long as no single
+//! message takes a second.
 //!
 //! Each end says which cluster it is of, once it knows. Two that can't be of one cluster aren't
 //! linked ([`Claim::admits`]), and a link is dropped when that turns out later, so nothing that
--- a/src/adapters/mesh/pulse.rs
+++ b/src/adapters/mesh/pulse.rs
@@ -26,7 +26,7 @@
 const ANSWER: Duration = SILENT.saturating_sub(PING);
 /// Bytes that are written at most, but for the last message, beyond what answers show to be read.
 /// The buffers of the system hold megabytes, which a slow connection needs many seconds for. Between
-/// data centres that are 30 ms apart this carries 2 to 4 MB a second.
+/// data centres that are 30 ms apart this carries 2 to 4 MB a second (computed).
 const WINDOW: usize = 128 << 10;
 /// Bytes without an answer after which a ping follows at once, so that the rest of the window is
 /// written while the answer is on its way.
