Count an answer in a transfer by what it says is held

Callers saw: an empty node that a busy leader added as a voter took 10 to 21 s, and on a round trip longer than a heartbeat (in a feed: than a renewal of the subscription) a transfer never got on at all.

Cause: each heartbeat, and each renewed subscription, sends the chunk in flight again and replaced `sent`; an answer counted only if it answered exactly the last copy. Any answer that took longer than the interval was ignored as stale.

Ruled out: the receiver. It answers each copy, with what it holds.

Change: the sender keeps which chunks are in flight and when each was sent. An answer counts by `held`. It moves the sender back only if it answers something sent later than what the latest answer answers (a receiver that restarted holds less), and answers to earlier messages are ignored, so a late one can't move it beyond what is held. A chunk counts as lost once an answer to something sent later doesn't hold it. Nothing changes on the wire, nor at the receiver.

Conclusion: a transfer progresses whatever the round trip is. It still costs a copy of the chunk in each heartbeat.

--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -141,6 +141,7 @@
         let (next, last_seen) = (last + 1, self.now);
         let old = self.feed.subscribers.remove(&from);
         let transfer = old.and_then(|s| s.transfer).filter(|t| t.index() > last);
+        let renewed = transfer.is_some();
         let subscriber = Subscriber {
             next,
             sent,
@@ -149,7 +150,10 @@
         };
         self.feed.subscribers.insert(from, subscriber);
         self.send_feed(from);
-        self.send_feed_chunk(from);
+        if renewed {
+            self.send_feed_question(from);
+        }
+        self.send_feed_chunks(from);
     }
 
     /// Sends subscribers what has been committed since their last feed.
@@ -177,7 +181,7 @@
         let prev = subscriber.next - 1;
         let entries = self.log.batch(subscriber.next, committed, count, bytes);
         if entries.is_empty() && subscriber.next <= committed && subscriber.transfer.is_none() {
-            subscriber.transfer = Some(Transfer::new(self.log.snapshot().clone()));
+            subscriber.transfer = Some(Transfer::new(self.log.snapshot().clone(), self.now));
         }
         let moved = !entries.is_empty();
         subscriber.next += entries.len() as Index;
@@ -197,17 +201,27 @@
         more
     }
 
-    /// Sends the next part of the snapshot to a subscriber that needs one.
-    fn send_feed_chunk(&mut self, to: NodeId) {
+    /// Sends the next chunks of the snapshot to a subscriber that needs one, as far as they may be
+    /// sent.
+    fn send_feed_chunks(&mut self, to: NodeId) {
         let (size, now) = (self.config.chunk, self.now);
-        let Some(subscriber) = self.feed.subscribers.get_mut(&to) else {
-            return;
-        };
-        let Some(transfer) = &mut subscriber.transfer else {
+        let subscriber = self.feed.subscribers.get_mut(&to);
+        let Some(transfer) = subscriber.and_then(|s| s.transfer.as_mut()) else {
             return;
         };
-        let chunk = transfer.next_chunk(0, size, now);
-        self.outbox.send(to, chunk);
+        while let Some(chunk) = transfer.next_chunk(0, size, now) {
+            self.outbox.send(to, chunk);
+        }
+    }
+
+    /// Asks a subscriber to which a snapshot is being sent how much of it is held.
+    fn send_feed_question(&mut self, to: NodeId) {
+        let (size, now) = (self.config.chunk, self.now);
+        let subscriber = self.feed.subscribers.get_mut(&to);
+        if let Some(transfer) = subscriber.and_then(|s| s.transfer.as_mut()) {
+            let question = transfer.question(0, size, now);
+            self.outbox.send(to, question);
+        }
     }
 
     pub(super) fn on_feed_chunk_reply(&mut self, from: NodeId, index: Index, held: u64, sent: Now) {
@@ -222,7 +236,7 @@
             ChunkOutcome::Stale => {}
             ChunkOutcome::More => {
                 subscriber.last_seen = now;
-                self.send_feed_chunk(from);
+                self.send_feed_chunks(from);
             }
             ChunkOutcome::Done(index) => {
                 subscriber.transfer = None;
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -84,7 +84,7 @@
         };
         let peers: Vec<_> = leader.peers.keys().copied().collect();
         for peer in peers {
-            if !self.send_chunk(peer) {
+            if !self.send_question(peer) {
                 self.send_append(peer, Vec::new());
             }
         }
@@ -141,7 +141,7 @@
     /// more.
     fn send_next(&mut self, to: NodeId) -> bool {
         let (written, base) = (self.log.written(), self.log.base());
-        let pipeline = self.config.pipeline;
+        let (pipeline, now) = (self.config.pipeline, self.now);
         let Some(peer) = self.peer(to) else {
             return false;
         };
@@ -150,15 +150,13 @@
             let Some(peer) = self.peer(to) else {
                 return false;
             };
-            peer.transfer = Some(Transfer::new(snapshot));
+            peer.transfer = Some(Transfer::new(snapshot, now));
         }
         let Some(peer) = self.peer(to) else {
             return false;
         };
-        if let Some(transfer) = &peer.transfer {
-            if transfer.is_idle() {
-                self.send_chunk(to);
-            }
+        if peer.transfer.is_some() {
+            self.send_chunks(to);
             return false;
         }
         if peer.next > written || !peer.has_room(pipeline) {
@@ -171,7 +169,6 @@
             return false;
         };
         self.send_append(to, entries);
-        let now = self.now;
         if let Some(peer) = self.peer(to) {
             peer.sent(now, last);
         }
@@ -200,17 +197,26 @@
         );
     }
 
-    /// Sends the next chunk of the snapshot to a node that needs one. Returns whether it does.
-    fn send_chunk(&mut self, to: NodeId) -> bool {
+    /// Sends the next chunks of the snapshot to a node that needs one, as far as they may be sent.
+    fn send_chunks(&mut self, to: NodeId) {
         let (term, size, now) = (self.term, self.config.chunk, self.now);
-        let Some(peer) = self.peer(to) else {
-            return false;
+        let transfer = |node: &mut Self| {
+            let transfer = node.peer(to)?.transfer.as_mut()?;
+            transfer.next_chunk(term, size, now)
         };
-        let Some(transfer) = &mut peer.transfer else {
+        while let Some(chunk) = transfer(self) {
+            self.outbox.send(to, chunk);
+        }
+    }
+
+    /// Asks a node that needs a snapshot how much of it is held. Returns whether it needs one.
+    fn send_question(&mut self, to: NodeId) -> bool {
+        let (term, size, now) = (self.term, self.config.chunk, self.now);
+        let transfer = self.peer(to).and_then(|peer| peer.transfer.as_mut());
+        let Some(question) = transfer.map(|t| t.question(term, size, now)) else {
             return false;
         };
-        let chunk = transfer.next_chunk(term, size, now);
-        self.outbox.send(to, chunk);
+        self.outbox.send(to, question);
         true
     }
 
--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -2,8 +2,11 @@
 //!
 //! The sender keeps the snapshot that it began with until the transfer ends, so that a compaction
 //! in the meantime doesn't restart the transfer. The snapshot's bytes are shared, not copied. One
-//! chunk is in flight at a time, and the receiver reports how many bytes it holds, so a lost chunk
-//! or a restart on either side costs one heartbeat and no more.
+//! chunk is in flight at a time. Each answer says how many bytes the receiver holds, and counts by
+//! that, whichever message it answers: a transfer gets on however long an answer takes. An answer
+//! to a message sent later than a chunk that it doesn't count shows that the chunk was lost.
+
+use std::collections::VecDeque;
 
 use super::{
     interface::{Index, Payload, Term},
@@ -17,37 +20,58 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Transfer {
     snapshot: Snapshot,
-    /// How many bytes the receiver last reported to hold.
+    /// When it began.
+    since: Now,
+    /// How many bytes the receiver holds, by its latest answer.
     held: u64,
-    /// When the chunk in flight was sent; `None` once it is answered.
-    sent: Option<Now>,
+    /// The chunks sent and not known to be held: where each ends, and when it was sent.
+    in_flight: VecDeque<(u64, Now)>,
+    /// When something was last sent.
+    last_sent: Now,
+    /// When the message was sent that the latest answer answers.
+    answered: Option<Now>,
 }
 
 impl Transfer {
-    pub(super) fn new(snapshot: Snapshot) -> Self {
+    pub(super) fn new(snapshot: Snapshot, now: Now) -> Self {
         Self {
             snapshot,
+            since: now,
             held: 0,
-            sent: None,
+            in_flight: VecDeque::new(),
+            last_sent: now,
+            answered: None,
+        }
+    }
+
+    /// The next chunk, if there is one and it may be sent by now.
+    pub(super) fn next_chunk(&mut self, term: Term, size: usize, now: Now) -> Option<Message> {
+        if !self.in_flight.is_empty() {
+            return None;
         }
+        let start = self.held;
+        let end = start.saturating_add(size.max(1) as u64).min(self.total());
+        self.in_flight.push_back((end, now));
+        Some(self.chunk(term, start, end, now))
+    }
+
+    /// Asks how much is held, and sends the chunk that follows it again.
+    pub(super) fn question(&mut self, term: Term, size: usize, now: Now) -> Message {
+        let start = self.held;
+        let end = start.saturating_add(size.max(1) as u64).min(self.total());
+        self.chunk(term, start, end, now)
     }
 
-    /// The next chunk, or the last one again.
-    pub(super) fn next_chunk(&mut self, term: Term, size: usize, now: Now) -> Message {
-        let data = &self.snapshot.data;
-        let total = data.len() as u64;
-        let start = usize::try_from(self.held)
-            .unwrap_or(usize::MAX)
-            .min(data.len());
-        let end = start.saturating_add(size.max(1)).min(data.len());
-        self.sent = Some(now);
+    fn chunk(&mut self, term: Term, start: u64, end: u64, now: Now) -> Message {
+        self.last_sent = now;
+        let place = |offset| usize::try_from(offset).unwrap_or(usize::MAX);
         Message::Chunk {
             term,
             last: self.snapshot.last,
             voters: self.snapshot.voters.clone(),
-            offset: start as u64,
-            total,
-            part: data.slice(start..end),
+            offset: start,
+            total: self.total(),
+            part: self.snapshot.data.slice(place(start)..place(end)),
             sent: now,
         }
     }
@@ -57,28 +81,41 @@
         self.snapshot.last.index
     }
 
-    /// Whether nothing was sent since the last answer.
-    pub(super) fn is_idle(&self) -> bool {
-        self.sent.is_none()
+    fn total(&self) -> u64 {
+        self.snapshot.data.len() as u64
     }
 
-    /// Handles the answer to a chunk, and ignores answers to older messages.
+    /// Handles an answer, which counts by how much is held.
+    ///
+    /// Only an answer to something sent later than what the latest one answers may say that less is
+    /// held, as after a restart of the receiver. If messages overtake each other this may be wrong
+    /// and costs a chunk sent twice, until the next answer corrects it.
     pub(super) fn on_reply(&mut self, index: Index, held: u64, sent: Now) -> ChunkOutcome {
-        if index != self.snapshot.last.index || self.sent != Some(sent) {
+        if index != self.index() || sent < self.since || sent > self.last_sent {
             return ChunkOutcome::Stale;
         }
-        self.sent = None;
+        if held >= self.total() {
+            return ChunkOutcome::Done(index);
+        }
+        let older = self.answered.is_some_and(|answered| sent < answered);
+        if older || (self.answered == Some(sent) && held < self.held) {
+            return ChunkOutcome::Stale;
+        }
+        self.answered = Some(sent);
+        let restarted = held < self.held;
         self.held = held;
-        let total = self.snapshot.data.len() as u64;
-        if held >= total {
-            ChunkOutcome::Done(index)
-        } else {
-            ChunkOutcome::More
+        while self.in_flight.front().is_some_and(|&(end, _)| end <= held) {
+            self.in_flight.pop_front();
+        }
+        let lost = self.in_flight.front().is_some_and(|&(_, at)| at < sent);
+        if restarted || lost {
+            self.in_flight.clear();
         }
+        ChunkOutcome::More
     }
 }
 
-/// What the answer to a chunk means for its sender.
+/// What an answer of a receiver means for the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ChunkOutcome {
     Stale,
--- a/tests/consensus/snapshots.rs
+++ b/tests/consensus/snapshots.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
-use egretpin::core::consensus::{Message, Restored};
+use egretpin::core::{
+    consensus::{Message, Restored},
+    types::NodeId,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 
 use crate::world::{World, config};
 
 const SECOND: Duration = Duration::from_secs(1);
+const MIB: usize = 1 << 20;
 
 fn chunks(world: &World) -> usize {
     world
@@ -62,3 +68,102 @@
         assert_eq!(Restored::replay(restored.records()), restored);
     }
 }
+
+/// How many bytes of snapshots were delivered to a node.
+fn delivered(world: &World, to: NodeId) -> usize {
+    let part = |(_, receiver, message): &(NodeId, NodeId, Message)| match message {
+        Message::Chunk { part, .. } if *receiver == to => part.len(),
+        _ => 0,
+    };
+    world.sent.iter().map(part).sum()
+}
+
+/// A leader with a snapshot of `size` bytes and a few more, and a voter that needs it and is still
+/// cut off.
+fn lagging_voter(size: usize) -> (World, NodeId, NodeId) {
+    let mut world = World::voters(3);
+    world.ballast = size;
+    let leader = world.elect();
+    let lagging = leader % 3 + 1;
+    world.isolate(lagging);
+    (0..20).for_each(|p| world.commit(p));
+    world.run(SECOND);
+    world.compact(leader);
+    world.commit(20);
+    (world, leader, lagging)
+}
+
+/// Three voters with a snapshot of `size` bytes and a few more, and a learner that needs it, not yet
+/// started.
+fn late_learner(size: usize) -> (World, NodeId) {
+    let voters = [1, 2, 3];
+    let places = ["lagos", "ikeja", "lekki", "lagos"];
+    let with_places = |id: NodeId| {
+        let config = config(id, &voters).disk(id <= 3);
+        let nodes = (1..=4).zip(places);
+        nodes.fold(config, |config, (node, place)| config.location(node, place))
+    };
+    let mut world = World::new((1..=4).map(with_places).collect());
+    world.ballast = size;
+    world.crash(4);
+    world.elect();
+    (0..21).for_each(|p| world.commit(p));
+    world.run(SECOND);
+    (1..=3).for_each(|id| world.compact(id));
+    (world, 4)
+}
+
+/// Runs until a node has what was committed, and returns how long that took.
+fn until_level(world: &mut World, node: NodeId, limit: Duration) -> Duration {
+    let took = world.until(limit, |w| w.commands(node).len() == 21);
+    println!("{took:?}, {} bytes", delivered(world, node));
+    took
+}
+
+/// Guards against answers that were ignored because a heartbeat had sent the chunk again meanwhile.
+#[test]
+fn a_transfer_progresses_on_a_round_trip_longer_than_a_heartbeat() {
+    let (mut world, _, lagging) = lagging_voter(MIB);
+    world.delay = Duration::from_millis(60);
+    world.heal();
+    until_level(&mut world, lagging, SECOND * 4);
+}
+
+/// Guards against answers that were ignored because a subscription had been renewed meanwhile.
+#[test]
+fn a_feeds_transfer_progresses_on_a_round_trip_longer_than_a_renewal() {
+    let (mut world, learner) = late_learner(MIB);
+    world.delay = Duration::from_millis(90);
+    world.start(learner);
+    until_level(&mut world, learner, SECOND * 5);
+}
+
+/// Guards against a chunk sent once for each answer to copies of the chunk before.
+#[test]
+fn duplicate_answers_start_no_second_chain_of_chunks() {
+    let (mut world, _, lagging) = lagging_voter(MIB);
+    world.duplication = 1.0;
+    world.heal();
+    until_level(&mut world, lagging, SECOND * 3);
+    // Each chunk arrives twice.
+    assert!(delivered(&world, lagging) < MIB * 9 / 4);
+}
+
+/// Guards against an answer from before a restart of the receiver that moves the sender beyond what
+/// is held, and against late answers that move it back again and again.
+#[test]
+fn a_transfer_survives_restarts_of_its_receiver_and_late_answers() {
+    for seed in 0..10 {
+        let (mut world, _, lagging) = lagging_voter(MIB * 4);
+        world.rng = Pcg64::seed_from_u64(seed);
+        (world.loss, world.duplication) = (0.05, 0.2);
+        world.jitter = Duration::from_millis(20);
+        world.heal();
+        for _ in 0..4 {
+            world.run(SECOND / 10);
+            world.crash(lagging);
+            world.start(lagging);
+        }
+        until_level(&mut world, lagging, SECOND * 20);
+    }
+}
--- a/tests/consensus/world.rs
+++ b/tests/consensus/world.rs
@@ -69,6 +69,16 @@
     pub(crate) apply_time: Duration,
     /// Hosts whose disk no longer completes a write.
     pub(crate) stalled_disks: BTreeSet<NodeId>,
+    /// Busy hosts, and how long a turn of theirs takes. Such a host handles what has arrived, and
+    /// ticks, once a turn.
+    pub(crate) turns: BTreeMap<NodeId, Duration>,
+    /// How many bytes a second a link carries, in this direction. The others carry everything at
+    /// once.
+    pub(crate) rates: BTreeMap<(NodeId, NodeId), u32>,
+    /// When a link of limited rate has carried what it was given.
+    free_at: BTreeMap<(NodeId, NodeId), Now>,
+    /// How many bytes a state machine's snapshot has beside its entries.
+    pub(crate) ballast: usize,
     /// The reference log: one copy, filled by whichever node applies an index first.
     pub(crate) history: BTreeMap<Index, Entry>,
     /// Answers to proposals: appended or rejected.
@@ -104,6 +114,10 @@
             sync_delay: Duration::from_millis(1),
             apply_time: Duration::ZERO,
             stalled_disks: BTreeSet::new(),
+            turns: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            free_at: BTreeMap::new(),
+            ballast: 0,
             history: BTreeMap::new(),
             answers: Vec::new(),
             resigned: Vec::new(),
@@ -221,6 +235,32 @@
         !self.apply_time.is_zero() && self.now < self.hosts[&id].busy_until
     }
 
+    /// How far a busy host is in its turn.
+    fn turn_elapsed(&self, id: NodeId) -> Duration {
+        let turn = self.turns.get(&id).map_or(1, Duration::as_nanos);
+        let elapsed = self.now.as_nanos() % turn;
+        Duration::from_nanos(elapsed.try_into().unwrap())
+    }
+
+    /// Whether a host has begun a turn since the tick before.
+    fn begins_turn(&self, id: NodeId) -> bool {
+        !self.turns.contains_key(&id) || self.turn_elapsed(id) < TICK
+    }
+
+    /// When a link has carried a message that it is given at `time`.
+    fn carried_at(&mut self, link: (NodeId, NodeId), message: &Message, time: Now) -> Now {
+        let Some(&rate) = self.rates.get(&link) else {
+            return time;
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(message, &mut bytes).unwrap();
+        let size = u32::try_from(bytes.len()).unwrap();
+        let begin = self.free_at.get(&link).map_or(time, |&free| free.max(time));
+        let end = begin + Duration::from_secs(1) * size / rate;
+        self.free_at.insert(link, end);
+        end
+    }
+
     /// When what a host sends or writes now leaves it: once it is done with its step.
     fn leaves_at(&self, id: NodeId) -> Now {
         if self.is_busy(id) {
@@ -280,9 +320,10 @@
         };
         for _ in 0..copies {
             let jitter = self.jitter.mul_f64(self.rng.random());
+            let carried = self.carried_at((from, to), message, self.leaves_at(from));
             let message = message.clone();
             self.schedule(
-                self.leaves_at(from) + self.delay + jitter,
+                carried + self.delay + jitter,
                 Event::Deliver { from, to, message },
             );
         }
@@ -301,6 +342,11 @@
             self.schedule(self.hosts[&node].busy_until, event);
             return;
         }
+        let elapsed = self.turn_elapsed(node);
+        if !elapsed.is_zero() {
+            self.schedule(self.now + self.turns[&node] - elapsed, event);
+            return;
+        }
         match event {
             Event::Resume { node, incarnation } => {
                 let host = self.hosts.get_mut(&node).unwrap();
@@ -350,7 +396,7 @@
         self.now = end;
         let ids: Vec<_> = self.hosts.keys().copied().collect();
         for id in ids {
-            if !self.is_busy(id) {
+            if !self.is_busy(id) && self.begins_turn(id) {
                 self.input(id, Input::Tick);
             }
         }
@@ -414,6 +460,7 @@
         let applied = &self.hosts[&id].applied;
         let mut snapshot = Vec::new();
         ciborium::into_writer(applied, &mut snapshot).unwrap();
+        snapshot.resize(snapshot.len() + self.ballast, 0);
         let index = applied.last_key_value().map_or(0, |(&i, _)| i);
         self.input(
             id,
