--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -216,10 +216,10 @@
 
     /// Asks a subscriber to which a snapshot is being sent how much of it is held.
     fn send_feed_question(&mut self, to: NodeId) {
-        let (size, now) = (self.config.chunk, self.now);
+        let now = self.now;
         let subscriber = self.feed.subscribers.get_mut(&to);
         if let Some(transfer) = subscriber.and_then(|s| s.transfer.as_mut()) {
-            let question = transfer.question(0, size, now);
+            let question = transfer.question(0, now);
             self.outbox.send(to, question);
         }
     }
--- a/src/core/consensus/message.rs
+++ b/src/core/consensus/message.rs
@@ -116,7 +116,8 @@
         /// The voters, as far as the sender knows.
         voters: Vec<NodeId>,
     },
-    /// A chunk of a snapshot, from the leader or from the node that feeds a learner.
+    /// A chunk of a snapshot, from the leader or from the node that feeds a learner. Without bytes
+    /// it asks how much is held.
     Chunk {
         /// The leader's term; 0 in a feed, whose receiver takes no part in terms.
         term: Term,
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -76,8 +76,8 @@
         self.send_heartbeats();
     }
 
-    /// Sends every peer a message to answer; unless it is a chunk of a snapshot, it also carries
-    /// the committed index.
+    /// Sends every peer a message to answer; unless it asks about a snapshot, it also carries the
+    /// committed index.
     fn send_heartbeats(&mut self) {
         let Role::Leader(leader) = &self.role else {
             return;
@@ -211,9 +211,9 @@
 
     /// Asks a node that needs a snapshot how much of it is held. Returns whether it needs one.
     fn send_question(&mut self, to: NodeId) -> bool {
-        let (term, size, now) = (self.term, self.config.chunk, self.now);
+        let (term, now) = (self.term, self.now);
         let transfer = self.peer(to).and_then(|peer| peer.transfer.as_mut());
-        let Some(question) = transfer.map(|t| t.question(term, size, now)) else {
+        let Some(question) = transfer.map(|t| t.question(term, now)) else {
             return false;
         };
         self.outbox.send(to, question);
--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -3,8 +3,12 @@
 //! The sender keeps the snapshot that it began with until the transfer ends, so that a compaction
 //! in the meantime doesn't restart the transfer. The snapshot's bytes are shared, not copied. One
 //! chunk is in flight at a time. Each answer says how many bytes the receiver holds, and counts by
-//! that, whichever message it answers: a transfer gets on however long an answer takes. An answer
-//! to a message sent later than a chunk that it doesn't count shows that the chunk was lost.
+//! that, whichever message it answers: a transfer gets on however long an answer takes.
+//!
+//! A timer repeats no bytes, for a link that is full already would carry the copies too. Each
+//! heartbeat, and each renewed subscription, asks how much is held, by a chunk without bytes. An
+//! answer to something sent later than a chunk that it doesn't count shows that the chunk was lost,
+//! and only then is it sent again.
 
 use std::collections::VecDeque;
 
@@ -55,11 +59,9 @@
         Some(self.chunk(term, start, end, now))
     }
 
-    /// Asks how much is held, and sends the chunk that follows it again.
-    pub(super) fn question(&mut self, term: Term, size: usize, now: Now) -> Message {
-        let start = self.held;
-        let end = start.saturating_add(size.max(1) as u64).min(self.total());
-        self.chunk(term, start, end, now)
+    /// Asks how much is held: a chunk without bytes, which any receiver answers like another.
+    pub(super) fn question(&mut self, term: Term, now: Now) -> Message {
+        self.chunk(term, self.held, self.held, now)
     }
 
     fn chunk(&mut self, term: Term, start: u64, end: u64, now: Now) -> Message {
--- a/tests/consensus/snapshots.rs
+++ b/tests/consensus/snapshots.rs
@@ -12,6 +12,7 @@
 use crate::world::{World, config};
 
 const SECOND: Duration = Duration::from_secs(1);
+const KIB: usize = 1 << 10;
 const MIB: usize = 1 << 20;
 
 fn chunks(world: &World) -> usize {
@@ -138,6 +139,42 @@
     until_level(&mut world, learner, SECOND * 5);
 }
 
+/// Guards against the chunk in flight that each heartbeat sent again.
+#[test]
+fn heartbeats_repeat_no_bytes_of_a_snapshot_and_what_was_lost_is_sent_again() {
+    let (mut world, leader, lagging) = lagging_voter(MIB);
+    world.heal();
+    world.cut(&[lagging], &[leader]);
+    world.sent.clear();
+    world.run(SECOND * 2);
+    let bytes = delivered(&world, lagging);
+    assert!(bytes <= 64 * KIB, "{bytes} bytes without an answer");
+    world.heal();
+    until_level(&mut world, lagging, SECOND * 2);
+}
+
+/// Guards against copies of a chunk that cost more than a leader's link carries.
+#[test]
+fn a_transfer_needs_no_more_of_a_slow_link_than_the_snapshot() {
+    let (mut world, leader, lagging) = lagging_voter(MIB);
+    world.rates.insert((leader, lagging), 256 << 10);
+    world.heal();
+    until_level(&mut world, lagging, SECOND * 6);
+    assert!(delivered(&world, lagging) < MIB * 5 / 4);
+}
+
+/// Guards against copies of a chunk that cost more than a source's link carries.
+#[test]
+fn a_feeds_transfer_needs_no_more_of_a_slow_link_than_the_snapshot() {
+    let (mut world, learner) = late_learner(MIB);
+    (1..=3).for_each(|voter| {
+        world.rates.insert((voter, learner), 256 << 10);
+    });
+    world.start(learner);
+    until_level(&mut world, learner, SECOND * 6);
+    assert!(delivered(&world, learner) < MIB * 5 / 4);
+}
+
 /// Guards against a chunk sent once for each answer to copies of the chunk before.
 #[test]
 fn duplicate_answers_start_no_second_chain_of_chunks() {
