--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -12,7 +12,7 @@
     interface::{Entry, Index},
     message::Message,
     node::{Eligibility, Node},
-    snapshot::{ChunkOutcome, Transfer},
+    snapshot::{Answer, ChunkOutcome, Pace, Transfer},
     source::Skip,
 };
 use crate::core::types::{NodeId, Now};
@@ -204,12 +204,12 @@
     /// Sends the next chunks of the snapshot to a subscriber that needs one, as far as they may be
     /// sent.
     fn send_feed_chunks(&mut self, to: NodeId) {
-        let (size, now) = (self.config.chunk, self.now);
+        let (pace, now) = (Pace::new(&self.config), self.now);
         let subscriber = self.feed.subscribers.get_mut(&to);
         let Some(transfer) = subscriber.and_then(|s| s.transfer.as_mut()) else {
             return;
         };
-        while let Some(chunk) = transfer.next_chunk(0, size, now) {
+        while let Some(chunk) = transfer.next_chunk(0, pace, now) {
             self.outbox.send(to, chunk);
         }
     }
@@ -224,15 +224,15 @@
         }
     }
 
-    pub(super) fn on_feed_chunk_reply(&mut self, from: NodeId, index: Index, held: u64, sent: Now) {
-        let now = self.now;
+    pub(super) fn on_feed_chunk_reply(&mut self, from: NodeId, answer: Answer) {
+        let (pace, now) = (Pace::new(&self.config), self.now);
         let Some(subscriber) = self.feed.subscribers.get_mut(&from) else {
             return;
         };
         let Some(transfer) = &mut subscriber.transfer else {
             return;
         };
-        match transfer.on_reply(index, held, sent) {
+        match transfer.on_reply(answer, pace, now) {
             ChunkOutcome::Stale => {}
             ChunkOutcome::More => {
                 subscriber.last_seen = now;
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -11,7 +11,7 @@
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node, Role},
     restored::Snapshot,
-    snapshot::Transfer,
+    snapshot::{Pace, Transfer},
 };
 use crate::core::types::{NodeId, Now};
 
@@ -199,12 +199,12 @@
 
     /// Sends the next chunks of the snapshot to a node that needs one, as far as they may be sent.
     fn send_chunks(&mut self, to: NodeId) {
-        let (term, size, now) = (self.term, self.config.chunk, self.now);
-        let transfer = |node: &mut Self| {
+        let (term, pace, now) = (self.term, Pace::new(&self.config), self.now);
+        let next = |node: &mut Self| {
             let transfer = node.peer(to)?.transfer.as_mut()?;
-            transfer.next_chunk(term, size, now)
+            transfer.next_chunk(term, pace, now)
         };
-        while let Some(chunk) = transfer(self) {
+        while let Some(chunk) = next(self) {
             self.outbox.send(to, chunk);
         }
     }
--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -1,18 +1,24 @@
 //! Transfer of snapshots, in chunks of limited size, to nodes that lag behind the log's start.
 //!
 //! The sender keeps the snapshot that it began with until the transfer ends, so that a compaction
-//! in the meantime doesn't restart the transfer. The snapshot's bytes are shared, not copied. One
-//! chunk is in flight at a time. Each answer says how many bytes the receiver holds, and counts by
-//! that, whichever message it answers: a transfer gets on however long an answer takes.
+//! in the meantime doesn't restart the transfer. The snapshot's bytes are shared, not copied. Each
+//! answer says how many bytes the receiver holds, and counts by that, whichever message it answers:
+//! a transfer gets on however long an answer takes.
+//!
+//! Several chunks are in flight, so that a busy sender, which handles answers once a turn, sends
+//! many in each. A transfer begins with one, for the receiver may refuse it or hold a part already.
+//! Each prompt answer allows more, up to a limit in bytes, and each late one halves what is allowed:
+//! what waits on a slow link also delays the heartbeats behind it.
 //!
 //! A timer repeats no bytes, for a link that is full already would carry the copies too. Each
 //! heartbeat, and each renewed subscription, asks how much is held, by a chunk without bytes. An
 //! answer to something sent later than a chunk that it doesn't count shows that the chunk was lost,
 //! and only then is it sent again.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use super::{
+    config::Config,
     interface::{Index, Payload, Term},
     message::{Message, Position},
     node::{Eligibility, Node},
@@ -20,6 +26,15 @@
 };
 use crate::core::types::{NodeId, Now};
 
+/// The most bytes of a snapshot in flight to one node. A leader's turns take up to 60 ms and an
+/// answer up to two of them, so 20 MB take 2.4 s of the 6 s that are promised between two losses. It
+/// is half of what entries in flight to one voter may take.
+const MAX_IN_FLIGHT: u64 = 1 << 20;
+/// An answer that takes longer than so many heartbeat intervals is late. Twice as long, as after the
+/// allowance has doubled once too often, is still within the longest election timeout, after which
+/// a node counts as silent.
+const LATE_HEARTBEATS: u32 = 3;
+
 /// A snapshot that is being sent to one node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Transfer {
@@ -34,6 +49,26 @@
     last_sent: Now,
     /// When the message was sent that the latest answer answers.
     answered: Option<Now>,
+    /// How many bytes may be in flight before another chunk is sent.
+    allowed: u64,
+}
+
+/// How a transfer is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    /// The size of a chunk.
+    pub(super) chunk: u64,
+    /// How long an answer may take before it is late.
+    pub(super) late: Duration,
+}
+
+impl Pace {
+    pub(super) fn new(config: &Config) -> Self {
+        Self {
+            chunk: config.chunk.max(1) as u64,
+            late: config.heartbeat * LATE_HEARTBEATS,
+        }
+    }
 }
 
 impl Transfer {
@@ -45,16 +80,19 @@
             in_flight: VecDeque::new(),
             last_sent: now,
             answered: None,
+            allowed: 0,
         }
     }
 
     /// The next chunk, if there is one and it may be sent by now.
-    pub(super) fn next_chunk(&mut self, term: Term, size: usize, now: Now) -> Option<Message> {
-        if !self.in_flight.is_empty() {
+    pub(super) fn next_chunk(&mut self, term: Term, pace: Pace, now: Now) -> Option<Message> {
+        let start = self.in_flight.back().map_or(self.held, |&(end, _)| end);
+        // An empty snapshot is one chunk, too.
+        let ended = start >= self.total() && !self.in_flight.is_empty();
+        if ended || start - self.held > self.allowed {
             return None;
         }
-        let start = self.held;
-        let end = start.saturating_add(size.max(1) as u64).min(self.total());
+        let end = (start + pace.chunk).min(self.total());
         self.in_flight.push_back((end, now));
         Some(self.chunk(term, start, end, now))
     }
@@ -92,7 +130,8 @@
     /// Only an answer to something sent later than what the latest one answers may say that less is
     /// held, as after a restart of the receiver. If messages overtake each other this may be wrong
     /// and costs a chunk sent twice, until the next answer corrects it.
-    pub(super) fn on_reply(&mut self, index: Index, held: u64, sent: Now) -> ChunkOutcome {
+    pub(super) fn on_reply(&mut self, answer: Answer, pace: Pace, now: Now) -> ChunkOutcome {
+        let Answer { index, held, sent } = answer;
         if index != self.index() || sent < self.since || sent > self.last_sent {
             return ChunkOutcome::Stale;
         }
@@ -105,6 +144,7 @@
         }
         self.answered = Some(sent);
         let restarted = held < self.held;
+        let added = held.saturating_sub(self.held);
         self.held = held;
         while self.in_flight.front().is_some_and(|&(end, _)| end <= held) {
             self.in_flight.pop_front();
@@ -112,11 +152,28 @@
         let lost = self.in_flight.front().is_some_and(|&(_, at)| at < sent);
         if restarted || lost {
             self.in_flight.clear();
+            self.allowed = 0;
+        } else if now > sent + pace.late {
+            self.allowed /= 2;
+        } else {
+            let limit = MAX_IN_FLIGHT.saturating_sub(pace.chunk);
+            self.allowed = (self.allowed + added).min(limit);
         }
         ChunkOutcome::More
     }
 }
 
+/// An answer of a receiver.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    /// The last index of the snapshot that it is about.
+    pub(super) index: Index,
+    /// How many bytes are held.
+    pub(super) held: u64,
+    /// When the message was sent that it answers.
+    pub(super) sent: Now,
+}
+
 /// What an answer of a receiver means for the sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ChunkOutcome {
@@ -239,18 +296,19 @@
         else {
             return;
         };
+        let answer = Answer { index, held, sent };
         if term == 0 {
-            self.on_feed_chunk_reply(from, index, held, sent);
+            self.on_feed_chunk_reply(from, answer);
             return;
         }
-        let now = self.now;
+        let (pace, now) = (Pace::new(&self.config), self.now);
         let Some(peer) = self.record_answer(from, term, sent) else {
             return;
         };
         let Some(transfer) = &mut peer.transfer else {
             return;
         };
-        if let ChunkOutcome::Done(index) = transfer.on_reply(index, held, sent) {
+        if let ChunkOutcome::Done(index) = transfer.on_reply(answer, pace, now) {
             peer.transfer = None;
             peer.matched(now, index);
         }
--- a/tests/consensus/snapshots.rs
+++ b/tests/consensus/snapshots.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use egretpin::core::{
-    consensus::{Message, Restored},
+    consensus::{Input, Message, Restored},
     types::NodeId,
 };
 use rand::SeedableRng;
@@ -175,6 +175,26 @@
     assert!(delivered(&world, learner) < MIB * 5 / 4);
 }
 
+/// Guards against heartbeats that wait behind a snapshot until its receiver counts as silent.
+#[test]
+fn answers_come_within_the_longest_election_timeout_on_a_slow_link() {
+    let (mut world, leader, lagging) = lagging_voter(MIB * 4);
+    world.rates.insert((leader, lagging), 512 << 10);
+    world.heal();
+    let mut latest = Duration::ZERO;
+    while world.commands(lagging).len() < 21 {
+        world.sent.clear();
+        world.tick();
+        let ages = world.sent.iter().filter_map(|(_, to, m)| match m {
+            Message::ChunkReply { sent, .. } if *to == leader => Some(world.now - *sent),
+            _ => None,
+        });
+        latest = ages.chain([latest]).max().unwrap();
+    }
+    println!("at {:?}, latest answer after {latest:?}", world.now);
+    assert!(latest < SECOND, "{latest:?}");
+}
+
 /// Guards against a chunk sent once for each answer to copies of the chunk before.
 #[test]
 fn duplicate_answers_start_no_second_chain_of_chunks() {
@@ -204,3 +224,40 @@
         until_level(&mut world, lagging, SECOND * 20);
     }
 }
+
+/// How long a snapshot of 10 MB takes from a leader of such turns to a node that joins.
+fn join_time(turn: Duration) -> Duration {
+    let (mut world, joining) = late_learner(10_000_000);
+    world.crash(joining);
+    let leader = world.elect();
+    let joins = config(5, &[1, 2, 3]);
+    let joins = (1..=5).fold(joins, |config, node| config.location(node, "lagos"));
+    let others: Vec<_> = (1..=4).filter(|&id| id != leader).collect();
+    world.add(joins);
+    world.cut(&others, &[5]);
+    world.cut(&[5], &others);
+    world.turns.insert(leader, turn);
+    world.input(
+        leader,
+        Input::Reconfigure {
+            proposal: u64::MAX,
+            voters: vec![1, 2, 3, 5],
+        },
+    );
+    let took = world.until(SECOND * 60, |w| w.commands(5).len() == 21);
+    println!(
+        "turns of {turn:?}: {took:?}, {} bytes",
+        delivered(&world, 5)
+    );
+    assert!(!world.node(leader).voters().is_empty());
+    took
+}
+
+/// Guards against a transfer that is bound by the sender's turns: a joining node must be level well
+/// within the 6 s that are promised between two losses.
+#[test]
+fn a_large_snapshot_reaches_a_joining_node_within_seconds_whatever_the_leaders_turns() {
+    let turns = [5, 25, 50].map(Duration::from_millis);
+    let longest = turns.map(join_time).into_iter().max().unwrap();
+    assert!(longest < SECOND * 3, "{longest:?}");
+}
