--- a/src/core/consensus/feed.rs
+++ b/src/core/consensus/feed.rs
@@ -34,7 +34,7 @@
     sent: Now,
     /// When its last subscription, or answer to a chunk, arrived.
     last_seen: Now,
-    transfer: Option<Transfer>,
+    pub(super) transfer: Option<Transfer>,
 }
 
 /// The state of both ends of feeding: the source of this node, and the nodes that it feeds.
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -92,4 +92,5 @@
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node},
     restored::{Restored, Snapshot},
+    snapshot::TransferProgress,
 };
--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -121,6 +121,16 @@
         self.snapshot.last.index
     }
 
+    pub(super) fn progress(&self, node: NodeId) -> TransferProgress {
+        TransferProgress {
+            node,
+            index: self.index(),
+            held: self.held,
+            total: self.total(),
+            since: self.since,
+        }
+    }
+
     fn total(&self) -> u64 {
         self.snapshot.data.len() as u64
     }
@@ -163,6 +173,21 @@
     }
 }
 
+/// How far a snapshot that is being sent to a node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransferProgress {
+    /// The node that it is sent to.
+    pub node: NodeId,
+    /// The last index that the snapshot includes.
+    pub index: Index,
+    /// How many bytes the node holds, as far as this one knows.
+    pub held: u64,
+    /// How many bytes the snapshot has.
+    pub total: u64,
+    /// When the transfer began, by the clock of this node.
+    pub since: Now,
+}
+
 /// An answer of a receiver.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answer {
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -6,6 +6,7 @@
     interface::{Entry, Index, Term},
     message::Position,
     node::{Eligibility, Node, Role},
+    snapshot::TransferProgress,
 };
 use crate::core::types::{NodeId, Now};
 
@@ -87,6 +88,19 @@
         self.voters().iter().filter(silent).copied().collect()
     }
 
+    /// The snapshots that this node is sending, as the leader or to the nodes that it feeds.
+    pub fn transfers(&self) -> Vec<TransferProgress> {
+        let peers = match &self.role {
+            Role::Leader(leader) => Some(leader.peers.iter()),
+            _ => None,
+        };
+        let led = peers.into_iter().flatten().map(|(n, p)| (n, &p.transfer));
+        let fed = self.feed.subscribers.iter().map(|(n, s)| (n, &s.transfer));
+        led.chain(fed)
+            .filter_map(|(&node, transfer)| Some(transfer.as_ref()?.progress(node)))
+            .collect()
+    }
+
     /// The last index known to be committed.
     pub fn committed(&self) -> Index {
         self.committed
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     core::{
-        consensus::{self, Index, Node},
+        consensus::{self, Index, Node, TransferProgress},
         types::{DataCentreId, Map, NodeId, Now, Set, Wall, WorkspaceId},
         workload::{
             catalog::Catalog,
@@ -180,6 +180,7 @@
         relays: Relays::default(),
         relayed_answers: Map::default(),
         logged_voters: Default::default(),
+        logged_transfer: None,
         data_centre: config.data_centre,
         mesh_port: config.mesh_port,
         target_voters: config.target_voters,
@@ -248,6 +249,8 @@
     relayed_answers: Map<(NodeId, u64), Vec<(OrderId, Answer)>>,
     /// The voters, and those of them that this node hears, as last logged.
     pub(super) logged_voters: (Vec<NodeId>, Vec<NodeId>),
+    /// The transfer of a snapshot that was last logged, and when.
+    pub(super) logged_transfer: Option<(TransferProgress, Now)>,
     pub(super) data_centre: DataCentreId,
     pub(super) mesh_port: u16,
     pub(super) target_voters: usize,
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -14,7 +14,7 @@
     proposals::ReplyTo,
 };
 use crate::core::{
-    consensus,
+    consensus::{self, TransferProgress},
     types::{NodeId, Now},
     workload::scheduler::Scheduler,
 };
@@ -22,6 +22,8 @@
 /// Leadership isn't handed to a voter that has been silent for this long. Three heartbeat
 /// intervals.
 const SUCCESSOR_SILENCE: Duration = Duration::from_millis(300);
+/// How long after a log line on a snapshot under way the next one follows.
+const TRANSFER_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 impl ControlTask {
     /// Dials the known control nodes and, as the leader, proposes changes of the voters.
@@ -38,6 +40,7 @@
             self.dial(voter);
         }
         self.log_voters(now);
+        self.log_transfer(now);
         self.members.forget(now);
         self.update_relays(now);
         if self.save_state.is_due(now) {
@@ -99,6 +102,40 @@
         self.logged_voters = (voters, heard);
     }
 
+    /// Logs how far the oldest of the snapshots is that this node is sending, and when one that was
+    /// logged ends. Shorter ones than a check's interval may not be seen here.
+    fn log_transfer(&mut self, now: Now) {
+        let transfers = self.node.transfers();
+        if let Some((last, _)) = self.logged_transfer {
+            let same = |t: &TransferProgress| (t.node, t.index) == (last.node, last.index);
+            if !transfers.iter().any(same) {
+                let TransferProgress { node, index, .. } = last;
+                let elapsed = now - last.since;
+                log::info!(node, index, elapsed:?; "a node is no longer being sent a snapshot");
+                self.logged_transfer = None;
+            }
+        }
+        let due = self
+            .logged_transfer
+            .map(|(_, at)| at + TRANSFER_LOG_INTERVAL);
+        let Some(oldest) = transfers.into_iter().min_by_key(|t| t.since) else {
+            return;
+        };
+        if due.is_some_and(|due| now < due) {
+            return;
+        }
+        let TransferProgress {
+            node,
+            index,
+            held,
+            total,
+            since,
+        } = oldest;
+        let elapsed = now - since;
+        log::info!(node, index, held, total, elapsed:?; "a node is being sent a snapshot");
+        self.logged_transfer = Some((oldest, now));
+    }
+
     /// Publishes this node's status in the cluster when it changes.
     fn publish_status(&mut self, now: Now) {
         let status = ControlStatus {
--- a/tests/consensus/snapshots.rs
+++ b/tests/consensus/snapshots.rs
@@ -261,3 +261,29 @@
     let longest = turns.map(join_time).into_iter().max().unwrap();
     assert!(longest < SECOND * 3, "{longest:?}");
 }
+
+#[test]
+fn a_sender_tells_how_far_a_snapshot_is() {
+    let (mut voters, leader, lagging) = lagging_voter(MIB);
+    voters.rates.insert((leader, lagging), 512 << 10);
+    voters.heal();
+    let (mut learners, learner) = late_learner(MIB);
+    (1..=3).for_each(|voter| {
+        learners.rates.insert((voter, learner), 512 << 10);
+    });
+    learners.start(learner);
+    for (mut world, to) in [(voters, lagging), (learners, learner)] {
+        let begun = world.now;
+        world.run(SECOND);
+        let transfers = (1..=3).flat_map(|id| world.node(id).transfers());
+        let [transfer] = transfers.collect::<Vec<_>>()[..] else {
+            panic!("not one transfer");
+        };
+        assert_eq!((transfer.node, transfer.index > 20), (to, true));
+        assert!(transfer.held > 0 && transfer.held < transfer.total);
+        assert!(transfer.total > MIB as u64);
+        assert!(transfer.since < begun + SECOND);
+        until_level(&mut world, to, SECOND * 3);
+        assert!((1..=3).all(|id| world.node(id).transfers().is_empty()));
+    }
+}
