--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -55,6 +55,14 @@
         self.unconfirmed_since.get_or_insert(now);
     }
 
+    /// Begins to send a snapshot, which goes before the entries in flight: the node need not confirm
+    /// them any more.
+    pub(super) fn begin_transfer(&mut self, transfer: Transfer) {
+        self.transfer = Some(transfer);
+        self.in_flight.clear();
+        self.unconfirmed_since = None;
+    }
+
     /// Records that the node has everything up to an index.
     pub(super) fn matched(&mut self, now: Now, index: Index) {
         let moved = index > self.matched;
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -150,7 +150,7 @@
             let Some(peer) = self.peer(to) else {
                 return false;
             };
-            peer.transfer = Some(Transfer::new(snapshot, now));
+            peer.begin_transfer(Transfer::new(snapshot, now));
         }
         let Some(peer) = self.peer(to) else {
             return false;
--- a/tests/consensus/snapshots.rs
+++ b/tests/consensus/snapshots.rs
@@ -195,6 +195,21 @@
     assert!(latest < SECOND, "{latest:?}");
 }
 
+/// Guards against a voter that counts as silent while a snapshot is sent to it, because it never
+/// confirms entries that were sent before.
+#[test]
+fn a_voter_that_is_sent_a_snapshot_does_not_count_as_silent() {
+    let (mut world, leader, lagging) = lagging_voter(MIB * 4);
+    world.rates.insert((leader, lagging), 512 << 10);
+    world.heal();
+    world.run(SECOND);
+    while world.commands(lagging).len() < 21 {
+        world.tick();
+        let silent = world.node(leader).silent_voters(SECOND);
+        assert!(silent.is_empty(), "{silent:?} at {:?}", world.now);
+    }
+}
+
 /// Guards against a chunk sent once for each answer to copies of the chunk before.
 #[test]
 fn duplicate_answers_start_no_second_chain_of_chunks() {
