Add the voter that follows the log, not the one with the lower address

Callers saw lasting tasks lapse and nothing accepted any more: a lost voter was replaced by a node with an empty disk, although a learner that lacked nothing was there. While the empty one joined, no other change could begin; the next loss took the quorum.

Cause: `Members::candidate` ranked by failed, stale and the voters in the data centre, then by id. Nothing asked how far a node is, so two learners tied in all but the address.

Ruled out: breaking the tie by the higher id, or by who has been known longer.

Change: a view says where its sender's log ends (a field that earlier releases skip, and that is absent from theirs). A leader compares it with the start of its own log. Views are up to a second old, so for 1.2 s after the log was cut the earlier start counts. The module's documentation argues the order.

Not measured on a site.

--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -97,6 +97,11 @@
         self.log.last()
     }
 
+    /// The last entry that the log has dropped. A node whose log ends before it needs a snapshot.
+    pub fn log_start(&self) -> Index {
+        self.log.base()
+    }
+
     /// The voters as of the end of the log.
     pub fn voters(&self) -> &[NodeId] {
         self.log.voters()
--- a/src/manager/frame.rs
+++ b/src/manager/frame.rs
@@ -5,7 +5,7 @@
 
 use super::request::{LeaderRequest, Reply};
 use crate::core::{
-    consensus::{Message, Term},
+    consensus::{Index, Message, Term},
     types::{DataCentreId, NodeId},
     workload::{
         catalog::CallLimits,
@@ -68,6 +68,9 @@
     /// Whether the sender executes orders as a relay. Nodes of earlier releases don't.
     #[serde(default, rename = "carries")]
     pub relays: bool,
+    /// The end of the sender's log. Nodes of earlier releases don't say it.
+    #[serde(default)]
+    pub last_index: Option<Index>,
 }
 
 impl Frame {
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -8,6 +8,22 @@
 //! voter is needed for a majority. The old voter is a learner then and may be chosen again. If
 //! there is no other node, the silent voter stays.
 //!
+//! A new voter helps only once it has the log. A node that the leader's log reaches has it within
+//! milliseconds; one that lacks more needs a whole snapshot first. So of the nodes that don't vote,
+//! these count in turn:
+//!
+//! - that it didn't fail to join a moment ago: such a node may be as full as it will, the leader
+//!   doesn't reach it, or its disk hangs;
+//! - that the leader's log reaches it. This stands before its last contact: a node that died
+//!   unseen is noticed by its silence within the longest election timeout, whereas a snapshot may
+//!   take many times that. It stands before the spread over the data centres, too, because that can
+//!   be mended by another change later, and a lost majority can't;
+//! - that it was heard from just now, then few voters in its data centre, then the end of its log.
+//!
+//! How far a node is, it says in its view, once a second. A view is older than it looks, so for a
+//! while after the leader dropped entries from its log, nodes are judged by the log's earlier
+//! start. A node of an earlier release says nothing, and is chosen after those that do.
+//!
 //! A node that lost its disk comes back with a different id. So an id is gone for good once another
 //! id is alive at its address. A node that is about to end announces it, and is replaced while it
 //! still votes if another node can take its place.
@@ -37,10 +53,13 @@
 //! assert_eq!(voters, [node(1), node(2), node(4)]);
 //! ```
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use super::identity::ip;
-use crate::core::types::{DataCentreId, NodeId, Now};
+use crate::core::{
+    consensus::Index,
+    types::{DataCentreId, NodeId, Now},
+};
 
 /// A node counts as alive if it was heard from within this time. Covers two intervals of its views
 /// and some delay.
@@ -67,6 +86,27 @@
     leaving: bool,
     /// When it last couldn't be made a voter.
     failed_at: Option<Now>,
+    /// The end of its log as it said last.
+    last_index: Option<Index>,
+}
+
+/// Where the log of this node starts.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogStart {
+    /// The last entry that the log has dropped.
+    index: Index,
+    /// The same before it last changed.
+    before: Index,
+    /// When it last changed.
+    since: Now,
+}
+
+/// Whether the leader's log reaches a node, in the order in which nodes are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reach {
+    Log,
+    Unknown,
+    Snapshot,
 }
 
 /// The known control nodes.
@@ -75,6 +115,7 @@
     members: BTreeMap<NodeId, Member>,
     /// The node that is being added as a voter.
     joining: Option<NodeId>,
+    log_start: LogStart,
 }
 
 /// The current voters as the leader sees them.
@@ -102,6 +143,7 @@
     ) -> bool {
         let before = self.members.remove(&node);
         let failed_at = before.as_ref().and_then(|member| member.failed_at);
+        let last_index = before.as_ref().and_then(|member| member.last_index);
         let new = before.is_none_or(|member| member.last_seen.is_none());
         let member = Member {
             data_centre,
@@ -109,6 +151,7 @@
             known_at: now,
             leaving,
             failed_at,
+            last_index,
         };
         self.members.insert(node, member);
         new
@@ -124,10 +167,34 @@
             known_at: now,
             leaving: false,
             failed_at: None,
+            last_index: None,
         });
         new
     }
 
+    /// Records the end of a known node's log, as the node says.
+    pub fn record_last_index(&mut self, node: NodeId, last: Index) {
+        if let Some(member) = self.members.get_mut(&node) {
+            member.last_index = Some(last);
+        }
+    }
+
+    /// Records the last entry that this node's log has dropped.
+    pub fn record_log_start(&mut self, now: Now, index: Index) {
+        if index != self.log_start.index {
+            self.log_start = LogStart {
+                index,
+                before: self.log_start.index,
+                since: now,
+            };
+        }
+    }
+
+    /// The end of a node's log as it said last.
+    pub fn last_index(&self, node: NodeId) -> Option<Index> {
+        self.members.get(&node)?.last_index
+    }
+
     /// Forgets nodes that haven't been heard from for a long time.
     pub fn forget(&mut self, now: Now) {
         self.members
@@ -199,7 +266,8 @@
 
     /// Whether an alive node that isn't a voter could become one.
     pub fn has_candidate(&self, now: Now, voters: &[NodeId]) -> bool {
-        self.candidate(now, voters, &[]).is_some()
+        let mut nodes = self.members.keys();
+        nodes.any(|node| !voters.contains(node) && self.is_able(now, *node))
     }
 
     /// The voter that a leader should hand over to before it ends. It must be alive, not silent and
@@ -247,29 +315,51 @@
         others.max_by_key(|v| (self.count_in_centre(*v, status.voters), *v))
     }
 
-    /// The best alive node that isn't a voter. Prefers data centres with few of the voters that
-    /// stay.
+    /// The best alive node that isn't a voter; the module documentation says in which order.
     fn candidate(&self, now: Now, voters: &[NodeId], staying: &[NodeId]) -> Option<NodeId> {
-        let able = self.members.iter().filter(|(node, member)| {
-            !voters.contains(node)
-                && !member.leaving
-                && self.is_alive(now, **node)
-                && !self.is_superseded(now, **node)
-        });
         let failed = |member: &Member| member.failed_at.is_some_and(|at| now < at + FAILED_BACKOFF);
-        let stale = |member: &Member| {
-            member
-                .last_seen
-                .is_none_or(|last_seen| now >= last_seen + FRESH_WITHIN)
-        };
         let rank = |node: NodeId, member: &Member| {
-            let neighbours = self.count_in_centre(node, staying);
-            (failed(member), stale(member), neighbours, node)
+            (
+                failed(member),
+                self.reach(now, node),
+                is_stale(now, member),
+                self.count_in_centre(node, staying),
+                Reverse(self.last_index(node)),
+                node,
+            )
         };
+        let others = self.members.iter();
+        let able = others.filter(|(node, _)| !voters.contains(node) && self.is_able(now, **node));
         let best = able.min_by_key(|(node, member)| rank(**node, member));
         best.map(|(node, _)| *node)
     }
 
+    /// Whether a node could vote: it is alive, not about to end and not superseded.
+    fn is_able(&self, now: Now, node: NodeId) -> bool {
+        let leaving = self.members.get(&node).is_some_and(|member| member.leaving);
+        !leaving && self.is_alive(now, node) && !self.is_superseded(now, node)
+    }
+
+    /// Whether this node's log reaches a node. While views may be older than the log's start, the
+    /// earlier start counts.
+    fn reach(&self, now: Now, node: NodeId) -> Reach {
+        let LogStart {
+            index,
+            before,
+            since,
+        } = self.log_start;
+        let start = if now < since + FRESH_WITHIN {
+            before.min(index)
+        } else {
+            index
+        };
+        match self.last_index(node) {
+            None => Reach::Unknown,
+            Some(last) if last >= start => Reach::Log,
+            Some(_) => Reach::Snapshot,
+        }
+    }
+
     /// How many of `nodes` are in the same data centre as `node`.
     fn count_in_centre(&self, node: NodeId, nodes: &[NodeId]) -> usize {
         let centre = |node: &NodeId| self.members.get(node).map(|m| &m.data_centre);
@@ -293,6 +383,13 @@
     }
 }
 
+/// Whether a node hasn't been heard from just now, so that it may be lost.
+fn is_stale(now: Now, member: &Member) -> bool {
+    member
+        .last_seen
+        .is_none_or(|last_seen| now >= last_seen + FRESH_WITHIN)
+}
+
 fn without(voters: &[NodeId], lost: NodeId) -> Vec<NodeId> {
     voters.iter().copied().filter(|v| *v != lost).collect()
 }
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -38,6 +38,7 @@
             self.dial(voter);
         }
         self.log_voters(now);
+        self.members.record_log_start(now, self.node.log_start());
         self.members.forget(now);
         self.update_relays(now);
         if self.save_state.is_due(now) {
@@ -164,6 +165,9 @@
         let mut new = self
             .members
             .record_contact(now, from, view.data_centre, view.leaving);
+        if let Some(last) = view.last_index {
+            self.members.record_last_index(from, last);
+        }
         if view.relays {
             self.relay_capable.insert(from);
         }
@@ -204,6 +208,7 @@
             controls: controls.clone(),
             limits,
             relays: true,
+            last_index: Some(self.node.last().index),
         };
         if self
             .last_view
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the parts of control nodes that need no running process.
 
 mod cluster;
+mod frame;
 mod membership;
 mod relays;
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -195,3 +195,100 @@
     assert!(!wanted.contains(&node(2)), "{wanted:?}");
     assert_eq!(wanted.len(), 3);
 }
+
+/// An entry that the leader's log has dropped, and the end of that log.
+const LOG: (u64, u64) = (8192, 12_000);
+
+/// Members of whom the first three vote and the third is lost. Each of the others is in a data centre
+/// of its own, and its log ends where `ends` says.
+fn lost_third(ends: &[Option<u64>]) -> Members {
+    let centres = ["a", "b", "c", "d", "e", "f"];
+    let mut members = heard(NOW, &centres[..3 + ends.len()]);
+    members.record_log_start(NOW - LONG, LOG.0);
+    for (host, last) in (4..).zip(ends) {
+        if let Some(last) = last {
+            members.record_last_index(node(host), *last);
+        }
+    }
+    members
+}
+
+/// The host that is added when the third of three voters is lost.
+fn replacement(members: &mut Members, now: Now) -> Option<u8> {
+    let voters = nodes([1, 2, 3]);
+    let changed = members.next_change(now, &voting(&voters, &nodes([3])))?;
+    let added = changed.iter().find(|v| !voters.contains(v));
+    (4..7).find(|host| added == Some(&node(*host)))
+}
+
+/// Guards against an empty node that replaced a lost voter because its address was the lower one: a
+/// voter without a disk too many, and the quorum was lost with the next loss.
+#[test]
+fn a_node_that_needs_a_snapshot_is_not_added_while_another_follows_the_log() {
+    let (empty, follows) = (Some(0), Some(LOG.1));
+    assert_eq!(
+        replacement(&mut lost_third(&[empty, follows]), NOW),
+        Some(5)
+    );
+    assert_eq!(
+        replacement(&mut lost_third(&[follows, empty]), NOW),
+        Some(4)
+    );
+    let behind = Some(LOG.0 - 1);
+    assert_eq!(
+        replacement(&mut lost_third(&[behind, follows]), NOW),
+        Some(5)
+    );
+    // A node of an earlier release doesn't say how far it is.
+    assert_eq!(replacement(&mut lost_third(&[empty, None]), NOW), Some(5));
+    assert_eq!(replacement(&mut lost_third(&[None, follows]), NOW), Some(5));
+}
+
+/// Guards against a choice among learners that passes over the one that lacks least.
+#[test]
+fn of_equal_learners_the_most_advanced_is_added() {
+    let (empty, far, near) = (Some(0), Some(LOG.0 + 1), Some(LOG.1));
+    assert_eq!(
+        replacement(&mut lost_third(&[empty, far, near]), NOW),
+        Some(6)
+    );
+    assert_eq!(
+        replacement(&mut lost_third(&[near, far, empty]), NOW),
+        Some(4)
+    );
+    assert_eq!(
+        replacement(&mut lost_third(&[far, near, empty]), NOW),
+        Some(5)
+    );
+    assert_eq!(replacement(&mut lost_third(&[far, far]), NOW), Some(4));
+}
+
+/// Guards against a ranking that adds an empty node for the sake of the spread or of a late view.
+#[test]
+fn the_log_goes_before_the_spread_and_the_last_contact() {
+    let mut members = lost_third(&[Some(0), Some(LOG.1)]);
+    members.record_contact(NOW, node(5), "a".into(), false);
+    assert_eq!(replacement(&mut members, NOW), Some(5));
+    let later = NOW + Duration::from_millis(1500);
+    members.record_contact(later, node(4), "d".into(), false);
+    assert_eq!(replacement(&mut members, later), Some(5));
+    // One that couldn't be added comes last whatever it lacks.
+    members.change_failed(later);
+    assert_eq!(replacement(&mut members, later), Some(4));
+}
+
+/// Guards against taking all learners for lacking a snapshot just after the leader dropped entries:
+/// their views are up to a second old.
+#[test]
+fn views_from_before_the_log_was_cut_do_not_count_against_a_node() {
+    let (empty, follows) = (Some(0), Some(LOG.1));
+    let mut members = lost_third(&[empty, follows]);
+    members.record_log_start(NOW, LOG.1 + 200);
+    assert_eq!(replacement(&mut members, NOW), Some(5));
+    let later = NOW + Duration::from_millis(1200);
+    for host in [4, 5] {
+        members.record_contact(later, node(host), "d".into(), false);
+    }
+    members.record_last_index(node(4), LOG.1 + 300);
+    assert_eq!(replacement(&mut members, later), Some(4));
+}
