--- a/src/core/consensus/snapshot.rs
+++ b/src/core/consensus/snapshot.rs
@@ -94,6 +94,13 @@
     bytes: Vec<u8>,
 }
 
+impl IncomingSnapshot {
+    /// How many bytes have been received.
+    pub(super) fn size(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+}
+
 /// A received chunk of a snapshot.
 pub(super) struct Chunk {
     pub(super) term: Term,
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -6,6 +6,7 @@
     interface::{Entry, Index, Term},
     message::Position,
     node::{Eligibility, Node, Role},
+    snapshot::IncomingSnapshot,
 };
 use crate::core::types::{NodeId, Now};
 
@@ -102,6 +103,12 @@
         self.log.base()
     }
 
+    /// How many bytes of a snapshot this node has been sent, while it isn't complete.
+    pub fn received(&self) -> u64 {
+        let incoming = self.incoming.as_ref();
+        incoming.map_or(0, IncomingSnapshot::size)
+    }
+
     /// The voters as of the end of the log.
     pub fn voters(&self) -> &[NodeId] {
         self.log.voters()
--- a/src/manager/frame.rs
+++ b/src/manager/frame.rs
@@ -71,6 +71,9 @@
     /// The end of the sender's log. Nodes of earlier releases don't say it.
     #[serde(default)]
     pub last_index: Option<Index>,
+    /// How many bytes the sender holds of a snapshot that it is being sent.
+    #[serde(default)]
+    pub received: u64,
 }
 
 impl Frame {
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -24,6 +24,11 @@
 //! while after the leader dropped entries from its log, nodes are judged by the log's earlier
 //! start. A node of an earlier release says nothing, and is chosen after those that do.
 //!
+//! A node that needs a snapshot is fed as a learner by a voter that has less to do than the leader.
+//! So the leader doesn't begin a join with it while its views show progress, and no longer than the
+//! time that is promised between two losses. If nobody feeds it, the leader begins: a slow join is
+//! better than none.
+//!
 //! A node that lost its disk comes back with a different id. So an id is gone for good once another
 //! id is alive at its address. A node that is about to end announces it, and is replaced while it
 //! still votes if another node can take its place.
@@ -45,7 +50,13 @@
 //! // The new voter is added before the lost one is removed.
 //! let voters = [node(1), node(2), node(3)];
 //! let silent = [node(3)];
-//! let mut status = VoterStatus { leader: node(1), voters: &voters, silent: &silent, target: 3 };
+//! let mut status = VoterStatus {
+//!     leader: node(1),
+//!     voters: &voters,
+//!     silent: &silent,
+//!     target: 3,
+//!     repair_time: Duration::from_secs(4),
+//! };
 //! let voters = members.next_change(now, &status).expect("the third is lost");
 //! assert_eq!(voters, [node(1), node(2), node(3), node(4)]);
 //! status.voters = &voters;
@@ -86,8 +97,19 @@
     leaving: bool,
     /// When it last couldn't be made a voter.
     failed_at: Option<Now>,
-    /// The end of its log as it said last.
-    last_index: Option<Index>,
+    /// How far it is, if it says so.
+    progress: Option<Progress>,
+}
+
+/// How far a node is, as it said last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Progress {
+    /// The end of its log.
+    last: Index,
+    /// How many bytes it holds of a snapshot that it is being sent.
+    received: u64,
+    /// When one of these last differed from before.
+    moved_at: Now,
 }
 
 /// Where the log of this node starts.
@@ -115,6 +137,8 @@
     members: BTreeMap<NodeId, Member>,
     /// The node that is being added as a voter.
     joining: Option<NodeId>,
+    /// The node that is left to be fed before it is added as a voter, and since when.
+    awaited: Option<(NodeId, Now)>,
     log_start: LogStart,
 }
 
@@ -129,6 +153,8 @@
     pub silent: &'a [NodeId],
     /// How many voters there should be.
     pub target: usize,
+    /// The time that is promised between two losses of control nodes.
+    pub repair_time: Duration,
 }
 
 impl Members {
@@ -143,7 +169,7 @@
     ) -> bool {
         let before = self.members.remove(&node);
         let failed_at = before.as_ref().and_then(|member| member.failed_at);
-        let last_index = before.as_ref().and_then(|member| member.last_index);
+        let progress = before.as_ref().and_then(|member| member.progress);
         let new = before.is_none_or(|member| member.last_seen.is_none());
         let member = Member {
             data_centre,
@@ -151,7 +177,7 @@
             known_at: now,
             leaving,
             failed_at,
-            last_index,
+            progress,
         };
         self.members.insert(node, member);
         new
@@ -167,16 +193,25 @@
             known_at: now,
             leaving: false,
             failed_at: None,
-            last_index: None,
+            progress: None,
         });
         new
     }
 
-    /// Records the end of a known node's log, as the node says.
-    pub fn record_last_index(&mut self, node: NodeId, last: Index) {
-        if let Some(member) = self.members.get_mut(&node) {
-            member.last_index = Some(last);
-        }
+    /// Records how far a known node says that it is: the end of its log, and how many bytes it holds
+    /// of a snapshot that it is being sent.
+    pub fn record_progress(&mut self, now: Now, node: NodeId, last: Index, received: u64) {
+        let Some(member) = self.members.get_mut(&node) else {
+            return;
+        };
+        let same = member
+            .progress
+            .filter(|p| (p.last, p.received) == (last, received));
+        member.progress = Some(Progress {
+            last,
+            received,
+            moved_at: same.map_or(now, |p| p.moved_at),
+        });
     }
 
     /// Records the last entry that this node's log has dropped.
@@ -192,7 +227,12 @@
 
     /// The end of a node's log as it said last.
     pub fn last_index(&self, node: NodeId) -> Option<Index> {
-        self.members.get(&node)?.last_index
+        Some(self.members.get(&node)?.progress?.last)
+    }
+
+    /// Whether a node lacks entries that this node's log has dropped.
+    pub fn needs_snapshot(&self, now: Now, node: NodeId) -> bool {
+        self.reach(now, node) == Reach::Snapshot
     }
 
     /// Forgets nodes that haven't been heard from for a long time.
@@ -240,10 +280,15 @@
             return Some(without(voters, out));
         }
         let staying = lost.map_or_else(|| voters.to_vec(), |lost| without(voters, lost));
-        let added = self.candidate(now, voters, &staying)?;
+        let added = self.candidate(now, status, &staying)?;
         if lost.is_none() && voters.len() == target && !self.improves_spread(added, voters) {
+            self.awaited = None;
+            return None;
+        }
+        if self.is_awaited(now, status, added) {
             return None;
         }
+        self.awaited = None;
         self.joining = Some(added);
         let mut changed = voters.to_vec();
         changed.push(added);
@@ -264,6 +309,22 @@
         }
     }
 
+    /// Whether to wait until a node that needs a snapshot has been fed, instead of adding it now.
+    fn is_awaited(&mut self, now: Now, status: &VoterStatus<'_>, node: NodeId) -> bool {
+        if !self.needs_snapshot(now, node) {
+            return false;
+        }
+        let since = match self.awaited {
+            Some((awaited, since)) if awaited == node => since,
+            _ => now,
+        };
+        self.awaited = Some((node, since));
+        let progress = self.members.get(&node).and_then(|member| member.progress);
+        // Two views without progress tell that nobody feeds it.
+        let moves = progress.is_some_and(|p| now < p.moved_at + ALIVE_WITHIN);
+        moves && now < since + status.repair_time
+    }
+
     /// Whether an alive node that isn't a voter could become one.
     pub fn has_candidate(&self, now: Now, voters: &[NodeId]) -> bool {
         let mut nodes = self.members.keys();
@@ -315,8 +376,9 @@
         others.max_by_key(|v| (self.count_in_centre(*v, status.voters), *v))
     }
 
-    /// The best alive node that isn't a voter; the module documentation says in which order.
-    fn candidate(&self, now: Now, voters: &[NodeId], staying: &[NodeId]) -> Option<NodeId> {
+    /// The best alive node that isn't a voter; the module documentation says in which
+    /// order.
+    fn candidate(&self, now: Now, status: &VoterStatus<'_>, staying: &[NodeId]) -> Option<NodeId> {
         let failed = |member: &Member| member.failed_at.is_some_and(|at| now < at + FAILED_BACKOFF);
         let rank = |node: NodeId, member: &Member| {
             (
@@ -329,7 +391,8 @@
             )
         };
         let others = self.members.iter();
-        let able = others.filter(|(node, _)| !voters.contains(node) && self.is_able(now, **node));
+        let able =
+            others.filter(|(node, _)| !status.voters.contains(node) && self.is_able(now, **node));
         let best = able.min_by_key(|(node, member)| rank(**node, member));
         best.map(|(node, _)| *node)
     }
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -56,6 +56,7 @@
             voters: self.node.voters(),
             silent: &self.node.silent_voters(self.silence_limit),
             target: self.target_voters,
+            repair_time: self.repair_time,
         };
         let wanted = self.members.next_change(now, &status);
         if let Some(voters) = wanted {
@@ -79,6 +80,7 @@
             voters: self.node.voters(),
             silent: &self.node.silent_voters(SUCCESSOR_SILENCE),
             target: self.target_voters,
+            repair_time: self.repair_time,
         };
         let to = self.members.successor(now, &status);
         if to.is_some() && !self.node.is_handing_over() {
@@ -166,7 +168,7 @@
             .members
             .record_contact(now, from, view.data_centre, view.leaving);
         if let Some(last) = view.last_index {
-            self.members.record_last_index(from, last);
+            self.members.record_progress(now, from, last, view.received);
         }
         if view.relays {
             self.relay_capable.insert(from);
@@ -209,6 +211,7 @@
             limits,
             relays: true,
             last_index: Some(self.node.last().index),
+            received: self.node.received(),
         };
         if self
             .last_view
--- a/src/manager/ports.rs
+++ b/src/manager/ports.rs
@@ -43,6 +43,8 @@
     pub target_voters: usize,
     /// How long a voter may be silent before another node replaces it.
     pub silence_limit: Duration,
+    /// The time that is promised between two losses of control nodes.
+    pub repair_time: Duration,
     /// The settings of the scheduler.
     pub scheduler: Settings,
 }
--- a/tests/manager/frame.rs
+++ b/tests/manager/frame.rs
@@ -47,6 +47,7 @@
         limits: None,
         relays: true,
         last_index: None,
+        received: 0,
     }
 }
 
@@ -62,6 +63,7 @@
     );
     let sent = View {
         last_index: Some(9000),
+        received: 1,
         ..view()
     };
     let bytes = Frame::View(sent).encode();
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -13,6 +13,14 @@
 const NOW: Now = Duration::from_secs(30);
 /// Long enough for a node without contact to count as dead.
 const LONG: Duration = Duration::from_secs(3);
+/// The time that the settings promise between two losses of control nodes.
+const PROMISE: Duration = Duration::from_secs(4);
+/// The promises that sites are run with.
+const PROMISES: [Duration; 3] = [
+    Duration::from_secs(2),
+    Duration::from_secs(4),
+    Duration::from_secs(6),
+];
 
 /// The first node at a host, with folder number 0.
 fn node(host: u8) -> NodeId {
@@ -38,6 +46,7 @@
         voters,
         silent,
         target: 3,
+        repair_time: PROMISE,
     }
 }
 
@@ -207,7 +216,8 @@
     members.record_log_start(NOW - LONG, LOG.0);
     for (host, last) in (4..).zip(ends) {
         if let Some(last) = last {
-            members.record_last_index(node(host), *last);
+            // So long ago that nobody feeds it, if it needs that.
+            members.record_progress(NOW - LONG, node(host), *last, 0);
         }
     }
     members
@@ -215,12 +225,28 @@
 
 /// The host that is added when the third of three voters is lost.
 fn replacement(members: &mut Members, now: Now) -> Option<u8> {
-    let voters = nodes([1, 2, 3]);
-    let changed = members.next_change(now, &voting(&voters, &nodes([3])))?;
+    replacement_for(members, now, PROMISE)
+}
+
+/// The same under a promise.
+fn replacement_for(members: &mut Members, now: Now, repair_time: Duration) -> Option<u8> {
+    let (voters, silent) = (nodes([1, 2, 3]), nodes([3]));
+    let status = VoterStatus {
+        repair_time,
+        ..voting(&voters, &silent)
+    };
+    let changed = members.next_change(now, &status)?;
     let added = changed.iter().find(|v| !voters.contains(v));
     (4..7).find(|host| added == Some(&node(*host)))
 }
 
+/// Records that nodes were heard from in data centres of their own.
+fn hear(members: &mut Members, now: Now, hosts: &[u8]) {
+    for host in hosts {
+        members.record_contact(now, node(*host), host.to_string().into(), false);
+    }
+}
+
 /// Guards against an empty node that replaced a lost voter because its address was the lower one: a
 /// voter without a disk too many, and the quorum was lost with the next loss.
 #[test]
@@ -289,6 +315,52 @@
     for host in [4, 5] {
         members.record_contact(later, node(host), "d".into(), false);
     }
-    members.record_last_index(node(4), LOG.1 + 300);
+    members.record_progress(later, node(4), LOG.1 + 300, 0);
     assert_eq!(replacement(&mut members, later), Some(4));
 }
+
+/// Guards against a join by a busy leader, which takes many times what feeding a learner does.
+#[test]
+fn a_node_that_needs_a_snapshot_is_fed_before_it_is_added() {
+    let mut members = lost_third(&[Some(0)]);
+    for second in 0..3 {
+        let now = NOW + Duration::from_secs(1) * second;
+        hear(&mut members, now, &[1, 2, 4]);
+        members.record_progress(now, node(4), 0, 1000 + u64::from(second));
+        assert_eq!(replacement(&mut members, now), None);
+    }
+    let now = NOW + Duration::from_secs(3);
+    hear(&mut members, now, &[1, 2, 4]);
+    members.record_progress(now, node(4), LOG.1, 0);
+    assert_eq!(replacement(&mut members, now), Some(4));
+}
+
+/// Guards against a lost voter that is never replaced because its successor waits for a feed.
+#[test]
+fn a_node_that_is_not_fed_in_time_is_added_all_the_same() {
+    let second = Duration::from_secs(1);
+    for promise in PROMISES {
+        let mut members = lost_third(&[Some(0)]);
+        members.record_progress(NOW, node(4), 0, 1);
+        assert_eq!(replacement_for(&mut members, NOW, promise), None);
+        let later = NOW + second * 3;
+        hear(&mut members, later, &[1, 2, 4]);
+        members.record_progress(later, node(4), 0, 1);
+        assert_eq!(
+            replacement_for(&mut members, later, promise),
+            Some(4),
+            "it makes no progress"
+        );
+        let mut members = lost_third(&[Some(0)]);
+        let mut now = NOW;
+        let mut received = 1;
+        members.record_progress(now, node(4), 0, received);
+        while replacement_for(&mut members, now, promise).is_none() {
+            assert!(now < NOW + promise, "it makes progress, but too slowly");
+            now += second;
+            received += 1;
+            hear(&mut members, now, &[1, 2, 4]);
+            members.record_progress(now, node(4), 0, received);
+        }
+    }
+}
