Let a join give way to a node that lacks nothing

Callers saw the outage of a lost quorum: while an empty node joined for 10 s and more, the learner that lacked nothing couldn't be added, because no change begins while another is under way.

Cause: a leader refused every change while one waited for its new voter, and the look at the voters didn't even ask.

Change: a change that waits for its voter isn't in any log. `Reconfigure` now rejects it in favour of another; the same join doesn't begin anew. A node that ever failed to join takes no other's place until it has been a voter, and one that gave way doesn't count as failed, so that the choice doesn't turn.

--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -4,6 +4,9 @@
 //! effect as soon as it is appended, and no joint phase is needed. That holds only if one change is
 //! committed before the next begins, and only once the leader has committed an entry of its own
 //! term: a change by an earlier leader may still stand in another node's log.
+//!
+//! A change that waits until its new voter has caught up isn't in any log, so it gives way to another
+//! change at any time.
 
 use super::{
     interface::{Content, Index, Output, Resignation},
@@ -34,8 +37,12 @@
         voters.dedup();
         match self.classify_change(&voters) {
             None => self.reject(proposal),
-            Some(VoterChange::Remove) => self.propose(proposal, Content::Voters(voters)),
+            Some(VoterChange::Remove) => {
+                self.give_up_joining();
+                self.propose(proposal, Content::Voters(voters));
+            }
             Some(VoterChange::Add(node)) => {
+                self.give_up_joining();
                 let since = self.now;
                 self.start_joining(Joining {
                     proposal,
@@ -47,6 +54,18 @@
         }
     }
 
+    /// Rejects the change whose voter hasn't caught up yet, because another change takes its place.
+    /// Only lists in the log count, so nothing of the rejected one is left anywhere.
+    fn give_up_joining(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(Joining { proposal, node, .. }) = leader.joining.take() {
+            leader.peers.remove(&node);
+            self.reject(proposal);
+        }
+    }
+
     fn start_joining(&mut self, joining: Joining) {
         let next = self.log.last().index + 1;
         let Role::Leader(leader) = &mut self.role else {
@@ -70,7 +89,9 @@
             .filter(|v| !self.voters().contains(v))
             .collect();
         let removed = self.voters().iter().filter(|v| !voters.contains(v)).count();
-        let busy = leader.joining.is_some() || leader.handover.is_some();
+        // A join gives way to another change, but doesn't begin anew.
+        let joins = leader.joining.as_ref().is_some_and(|j| added == [&j.node]);
+        let busy = joins || leader.handover.is_some();
         let settled = self.log.last_voter_change() <= self.committed && self.has_committed();
         let single = added.len() + removed == 1 && settled && !busy;
         let allowed = single || !self.config.protections.single_server;
@@ -84,7 +105,17 @@
         )
     }
 
-    /// Whether a change of voters is under way at this leader, so that no other can begin.
+    /// The node that becomes a voter at this leader once it has caught up. The change isn't in the
+    /// log yet, and gives way to another.
+    pub fn joining(&self) -> Option<NodeId> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        leader.joining.as_ref().map(|joining| joining.node)
+    }
+
+    /// Whether a change of voters is under way at this leader. Unless it only waits for
+    /// [`Self::joining`], no other can begin.
     pub fn is_changing_voters(&self) -> bool {
         let Role::Leader(leader) = &self.role else {
             return false;
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -607,7 +607,7 @@
             ReplyTo::Remote(node, id) => self.answer(node, id, reply),
             ReplyTo::Discard => {}
             // The change is proposed again for as long as it is needed.
-            ReplyTo::Membership => {
+            ReplyTo::Membership { .. } => {
                 log::info!(reply:?; "result of a proposed voter change");
             }
         }
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -27,7 +27,9 @@
 //! A node that needs a snapshot is fed as a learner by a voter that has less to do than the leader.
 //! So the leader doesn't begin a join with it while its views show progress, and no longer than the
 //! time that is promised between two losses. If nobody feeds it, the leader begins: a slow join is
-//! better than none.
+//! better than none. While a join is under way no other change can begin. So it gives way to a node
+//! that the log reaches if the joining node needs a snapshot. A node that ever failed to join takes
+//! no other's place, so that the choice doesn't turn between two nodes.
 //!
 //! A node that lost its disk comes back with a different id. So an id is gone for good once another
 //! id is alive at its address. A node that is about to end announces it, and is replaced while it
@@ -55,6 +57,7 @@
 //!     voters: &voters,
 //!     silent: &silent,
 //!     target: 3,
+//!     joining: None,
 //!     repair_time: Duration::from_secs(4),
 //! };
 //! let voters = members.next_change(now, &status).expect("the third is lost");
@@ -135,8 +138,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     members: BTreeMap<NodeId, Member>,
-    /// The node that is being added as a voter.
-    joining: Option<NodeId>,
     /// The node that is left to be fed before it is added as a voter, and since when.
     awaited: Option<(NodeId, Now)>,
     log_start: LogStart,
@@ -153,6 +154,8 @@
     pub silent: &'a [NodeId],
     /// How many voters there should be.
     pub target: usize,
+    /// The node that is being added, while it isn't in the log as a voter.
+    pub joining: Option<NodeId>,
     /// The time that is promised between two losses of control nodes.
     pub repair_time: Duration,
 }
@@ -285,30 +288,47 @@
             self.awaited = None;
             return None;
         }
-        if self.is_awaited(now, status, added) {
+        if let Some(joining) = status.joining {
+            if !self.gives_way(now, joining, added) {
+                return None;
+            }
+        } else if self.is_awaited(now, status, added) {
             return None;
         }
         self.awaited = None;
-        self.joining = Some(added);
         let mut changed = voters.to_vec();
         changed.push(added);
         changed.sort_unstable();
         Some(changed)
     }
 
-    /// The last change from [`Self::next_change`] was applied.
-    pub fn change_applied(&mut self) {
-        self.joining = None;
+    /// A change that added a node was applied.
+    pub fn change_applied(&mut self, added: NodeId) {
+        if let Some(member) = self.members.get_mut(&added) {
+            member.failed_at = None;
+        }
     }
 
-    /// The last change from [`Self::next_change`] failed.
-    pub fn change_failed(&mut self, now: Now) {
-        let joining = self.joining.take();
-        if let Some(member) = joining.and_then(|node| self.members.get_mut(&node)) {
+    /// A change that would have added a node failed.
+    pub fn change_failed(&mut self, now: Now, added: NodeId) {
+        if let Some(member) = self.members.get_mut(&added) {
             member.failed_at = Some(now);
         }
     }
 
+    /// Whether the join of one node gives way to another.
+    fn gives_way(&self, now: Now, joining: NodeId, other: NodeId) -> bool {
+        let leaving = |member: &Member| member.leaving;
+        if self.members.get(&joining).is_some_and(leaving) || self.is_superseded(now, joining) {
+            return true;
+        }
+        let fit = self
+            .members
+            .get(&other)
+            .is_some_and(|member| member.failed_at.is_none() && !is_stale(now, member));
+        fit && self.needs_snapshot(now, joining) && self.reach(now, other) == Reach::Log
+    }
+
     /// Whether to wait until a node that needs a snapshot has been fed, instead of adding it now.
     fn is_awaited(&mut self, now: Now, status: &VoterStatus<'_>, node: NodeId) -> bool {
         if !self.needs_snapshot(now, node) {
@@ -376,7 +396,7 @@
         others.max_by_key(|v| (self.count_in_centre(*v, status.voters), *v))
     }
 
-    /// The best alive node that isn't a voter; the module documentation says in which
+    /// The best alive node that neither votes nor joins; the module documentation says in which
     /// order.
     fn candidate(&self, now: Now, status: &VoterStatus<'_>, staying: &[NodeId]) -> Option<NodeId> {
         let failed = |member: &Member| member.failed_at.is_some_and(|at| now < at + FAILED_BACKOFF);
@@ -391,8 +411,10 @@
             )
         };
         let others = self.members.iter();
-        let able =
-            others.filter(|(node, _)| !status.voters.contains(node) && self.is_able(now, **node));
+        let able = others.filter(|(node, _)| {
+            let taken = status.voters.contains(node) || status.joining == Some(**node);
+            !taken && self.is_able(now, **node)
+        });
         let best = able.min_by_key(|(node, member)| rank(**node, member));
         best.map(|(node, _)| *node)
     }
--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -54,10 +54,16 @@
             }
             Output::Rejected { proposal, leader } => {
                 if let Some(reply_to) = self.proposals.rejected(proposal) {
-                    // A node that stopped leading can't know why the change failed.
-                    if matches!(reply_to, ReplyTo::Membership) && self.node.is_leader() {
+                    // A node that stopped leading can't know why the change failed, and one whose
+                    // place another has taken didn't fail.
+                    let failed = self.node.is_leader() && self.node.joining().is_none();
+                    if failed
+                        && let ReplyTo::Membership {
+                            added: Some(added), ..
+                        } = reply_to
+                    {
                         let now = self.now();
-                        self.members.change_failed(now);
+                        self.members.change_failed(now, added);
                     }
                     let why = match leader {
                         Some(leader) if leader == self.node.id() => Refused::Overloaded,
@@ -82,11 +88,13 @@
             }
         }
         if let Some((reply_to, matches)) = waiter {
-            if matches!(reply_to, ReplyTo::Membership) {
+            if let ReplyTo::Membership { added, .. } = reply_to {
                 // The next change is due at once: while a lost voter is on a longer list, the
                 // cluster tolerates fewer losses.
                 self.check_due = None;
-                self.members.change_applied();
+                if let Some(added) = added.filter(|_| matches) {
+                    self.members.change_applied(added);
+                }
             }
             let reply = if matches {
                 Reply::Done
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -47,21 +47,30 @@
         if self.leaving && self.node.is_leader() {
             return self.hand_over(now);
         }
-        if self.scheduler.is_none() || !self.holds_lease() || self.node.is_changing_voters() {
+        // A join that isn't in the log yet may give way to a better one.
+        let joining = self.node.joining();
+        let changing = self.node.is_changing_voters() && joining.is_none();
+        if self.scheduler.is_none() || !self.holds_lease() || changing {
             return;
         }
-        self.propose_cluster(now);
+        if joining.is_none() {
+            self.propose_cluster(now);
+        }
         let status = VoterStatus {
             leader: me,
             voters: self.node.voters(),
             silent: &self.node.silent_voters(self.silence_limit),
             target: self.target_voters,
+            joining,
             repair_time: self.repair_time,
         };
         let wanted = self.members.next_change(now, &status);
         if let Some(voters) = wanted {
+            let mut added = voters.iter().copied();
+            let added = added.find(|v| !self.node.voters().contains(v));
             log::info!(voters:? = voters, now:? = self.node.voters(); "proposing a change of the voters");
-            let proposal = self.proposals.propose(ReplyTo::Membership, None);
+            let reply_to = ReplyTo::Membership { added };
+            let proposal = self.proposals.propose(reply_to, None);
             self.consensus(consensus::Input::Reconfigure { proposal, voters });
         }
     }
@@ -80,6 +89,7 @@
             voters: self.node.voters(),
             silent: &self.node.silent_voters(SUCCESSOR_SILENCE),
             target: self.target_voters,
+            joining: None,
             repair_time: self.repair_time,
         };
         let to = self.members.successor(now, &status);
--- a/src/manager/proposals.rs
+++ b/src/manager/proposals.rs
@@ -21,7 +21,10 @@
     /// Nowhere: the scheduler made the proposal.
     Discard,
     /// Nowhere: this node proposed a change of the voters.
-    Membership,
+    Membership {
+        /// The node that the change adds, if it adds one.
+        added: Option<NodeId>,
+    },
 }
 
 /// A proposal that hasn't been applied.
--- a/tests/consensus/checks.rs
+++ b/tests/consensus/checks.rs
@@ -261,3 +261,19 @@
         |p| p.single_server = false,
     );
 }
+
+/// Guards against a join that gives way to another and still counts anywhere.
+#[test]
+fn a_join_that_gives_way_to_another_holds() {
+    let bounds = Bounds {
+        timeouts: 1,
+        changes: 2,
+        proposals: 1,
+        ..Bounds::default()
+    };
+    let mut model = Model::new(bounds).safety_only().restrict(&[2], &[]);
+    model.joiners = vec![4, 5];
+    model.voter_lists = vec![vec![1, 2, 3, 5], vec![1, 2, 3, 4]];
+    model.max_depth = 14;
+    check("a join gives way", model, Model::elected).holds();
+}
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -253,3 +253,47 @@
         [(_, Output::Rejected { proposal: 1, .. })]
     ));
 }
+
+/// Guards against a slow join that held up the change which would have replaced a lost voter.
+#[test]
+fn a_join_that_is_not_in_the_log_gives_way_to_another() {
+    let mut world = World::voters(3);
+    let leader = world.elect();
+    world.commit(1);
+    let directory = (1..=4).fold(config(4, &[]), |c, id| c.location(id, "north"));
+    world.add(directory);
+    world.until(SECOND * 2, |w| {
+        w.node(4).eligibility() == Eligibility::Eligible
+    });
+    world.run(SECOND);
+    world.answers.clear();
+    let change = |proposal, added| {
+        let voters = vec![1, 2, 3, added];
+        Input::Reconfigure { proposal, voters }
+    };
+    world.input(leader, change(1, 9));
+    assert!(world.answers.is_empty(), "node 9 is not up to date");
+    world.input(leader, change(2, 9));
+    assert!(
+        matches!(
+            world.answers[..],
+            [(_, Output::Rejected { proposal: 2, .. })]
+        ),
+        "the same join doesn't begin anew"
+    );
+    world.answers.clear();
+    world.input(leader, change(3, 4));
+    world.until(SECOND / 2, |w| w.node(leader).voters() == [1, 2, 3, 4]);
+    assert!(matches!(
+        world.answers[..],
+        [
+            (_, Output::Rejected { proposal: 1, .. }),
+            (_, Output::Appended { proposal: 3, .. })
+        ]
+    ));
+    world.commit(2);
+    world.run(SECOND);
+    for id in 1..=4 {
+        assert_eq!(world.node(id).voters(), [1, 2, 3, 4], "node {id}");
+    }
+}
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -21,6 +21,8 @@
     Duration::from_secs(4),
     Duration::from_secs(6),
 ];
+/// Time between two looks at the voters.
+const LOOK: Duration = Duration::from_millis(200);
 
 /// The first node at a host, with folder number 0.
 fn node(host: u8) -> NodeId {
@@ -46,6 +48,7 @@
         voters,
         silent,
         target: 3,
+        joining: None,
         repair_time: PROMISE,
     }
 }
@@ -118,7 +121,7 @@
     let mut members = heard(NOW, &["a", "b", "c", "d", "e"]);
     let wanted = members.next_change(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
     assert_eq!(wanted, Some(nodes([1, 2, 3, 4]).to_vec()));
-    members.change_failed(NOW);
+    members.change_failed(NOW, node(4));
     let wanted = members.next_change(NOW, &voting(&nodes([1, 2, 3]), &nodes([3])));
     assert_eq!(wanted, Some(nodes([1, 2, 3, 5]).to_vec()));
     // It is still chosen if there is no other.
@@ -225,13 +228,19 @@
 
 /// The host that is added when the third of three voters is lost.
 fn replacement(members: &mut Members, now: Now) -> Option<u8> {
-    replacement_for(members, now, PROMISE)
+    replacement_for(members, now, None, PROMISE)
 }
 
-/// The same under a promise.
-fn replacement_for(members: &mut Members, now: Now, repair_time: Duration) -> Option<u8> {
+/// The same while the node at the host `joining` is being added, under a promise.
+fn replacement_for(
+    members: &mut Members,
+    now: Now,
+    joining: Option<u8>,
+    repair_time: Duration,
+) -> Option<u8> {
     let (voters, silent) = (nodes([1, 2, 3]), nodes([3]));
     let status = VoterStatus {
+        joining: joining.map(node),
         repair_time,
         ..voting(&voters, &silent)
     };
@@ -299,7 +308,7 @@
     members.record_contact(later, node(4), "d".into(), false);
     assert_eq!(replacement(&mut members, later), Some(5));
     // One that couldn't be added comes last whatever it lacks.
-    members.change_failed(later);
+    members.change_failed(later, node(5));
     assert_eq!(replacement(&mut members, later), Some(4));
 }
 
@@ -342,12 +351,12 @@
     for promise in PROMISES {
         let mut members = lost_third(&[Some(0)]);
         members.record_progress(NOW, node(4), 0, 1);
-        assert_eq!(replacement_for(&mut members, NOW, promise), None);
+        assert_eq!(replacement_for(&mut members, NOW, None, promise), None);
         let later = NOW + second * 3;
         hear(&mut members, later, &[1, 2, 4]);
         members.record_progress(later, node(4), 0, 1);
         assert_eq!(
-            replacement_for(&mut members, later, promise),
+            replacement_for(&mut members, later, None, promise),
             Some(4),
             "it makes no progress"
         );
@@ -355,7 +364,7 @@
         let mut now = NOW;
         let mut received = 1;
         members.record_progress(now, node(4), 0, received);
-        while replacement_for(&mut members, now, promise).is_none() {
+        while replacement_for(&mut members, now, None, promise).is_none() {
             assert!(now < NOW + promise, "it makes progress, but too slowly");
             now += second;
             received += 1;
@@ -364,3 +373,38 @@
         }
     }
 }
+
+/// Guards against a slow join that keeps a node which lacks nothing from replacing a lost voter.
+#[test]
+fn a_join_that_needs_a_snapshot_gives_way_once() {
+    for (empty, better) in [(4, 5), (5, 4)] {
+        let mut members = lost_third(&[Some(0), Some(0)]);
+        members.change_failed(NOW - PROMISE * 4, node(empty));
+        let looks = |members: &mut Members, now| {
+            hear(members, now, &[1, 2, 4, 5]);
+            replacement_for(members, now, Some(empty), PROMISE)
+        };
+        assert_eq!(looks(&mut members, NOW), None, "both need a snapshot");
+        members.record_progress(NOW, node(better), LOG.1, 0);
+        assert_eq!(looks(&mut members, NOW), Some(better));
+        // The other can't be added either: the choice doesn't turn between the two.
+        members.change_failed(NOW, node(better));
+        assert_eq!(replacement(&mut members, NOW), Some(empty));
+        for look in 0..100 {
+            assert_eq!(looks(&mut members, NOW + LOOK * look), None);
+        }
+    }
+}
+
+/// Guards against a join that gives way to a node which is no better.
+#[test]
+fn a_join_of_a_node_that_follows_the_log_goes_on() {
+    let mut members = lost_third(&[Some(LOG.0), Some(LOG.1)]);
+    assert_eq!(replacement_for(&mut members, NOW, Some(4), PROMISE), None);
+    members.record_contact(NOW, node(4), "d".into(), true);
+    assert_eq!(
+        replacement_for(&mut members, NOW, Some(4), PROMISE),
+        Some(5),
+        "the joining node is about to end"
+    );
+}
