Derive the limits of a join from the promised time

Callers saw the outage of a lost quorum. A join might last 30 s, and a node that failed to join was the last choice for 5 s, while the settings promise 2 to 6 s between two losses.

Change: a join gives way to another node that the log reaches after a fifth of the promised time, and a node that failed is the last choice for half of it. A node whose join gave way like that counts as failed. The limit of 30 election timeouts is gone: where no other node could be added it only began a slow transfer anew. A node that answers nothing is still given up after one election timeout.

Evidence: failed before, with the promise and not the constants: `a_join_that_hangs_gives_way_within_the_promised_time` (2s), `a_node_that_failed_to_join_is_chosen_again_within_the_promised_time` (2s: left: Some(4), right: Some(5)) and `a_slow_join_goes_on_as_long_as_the_new_voter_answers` (rejected after 30 s).

--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -6,7 +6,8 @@
 //! term: a change by an earlier leader may still stand in another node's log.
 //!
 //! A change that waits until its new voter has caught up isn't in any log, so it gives way to another
-//! change at any time.
+//! change at any time. It has no limit of time as long as the new voter answers: only who asks for
+//! the changes knows whether another node would be there sooner.
 
 use super::{
     interface::{Content, Index, Output, Resignation},
@@ -16,8 +17,6 @@
 };
 use crate::core::types::NodeId;
 
-/// How many of the longest election timeouts a new voter has to catch up.
-const JOIN_ELECTION_TIMEOUTS: u32 = 30;
 /// For how many of the longest election timeouts a new voter may answer nothing, or confirm none of
 /// the entries that it was sent. A node that is gone or whose disk hangs mustn't hold up the change
 /// that replaces another voter.
@@ -138,7 +137,7 @@
     }
 
     /// Adds a new voter once it has caught up so far that it won't hold up the majority that needs
-    /// it. Rejects the change if that takes too long.
+    /// it. Rejects the change if the voter falls silent.
     fn advance_joining(&mut self) {
         let (now, last) = (self.now, self.log.last().index);
         let wait = self.config.election_max;
@@ -159,8 +158,7 @@
             .and_then(|p| p.unconfirmed_since)
             .unwrap_or(now)
             .min(acked);
-        let waits = now < since + wait * JOIN_ELECTION_TIMEOUTS
-            && now < confirmed.max(since) + wait * SILENCE_ELECTION_TIMEOUTS;
+        let waits = now < confirmed.max(since) + wait * SILENCE_ELECTION_TIMEOUTS;
         if !close && waits {
             return;
         }
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -28,8 +28,11 @@
 //! So the leader doesn't begin a join with it while its views show progress, and no longer than the
 //! time that is promised between two losses. If nobody feeds it, the leader begins: a slow join is
 //! better than none. While a join is under way no other change can begin. So it gives way to a node
-//! that the log reaches if the joining node needs a snapshot. A node that ever failed to join takes
-//! no other's place, so that the choice doesn't turn between two nodes.
+//! that the log reaches, at once if the joining node needs a snapshot, and else after a part of the
+//! promised time. A node that ever failed to join takes no other's place, and one that was given up
+//! counts as failed, so that the choice doesn't turn between two nodes. A join for which there is no
+//! better node has no limit of time as long as the node answers: its transfer would only begin
+//! again.
 //!
 //! A node that lost its disk comes back with a different id. So an id is gone for good once another
 //! id is alive at its address. A node that is about to end announces it, and is replaced while it
@@ -78,9 +81,14 @@
 /// A node counts as alive if it was heard from within this time. Covers two intervals of its views
 /// and some delay.
 const ALIVE_WITHIN: Duration = Duration::from_millis(2500);
-/// How long a node that couldn't be made a voter is chosen only as the last resort. Another node
-/// may be reachable where this one isn't, and this one may be reachable again soon.
-const FAILED_BACKOFF: Duration = Duration::from_secs(5);
+/// How long a node that couldn't be made a voter is chosen only as the last resort, as a share of
+/// the time between two losses. Another node may be reachable where this one isn't, and this one
+/// may be reachable again soon.
+const FAILED_SHARE: f64 = 0.5;
+/// How long a join may last before it gives way to another node that the log reaches, as a share of
+/// the time between two losses. What is left of that time is for the silence before the join and
+/// for the other node's changes.
+const JOIN_SHARE: f64 = 0.2;
 /// An alive node that was heard from within this time is chosen before others. Covers one interval
 /// of its views and some delay. A failure that takes a voter away may have taken nodes next to it.
 const FRESH_WITHIN: Duration = Duration::from_millis(1200);
@@ -138,6 +146,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     members: BTreeMap<NodeId, Member>,
+    /// The node that was last asked to be added as a voter, and when.
+    asked: Option<(NodeId, Now)>,
     /// The node that is left to be fed before it is added as a voter, and since when.
     awaited: Option<(NodeId, Now)>,
     log_start: LogStart,
@@ -289,13 +299,14 @@
             return None;
         }
         if let Some(joining) = status.joining {
-            if !self.gives_way(now, joining, added) {
+            if !self.gives_way(now, status, joining, added) {
                 return None;
             }
         } else if self.is_awaited(now, status, added) {
             return None;
         }
         self.awaited = None;
+        self.asked = Some((added, now));
         let mut changed = voters.to_vec();
         changed.push(added);
         changed.sort_unstable();
@@ -316,8 +327,15 @@
         }
     }
 
-    /// Whether the join of one node gives way to another.
-    fn gives_way(&self, now: Now, joining: NodeId, other: NodeId) -> bool {
+    /// Whether the join of one node gives way to another. If it lasted too long, the joining node
+    /// counts as failed.
+    fn gives_way(
+        &mut self,
+        now: Now,
+        status: &VoterStatus<'_>,
+        joining: NodeId,
+        other: NodeId,
+    ) -> bool {
         let leaving = |member: &Member| member.leaving;
         if self.members.get(&joining).is_some_and(leaving) || self.is_superseded(now, joining) {
             return true;
@@ -326,7 +344,19 @@
             .members
             .get(&other)
             .is_some_and(|member| member.failed_at.is_none() && !is_stale(now, member));
-        fit && self.needs_snapshot(now, joining) && self.reach(now, other) == Reach::Log
+        if !fit || self.reach(now, other) == Reach::Snapshot {
+            return false;
+        }
+        if self.needs_snapshot(now, joining) && self.reach(now, other) == Reach::Log {
+            return true;
+        }
+        let limit = status.repair_time.mul_f64(JOIN_SHARE);
+        let asked = self.asked.filter(|(node, _)| *node == joining);
+        let slow = asked.is_some_and(|(_, at)| now >= at + limit);
+        if slow {
+            self.change_failed(now, joining);
+        }
+        slow
     }
 
     /// Whether to wait until a node that needs a snapshot has been fed, instead of adding it now.
@@ -399,7 +429,8 @@
     /// The best alive node that neither votes nor joins; the module documentation says in which
     /// order.
     fn candidate(&self, now: Now, status: &VoterStatus<'_>, staying: &[NodeId]) -> Option<NodeId> {
-        let failed = |member: &Member| member.failed_at.is_some_and(|at| now < at + FAILED_BACKOFF);
+        let backoff = status.repair_time.mul_f64(FAILED_SHARE);
+        let failed = |member: &Member| member.failed_at.is_some_and(|at| now < at + backoff);
         let rank = |node: NodeId, member: &Member| {
             (
                 failed(member),
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -297,3 +297,24 @@
         assert_eq!(world.node(id).voters(), [1, 2, 3, 4], "node {id}");
     }
 }
+
+/// Guards against a limit of time that makes a join impossible whose transfer takes long.
+#[test]
+fn a_slow_join_goes_on_as_long_as_the_new_voter_answers() {
+    let ids = [1, 2, 3];
+    let configs = ids.map(|id| config(id, &ids).chunk(8));
+    let mut world = World::new(configs.to_vec());
+    (1..300).for_each(|command| world.commit(command));
+    let leader = world.elect();
+    ids.iter().for_each(|id| world.compact(*id));
+    world.delay = Duration::from_millis(10);
+    world.add((1..=4).fold(config(4, &[]), |c, id| c.location(id, "north")));
+    world.until(SECOND * 2, |w| {
+        w.node(4).eligibility() == Eligibility::Eligible
+    });
+    let (proposal, voters) = (u64::MAX, vec![1, 2, 3, 4]);
+    world.input(leader, Input::Reconfigure { proposal, voters });
+    let took = world.until(SECOND * 300, |w| !w.node(leader).is_changing_voters());
+    assert!(took > SECOND * 30, "only {took:?}: it isn't slow");
+    assert_eq!(world.node(leader).voters(), [1, 2, 3, 4]);
+}
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -408,3 +408,62 @@
         "the joining node is about to end"
     );
 }
+
+/// Guards against a limit of repair that isn't derived from the time promised between two losses: a
+/// join that hung held up the change that would have replaced a lost voter.
+#[test]
+fn a_join_that_hangs_gives_way_within_the_promised_time() {
+    for promise in PROMISES {
+        // The loss is noticed by the voter's silence.
+        let silence = Duration::from_secs(1).max(promise * 3 / 8);
+        let mut now = NOW + silence + LOOK;
+        let mut members = lost_third(&[Some(LOG.1), Some(LOG.1)]);
+        hear(&mut members, now, &[1, 2, 4, 5]);
+        let first = replacement_for(&mut members, now, None, promise);
+        assert_eq!(first, Some(4));
+        while replacement_for(&mut members, now, first, promise) != Some(5) {
+            now += LOOK;
+            hear(&mut members, now, &[1, 2, 4, 5]);
+            assert!(now + LOOK < NOW + promise, "{promise:?}");
+        }
+        // It doesn't turn back to the first.
+        for look in 0..50 {
+            let now = now + LOOK * look;
+            hear(&mut members, now, &[1, 2, 4, 5]);
+            assert_eq!(replacement_for(&mut members, now, Some(5), promise), None);
+        }
+    }
+}
+
+/// Guards against a limit that makes a slow join impossible: its transfer would begin anew each time.
+#[test]
+fn a_slow_join_goes_on_while_no_other_node_could_be_added() {
+    for promise in PROMISES {
+        let mut members = lost_third(&[Some(0), Some(0)]);
+        assert_eq!(replacement_for(&mut members, NOW, None, promise), Some(4));
+        let mut now = NOW;
+        while now < NOW + promise * 20 {
+            now += LOOK;
+            hear(&mut members, now, &[1, 2, 4, 5]);
+            assert_eq!(replacement_for(&mut members, now, Some(4), promise), None);
+        }
+    }
+}
+
+/// Guards against a node that failed to join for a moment and isn't chosen before the next loss.
+#[test]
+fn a_node_that_failed_to_join_is_chosen_again_within_the_promised_time() {
+    for promise in PROMISES {
+        let mut members = lost_third(&[Some(0), Some(LOG.1)]);
+        assert_eq!(replacement_for(&mut members, NOW, None, promise), Some(5));
+        members.change_failed(NOW, node(5));
+        assert_eq!(replacement_for(&mut members, NOW, None, promise), Some(4));
+        let later = NOW + promise * 3 / 4;
+        hear(&mut members, later, &[1, 2, 4, 5]);
+        assert_eq!(
+            replacement_for(&mut members, later, None, promise),
+            Some(5),
+            "{promise:?}"
+        );
+    }
+}
