Hand over to the most advanced voter

A leader that is about to end handed over to the voter that it had heard last, whatever that one lacks.

Change: of the voters that are alive, not silent and not about to end, the one whose log ends last by its view; then the one that was heard last.

Evidence: `a_leader_that_ends_hands_over_to_the_most_advanced_voter` failed before (the voter behind was named) and passes, with both orders of addresses.

--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -382,16 +382,20 @@
     }
 
     /// The voter that a leader should hand over to before it ends. It must be alive, not silent and
-    /// not about to end.
+    /// not about to end. Of these it is the most advanced: no proposal is accepted until it has all
+    /// entries.
     pub fn successor(&self, now: Now, status: &VoterStatus<'_>) -> Option<NodeId> {
         let voters = status.voters.iter().copied();
         let able = |v: &NodeId| {
             let leaving = self.members.get(v).is_some_and(|member| member.leaving);
             *v != status.leader && !leaving && !status.silent.contains(v) && self.is_alive(now, *v)
         };
-        voters
-            .filter(able)
-            .max_by_key(|v| self.members.get(v).and_then(|m| m.last_seen))
+        voters.filter(able).max_by_key(|v| {
+            (
+                self.last_index(*v),
+                self.members.get(v).and_then(|m| m.last_seen),
+            )
+        })
     }
 
     /// The voter that most needs to be replaced.
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -467,3 +467,17 @@
         );
     }
 }
+
+/// Guards against a leader that hands over to a voter which needs a snapshot: it can't take over.
+#[test]
+fn a_leader_that_ends_hands_over_to_the_most_advanced_voter() {
+    for (behind, ahead) in [(2, 3), (3, 2)] {
+        let mut members = heard(NOW, &["a", "b", "c"]);
+        members.record_progress(NOW, node(ahead), LOG.1, 0);
+        members.record_progress(NOW, node(behind), 0, 0);
+        let later = NOW + LOOK;
+        hear(&mut members, later, &[behind]);
+        let successor = members.successor(later, &voting(&nodes([1, 2, 3]), &[]));
+        assert_eq!(successor, Some(node(ahead)));
+    }
+}
