--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -607,8 +607,9 @@
             ReplyTo::Remote(node, id) => self.answer(node, id, reply),
             ReplyTo::Discard => {}
             // The change is proposed again for as long as it is needed.
-            ReplyTo::Membership { .. } => {
-                log::info!(reply:?; "result of a proposed voter change");
+            ReplyTo::Membership { added, proposed_at } => {
+                let took = self.now().saturating_sub(proposed_at);
+                log::info!(reply:?, added, took:?; "result of a proposed voter change");
             }
         }
     }
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -68,13 +68,26 @@
         if let Some(voters) = wanted {
             let mut added = voters.iter().copied();
             let added = added.find(|v| !self.node.voters().contains(v));
-            log::info!(voters:? = voters, now:? = self.node.voters(); "proposing a change of the voters");
-            let reply_to = ReplyTo::Membership { added };
+            self.log_change(now, &voters, added);
+            let reply_to = ReplyTo::Membership {
+                added,
+                proposed_at: now,
+            };
             let proposal = self.proposals.propose(reply_to, None);
             self.consensus(consensus::Input::Reconfigure { proposal, voters });
         }
     }
 
+    /// Logs a change of the voters, and what the added node lacks as far as it has said.
+    fn log_change(&self, now: Now, voters: &[NodeId], added: Option<NodeId>) {
+        let end = self.node.last().index;
+        let last = added.and_then(|node| self.members.last_index(node));
+        let lacks = last.map(|last| end.saturating_sub(last));
+        let snapshot = added.is_some_and(|node| self.members.needs_snapshot(now, node));
+        let replaces = self.node.joining();
+        log::info!(voters:?, now:? = self.node.voters(), added, lacks, snapshot, replaces; "proposing a change of the voters");
+    }
+
     /// Updates the nodes that can execute orders as relays.
     fn update_relays(&mut self, now: Now) {
         let mut others = self.members.fresh_peers(now, self.node.id());
--- a/src/manager/proposals.rs
+++ b/src/manager/proposals.rs
@@ -7,7 +7,7 @@
 use super::{frame::RequestId, request::Reply};
 use crate::core::{
     consensus::{Index, Term},
-    types::{Map, NodeId},
+    types::{Map, NodeId, Now},
     workload::command::Command,
 };
 
@@ -24,6 +24,8 @@
     Membership {
         /// The node that the change adds, if it adds one.
         added: Option<NodeId>,
+        /// When the change was proposed.
+        proposed_at: Now,
     },
 }
 
