--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -6,7 +6,7 @@
     interface::{Entry, Index, Term},
     message::Position,
     node::{Eligibility, Node, Role},
-    snapshot::TransferProgress,
+    snapshot::{IncomingSnapshot, TransferProgress},
 };
 use crate::core::types::{NodeId, Now};
 
@@ -111,6 +111,17 @@
         self.log.last()
     }
 
+    /// The last entry that the log has dropped. A node whose log ends before it needs a snapshot.
+    pub fn log_start(&self) -> Index {
+        self.log.base()
+    }
+
+    /// How many bytes of a snapshot this node has been sent, while it isn't complete.
+    pub fn received(&self) -> u64 {
+        let incoming = self.incoming.as_ref();
+        incoming.map_or(0, IncomingSnapshot::size)
+    }
+
     /// The voters as of the end of the log.
     pub fn voters(&self) -> &[NodeId] {
         self.log.voters()
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -185,6 +185,7 @@
         mesh_port: config.mesh_port,
         target_voters: config.target_voters,
         silence_limit: config.silence_limit.max(MIN_VOTER_SILENCE),
+        repair_time: config.repair_time,
         settings: config.scheduler,
         writes: Vec::new(),
         disk,
@@ -255,6 +256,7 @@
     pub(super) mesh_port: u16,
     pub(super) target_voters: usize,
     pub(super) silence_limit: Duration,
+    pub(super) repair_time: Duration,
     settings: Settings,
     pub(super) writes: Vec<Write>,
     disk: std::sync::mpsc::Sender<Vec<Write>>,
@@ -616,8 +618,9 @@
             ReplyTo::Remote(node, id) => self.answer(node, id, reply),
             ReplyTo::Discard => {}
             // The change is proposed again for as long as it is needed.
-            ReplyTo::Membership => {
-                log::info!(reply:?; "result of a proposed voter change");
+            ReplyTo::Membership { added, proposed_at } => {
+                let took = self.now().saturating_sub(proposed_at);
+                log::info!(reply:?, added, took:?; "result of a proposed voter change");
             }
         }
     }
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -40,6 +40,7 @@
             self.dial(voter);
         }
         self.log_voters(now);
+        self.members.record_log_start(now, self.node.log_start());
         self.log_transfer(now);
         self.members.forget(now);
         self.update_relays(now);
@@ -49,24 +50,47 @@
         if self.leaving && self.node.is_leader() {
             return self.hand_over(now);
         }
-        if self.scheduler.is_none() || !self.holds_lease() || self.node.is_changing_voters() {
+        // A join that isn't in the log yet may give way to a better one.
+        let joining = self.node.joining();
+        let changing = self.node.is_changing_voters() && joining.is_none();
+        if self.scheduler.is_none() || !self.holds_lease() || changing {
             return;
         }
-        self.propose_cluster(now);
+        if joining.is_none() {
+            self.propose_cluster(now);
+        }
         let status = VoterStatus {
             leader: me,
             voters: self.node.voters(),
             silent: &self.node.silent_voters(self.silence_limit),
             target: self.target_voters,
+            joining,
+            repair_time: self.repair_time,
         };
         let wanted = self.members.next_change(now, &status);
         if let Some(voters) = wanted {
-            log::info!(voters:? = voters, now:? = self.node.voters(); "proposing a change of the voters");
-            let proposal = self.proposals.propose(ReplyTo::Membership, None);
+            let mut added = voters.iter().copied();
+            let added = added.find(|v| !self.node.voters().contains(v));
+            self.log_change(now, &voters, added);
+            let reply_to = ReplyTo::Membership {
+                added,
+                proposed_at: now,
+            };
+            let proposal = self.proposals.propose(reply_to, None);
             self.consensus(consensus::Input::Reconfigure { proposal, voters });
         }
     }
 
+    /// Logs a change of the voters, and what the added node lacks as far as it has said.
+    fn log_change(&self, now: Now, voters: &[NodeId], added: Option<NodeId>) {
+        let end = self.node.last().index;
+        let last = added.and_then(|node| self.members.last_index(node));
+        let lacks = last.map(|last| end.saturating_sub(last));
+        let snapshot = added.is_some_and(|node| self.members.needs_snapshot(now, node));
+        let replaces = self.node.joining();
+        log::info!(voters:?, now:? = self.node.voters(), added, lacks, snapshot, replaces; "proposing a change of the voters");
+    }
+
     /// Updates the nodes that can execute orders as relays.
     fn update_relays(&mut self, now: Now) {
         let mut others = self.members.fresh_peers(now, self.node.id());
@@ -81,6 +105,8 @@
             voters: self.node.voters(),
             silent: &self.node.silent_voters(SUCCESSOR_SILENCE),
             target: self.target_voters,
+            joining: None,
+            repair_time: self.repair_time,
         };
         let to = self.members.successor(now, &status);
         if to.is_some() && !self.node.is_handing_over() {
@@ -204,6 +230,9 @@
         let mut new = self
             .members
             .record_contact(now, from, view.data_centre, view.leaving);
+        if let Some(last) = view.last_index {
+            self.members.record_progress(now, from, last, view.received);
+        }
         if view.relays {
             self.relay_capable.insert(from);
         }
@@ -244,6 +273,8 @@
             controls: controls.clone(),
             limits,
             relays: true,
+            last_index: Some(self.node.last().index),
+            received: self.node.received(),
         };
         if self
             .last_view
--- a/src/manager/proposals.rs
+++ b/src/manager/proposals.rs
@@ -7,7 +7,7 @@
 use super::{frame::RequestId, request::Reply};
 use crate::core::{
     consensus::{Index, Term},
-    types::{Map, NodeId},
+    types::{Map, NodeId, Now},
     workload::command::Command,
 };
 
@@ -21,7 +21,12 @@
     /// Nowhere: the scheduler made the proposal.
     Discard,
     /// Nowhere: this node proposed a change of the voters.
-    Membership,
+    Membership {
+        /// The node that the change adds, if it adds one.
+        added: Option<NodeId>,
+        /// When the change was proposed.
+        proposed_at: Now,
+    },
 }
 
 /// A proposal that hasn't been applied.
--- a/tests/manager/leader_lease.rs
+++ b/tests/manager/leader_lease.rs
@@ -264,6 +264,7 @@
             mesh_port: port,
             target_voters: 2,
             silence_limit: PATIENCE,
+            repair_time: Duration::from_secs(4),
             scheduler: Settings {
                 lease: AGENT_LEASE,
                 ..Settings::default()
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of control nodes that need no running process.
 
 mod cluster;
+mod frame;
 mod leader_lease;
 mod membership;
 mod relays;
