Test that two disks may be lost the promised time after one

The tests of the choice work on `Members` alone, and none shows that the voters have their disks when the next ones are lost.

Left out, and open: five hosts without a learner.

--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -4,3 +4,4 @@
 mod frame;
 mod membership;
 mod relays;
+mod repair;
