--- a/tests/manager/repair.rs
+++ b/tests/manager/repair.rs
@@ -73,7 +73,7 @@
         for id in &ids {
             let config = Config::new(*id, Pcg64::seed_from_u64(*id));
             let votes = ids[..5].contains(id);
-            world.add(if votes {
+            world.add(&if votes {
                 config.bootstrap(ids[..5].to_vec())
             } else {
                 config
@@ -82,7 +82,7 @@
         world
     }
 
-    fn add(&mut self, config: Config) {
+    fn add(&mut self, config: &Config) {
         let host = Host {
             node: Node::new(self.now, config.clone(), Restored::replay(Vec::new())),
             members: Members::default(),
@@ -100,7 +100,7 @@
     fn lose_disk(&mut self, id: NodeId) {
         self.hosts.remove(&id);
         let successor = node_id(ip(id), 1);
-        self.add(Config::new(successor, Pcg64::seed_from_u64(successor)));
+        self.add(&Config::new(successor, Pcg64::seed_from_u64(successor)));
     }
 
     fn leader(&self) -> Option<NodeId> {
@@ -249,10 +249,10 @@
                 self.input(id, Input::Compact { index, snapshot });
             }
         }
-        if now.as_millis() % VIEW.as_millis() == 0 {
+        if now.as_millis().is_multiple_of(VIEW.as_millis()) {
             self.broadcast();
         }
-        if now.as_millis() % LOOK.as_millis() == 0 {
+        if now.as_millis().is_multiple_of(LOOK.as_millis()) {
             self.look();
         }
     }
