--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -5,3 +5,4 @@
 mod leader_lease;
 mod membership;
 mod relays;
+mod repair;
