Slow a join down by its link in the test of slow joins

The transfer is faster than the test's chunks of 8 bytes could slow it (0.28 s instead of over 30 s), so that the test no longer checked what it says.

--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -302,12 +302,16 @@
 #[test]
 fn a_slow_join_goes_on_as_long_as_the_new_voter_answers() {
     let ids = [1, 2, 3];
-    let configs = ids.map(|id| config(id, &ids).chunk(8));
+    let configs = ids.map(|id| config(id, &ids).chunk(16 << 10));
     let mut world = World::new(configs.to_vec());
     (1..300).for_each(|command| world.commit(command));
     let leader = world.elect();
+    // A link needs 48 s for the snapshot, and an eighth of a second for a chunk of it.
+    world.ballast = 6 << 20;
     ids.iter().for_each(|id| world.compact(*id));
-    world.delay = Duration::from_millis(10);
+    ids.iter().for_each(|id| {
+        world.rates.insert((*id, 4), 128 << 10);
+    });
     world.add((1..=4).fold(config(4, &[]), |c, id| c.location(id, "north")));
     world.until(SECOND * 2, |w| {
         w.node(4).eligibility() == Eligibility::Eligible
