--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -20,7 +20,7 @@
 //! An end that writes much pings in between, whoever dialled, and has no more on the way than the
 //! connection carries in half a second (128 KiB to 1 MiB) and a message: a ping behind all that is
 //! queued would be answered too late on a slow link to a peer that is well. A link that carries
-//! 2 Mbit/s stays, however much is queued.
+//! 2 Mbit/s stays, however much is queued, as long as no single message takes a second.
 //!
 //! Each end says which cluster it is of, once it knows. Two that can't be of one cluster aren't
 //! linked ([`Claim::admits`]), and a link is dropped when that turns out later, so nothing that
