--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -33,7 +33,7 @@
             catalog::Catalog,
             command::Command,
             ledger::Ledger,
-            scheduler::{Answer, Order, OrderId, Scheduler, Settings},
+            scheduler::{Answer, OrderId, Scheduler, Settings},
         },
     },
     node::{
@@ -237,7 +237,7 @@
     pub(super) lead_since: Now,
     /// How many times this node has become leader. Answers to orders of an earlier tenure are
     /// ignored.
-    tenure: u64,
+    pub(super) tenure: u64,
     pub(super) proposals: PendingProposals,
     /// Jobs whose submissions are proposed and not applied yet.
     pub(super) submissions: Map<u64, PendingSubmission>,
@@ -247,7 +247,7 @@
     /// The relays of this node's orders while it leads.
     pub(super) relays: Relays,
     /// Answers to orders that this node executed as a relay, by leader and its tenure.
-    relayed_answers: Map<(NodeId, u64), Vec<(OrderId, Answer)>>,
+    pub(super) relayed_answers: Map<(NodeId, u64), Vec<(OrderId, Answer)>>,
     /// The voters, and those of them that this node hears, as last logged.
     pub(super) logged_voters: (Vec<NodeId>, Vec<NodeId>),
     /// The transfer of a snapshot that was last logged, and when.
@@ -279,7 +279,7 @@
     pub(super) last_view: Option<View>,
     failed: bool,
     pub(super) sender: mpsc::WeakSender<Queued>,
-    load: Load,
+    pub(super) load: Load,
     pub(super) ports: Ports,
 }
 
@@ -465,145 +465,6 @@
         ));
     }
 
-    /// Lets the scheduler plan, proposes its commands and sends its orders.
-    fn plan(&mut self) {
-        if !self.holds_lease() || self.disk_full {
-            return;
-        }
-        let now = self.now();
-        let Some(scheduler) = &mut self.scheduler else {
-            return;
-        };
-        if let Some((span, part)) = self.load.sample() {
-            scheduler.record_busy(span, part);
-        }
-        for order in self.relays.expire(now) {
-            scheduler.answered(now, order, Answer::Silent);
-        }
-        let share = scheduler.relay_share();
-        let plan = scheduler.plan(now, wall(), &self.ledger);
-        self.load
-            .record_plan(plan.orders.len(), plan.commands.len(), plan.visits);
-        for age in &plan.agent_ages {
-            self.ports.metrics.record_heartbeat_age(*age);
-        }
-        for delay in &plan.start_delays {
-            self.ports.metrics.record_start_delay(*delay);
-        }
-        if let Some(overdue) = &plan.overdue {
-            self.relays.log_overdue(overdue);
-        }
-        for command in plan.commands {
-            self.propose(ReplyTo::Discard, command);
-        }
-        // Checks the lease again, because the process may have been suspended since the first
-        // check.
-        if !self.holds_lease() {
-            let unsent = plan.orders.iter().map(|order| order.id);
-            log::warn!(orders = unsent.len(); "orders weren't sent, as the leader's lease had expired");
-            if let Some(scheduler) = &mut self.scheduler {
-                scheduler.take_back(now, unsent);
-            }
-            return;
-        }
-        let tenure = self.tenure;
-        for order in plan.orders {
-            let relay = self.relays.choose(now, share, &order.kind);
-            match relay {
-                Some(relay) => self
-                    .relays
-                    .assign(now, relay, self.ports.exchange_limit, order),
-                None => {
-                    self.relays.record_direct(&order);
-                    self.perform(order, move |order, answer| {
-                        Input::Answered(order, tenure, answer)
-                    });
-                }
-            }
-        }
-        for (relay, orders) in self.relays.take_batches() {
-            let frame = Frame::Orders { tenure, orders };
-            // A lost frame shows as orders without an answer in time.
-            self.ports.mesh.send(relay, frame.encode());
-        }
-    }
-
-    /// Executes an order and feeds its answer back as an input.
-    fn perform(
-        &self,
-        order: Order,
-        answered: impl FnOnce(OrderId, Answer) -> Input + Send + 'static,
-    ) {
-        let Some(inbox) = self.sender.upgrade() else {
-            return;
-        };
-        let id = order.id;
-        let (metrics, what) = (Arc::clone(&self.ports.metrics), order.kind.clone());
-        let answer = (self.ports.perform)(order);
-        tokio::spawn(async move {
-            let started_at = Instant::now();
-            let answer = answer.await;
-            metrics.record_answer(&what, &answer, started_at.elapsed());
-            // The send fails only when the task has ended.
-            let _ = inbox.send(answered(id, answer).into()).await;
-        });
-    }
-
-    fn handle_answer(&mut self, order: OrderId, tenure: u64, answer: Answer) {
-        let now = self.now();
-        if tenure == self.tenure
-            && let Some(scheduler) = &mut self.scheduler
-        {
-            self.relays
-                .record_direct_answer(order, !matches!(answer, Answer::Silent));
-            scheduler.answered(now, order, answer);
-        }
-    }
-
-    /// Executes the orders of a leader as its relay, unless this node knows of a later term.
-    fn execute_relayed(&mut self, leader: NodeId, tenure: u64, orders: Vec<Order>) {
-        for order in orders {
-            if order.term < self.node.term() {
-                // No answer is sent: the current leader doesn't wait for this order.
-                continue;
-            }
-            self.perform(order, move |order, answer| Input::RelayedAnswer {
-                leader,
-                tenure,
-                order,
-                answer,
-            });
-        }
-    }
-
-    /// Handles a relay's answers to this node's orders.
-    fn handle_relayed_answers(
-        &mut self,
-        relay: NodeId,
-        tenure: u64,
-        answers: Vec<(OrderId, Answer)>,
-    ) {
-        let now = self.now();
-        let Some(scheduler) = self.scheduler.as_mut().filter(|_| tenure == self.tenure) else {
-            return;
-        };
-        for (order, answer) in answers {
-            let reached = !matches!(answer, Answer::Silent);
-            if self.relays.record_answer(relay, order, reached) {
-                scheduler.answered(now, order, answer);
-            }
-        }
-    }
-
-    /// Sends leaders the answers to the orders that this node executed as their relay.
-    fn send_relayed_answers(&mut self) {
-        for ((leader, tenure), answers) in self.relayed_answers.drain() {
-            let frame = Frame::RelayedAnswers { tenure, answers };
-            // If the frame is lost, the leader sees orders without an answer.
-            self.ports.mesh.send(leader, frame.encode());
-        }
-    }
-
     pub(super) fn propose(&mut self, reply_to: ReplyTo, command: Command) {
         let payload = command.encode();
         let proposal = self.proposals.propose(reply_to, Some(command));
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -21,6 +21,7 @@
 mod load;
 pub mod membership;
 pub mod metrics;
+mod orders;
 mod outputs;
 mod peers;
 pub mod ports;
