--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -62,7 +62,7 @@
                                 writing_ms = stall.writing.map(millis),
                                 pinged_ms = stall.pinged.map(millis),
                                 shown_ms = millis(stall.shown), late_ms = millis(stall.late),
-                                unread = stall.unread, queued, bytes;
+                                queued, bytes;
                                 "mesh link lost"
                             );
                             continue;
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -3,8 +3,7 @@
 //! Both ends write and read at the same time: an end that only wrote until its peer had read would
 //! wait for ever for one that does the same.
 //!
-//! The end that dialled pings and counts on the answers; the other counts on the pings. An end that
-//! writes much pings as well, and waits with the rest until it is answered.
+//! The end that dialled pings and counts on the answers; the other counts on the pings.
 //!
 //! Each end introduces itself first, and again in a text message when it learns its cluster; nodes
 //! of earlier releases pass over text.
@@ -31,7 +30,7 @@
 
 use super::{
     LARGEST, MeshError, PING, PROTOCOL, STALL, Shared,
-    pulse::{Half, Pulse, SPAN},
+    pulse::{Half, Pulse},
 };
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
@@ -235,9 +234,6 @@
         let Some(message) = message.transpose()? else {
             return Ok(());
         };
-        if let Message::Pong(held) = &message {
-            pulse.answer(held);
-        }
         if end.is_shown_by(&message) {
             pulse.show();
             overdue = 0;
@@ -251,7 +247,6 @@
         match message {
             Message::Binary(bytes) => {
                 shared.traffic.count_received(bytes.len());
-                pulse.receive(bytes.len());
                 // Whoever waits for a change may run after this.
                 shared.admit(&said.borrow())?;
                 if !shared.faults.drops(peer) {
@@ -301,20 +296,20 @@
     let mut ping = interval_at(Instant::now() + PING, PING);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let full = pulse.is_full();
-        let first = select! {
-            biased;
-            _ = ping.tick(), if end == End::Dialler => Some(pulse.ping()),
-            Ok(()) = ours.changed() => Some(reintroduction(&ours.borrow_and_update())),
-            message = queue.recv(), if !full => match message {
-                Some(bytes) => Some(Message::Binary(bytes)),
+        let message = select! {
+            message = queue.recv() => match message {
+                Some(bytes) => Message::Binary(bytes),
                 None => return Ok(()),
             },
-            () = pulse.answered(), if full => None,
+            Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
+            _ = ping.tick(), if end == End::Dialler => {
+                pulse.ping();
+                Message::Ping(Bytes::new())
+            }
         };
         pulse.begin();
         let due = Instant::now() + STALL;
-        timeout_at(due, write_some(&mut sink, first, queue, shared, pulse))
+        timeout_at(due, write_all(&mut sink, message, queue, shared))
             .await
             .unwrap_or_else(|_| {
                 let stall = pulse.stall(Half::Writing, due);
@@ -324,49 +319,23 @@
     }
 }
 
-/// Writes a message and some of what else already waits, then flushes once. Little enough that a
-/// ping doesn't wait for long, and that a slow peer takes it in time.
-async fn write_some(
+/// Writes one message and whatever else already waits, then flushes once.
+async fn write_all(
     sink: &mut SplitSink<Socket, Message>,
-    mut next: Option<Message>,
+    first: Message,
     queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
-    pulse: &Pulse,
 ) -> Result<(), MeshError> {
-    let mut written = 0;
-    loop {
-        if let Some(message) = next.take() {
-            written += message.len();
-            feed(sink, message, shared, pulse).await?;
-        }
-        if written >= SPAN || pulse.is_full() {
-            break;
-        }
-        let Ok(bytes) = queue.try_recv() else { break };
-        next = Some(Message::Binary(bytes));
-    }
-    if pulse.has_to_ask() {
-        feed(sink, pulse.ping(), shared, pulse).await?;
+    shared.traffic.count_sent(first.len());
+    sink.feed(first).await?;
+    while let Ok(bytes) = queue.try_recv() {
+        shared.traffic.count_sent(bytes.len());
+        sink.feed(Message::Binary(bytes)).await?;
     }
     sink.flush().await?;
     Ok(())
 }
 
-/// Hands a message to the connection, and notes that.
-async fn feed(
-    sink: &mut SplitSink<Socket, Message>,
-    message: Message,
-    shared: &Shared,
-    pulse: &Pulse,
-) -> Result<(), MeshError> {
-    shared.traffic.count_sent(message.len());
-    if !message.is_ping() {
-        pulse.write(message.len());
-    }
-    sink.feed(message).await?;
-    Ok(())
-}
-
 /// Gives up on what takes too long.
 ///
 /// # Errors
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -17,11 +17,6 @@
 //! small hosts, so only one end pings: 8 bytes for a ping and its answer, some 170 with the heads of
 //! TCP and IP and the acknowledgements, 2.5 times a second.
 //!
-//! An end that writes much pings in between, whoever dialled, and has no more on the way than the
-//! connection carries in half a second (128 KiB to 1 MiB) and a message: a ping behind all that is
-//! queued would be answered too late on a slow link to a peer that is well. A link that carries
-//! 2 Mbit/s stays, however much is queued, as long as no single message takes a second.
-//!
 //! Each end says which cluster it is of, once it knows. Two that can't be of one cluster aren't
 //! linked ([`Claim::admits`]), and a link is dropped when that turns out later, so nothing that
 //! a node of another cluster says is handed on.
@@ -71,8 +66,7 @@
 pub(crate) const SILENT: Duration = Duration::from_millis(1000);
 /// From one ping to the next, whatever else is sent.
 pub(crate) const PING: Duration = Duration::from_millis(400);
-/// How long a dial, a handshake, a write of 64 KiB and a message, or the answer to a ping behind much
-/// else may take.
+/// How long a dial, a handshake or a write may take.
 pub(crate) const STALL: Duration = Duration::from_secs(2);
 
 /// What the mesh needs to know.
