--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -40,11 +40,8 @@
     dirty: Vec<MinionId>,
     /// The agents that don't answer, as of the last [`Agents::update_indexes`].
     unresponsive: BTreeSet<MinionId>,
-    /// The agents that run long-running tasks, ordered by when they last answered a renewal, as of
-    /// their last visit.
-    renewals: BTreeSet<(Now, MinionId)>,
-    /// The number of long-running tasks that run at these agents.
-    running: usize,
+    /// The agents that run long-running tasks, as of their last visit.
+    renewals: Renewals,
     /// The number of visits of agents.
     visits: Cell<usize>,
 }
@@ -61,6 +58,37 @@
     renewal: Option<(Now, usize)>,
 }
 
+/// The agents that run long-running tasks, ordered by when they last answered a renewal.
+#[derive(Clone, Debug, Default)]
+struct Renewals {
+    order: BTreeSet<(Now, MinionId)>,
+    /// The number of long-running tasks that run at these agents.
+    running: usize,
+}
+
+impl Renewals {
+    /// Replaces the entry of an agent: the time of its last answer, and the long-running tasks that
+    /// run there.
+    fn replace(
+        &mut self,
+        id: &MinionId,
+        before: Option<(Now, usize)>,
+        after: Option<(Now, usize)>,
+    ) {
+        if before == after {
+            return;
+        }
+        if let Some((since, running)) = before {
+            self.order.remove(&(since, id.clone()));
+            self.running -= running;
+        }
+        if let Some((since, running)) = after {
+            self.order.insert((since, id.clone()));
+            self.running += running;
+        }
+    }
+}
+
 impl Entry {
     /// Marks the agent as dirty and adds it to `dirty`, unless it is dirty already.
     fn mark_dirty(&mut self, dirty: &mut Vec<MinionId>) {
@@ -140,10 +168,7 @@
             self.timers.remove(&(due, id.clone()));
         }
         self.unresponsive.remove(id);
-        if let Some((since, running)) = renewal {
-            self.renewals.remove(&(since, id.clone()));
-            self.running -= running;
-        }
+        self.renewals.replace(id, renewal, None);
     }
 
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
@@ -277,16 +302,7 @@
             entry.dirty = false;
             let renewal = entry.agent.oldest_renewal();
             let before = std::mem::replace(&mut entry.renewal, renewal);
-            if renewal != before {
-                if let Some((since, running)) = before {
-                    self.renewals.remove(&(since, id.clone()));
-                    self.running -= running;
-                }
-                if let Some((since, running)) = renewal {
-                    self.renewals.insert((since, id.clone()));
-                    self.running += running;
-                }
-            }
+            self.renewals.replace(&id, before, renewal);
             let due = next(&id, &entry.agent);
             if due == entry.due {
                 continue;
@@ -302,19 +318,19 @@
 
     /// The number of long-running tasks that run, as far as the leader knows.
     pub(super) fn running(&self) -> usize {
-        self.running
+        self.renewals.running
     }
 
     /// When the agent with long-running tasks that has answered no renewal for the longest time last
     /// answered one.
     pub(super) fn oldest_renewal(&self) -> Option<Now> {
-        self.renewals.first().map(|(since, _)| *since)
+        self.renewals.order.first().map(|(since, _)| *since)
     }
 
     /// The agents with long-running tasks that have answered no renewal since `limit`, the longest
     /// first, each with the time of its last answer and the number of these tasks.
     pub(super) fn overdue(&self, limit: Now) -> impl Iterator<Item = (Now, usize, &Agent)> {
-        let overdue = self.renewals.iter();
+        let overdue = self.renewals.order.iter();
         let overdue = overdue.take_while(move |(since, _)| *since <= limit);
         overdue.filter_map(|(since, id)| {
             self.count_visit();
