--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -8,6 +8,14 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Adds node 4 with an empty disk, and waits until it may vote.
+fn add_learner(world: &mut World) {
+    world.add((1..=4).fold(config(4, &[]), |c, id| c.location(id, "north")));
+    world.until(SECOND * 2, |w| {
+        w.node(4).eligibility() == Eligibility::Eligible
+    });
+}
+
 #[test]
 fn a_voter_that_lost_its_disk_comes_back_under_a_new_id() {
     let mut world = World::voters(3);
@@ -17,11 +25,7 @@
     world.crash(dead);
     let rest: Vec<_> = (1..=3).filter(|&id| id != dead).collect();
     world.reconfigure(&rest);
-    let directory = (1..=4).fold(config(4, &[]), |c, id| c.location(id, "north"));
-    world.add(directory);
-    world.until(SECOND * 2, |w| {
-        w.node(4).eligibility() == Eligibility::Eligible
-    });
+    add_learner(&mut world);
     let voters = [rest[0], rest[1], 4];
     world.reconfigure(&voters);
     world.crash(leader);
@@ -170,11 +174,7 @@
     let mut world = World::voters(3);
     let leader = world.elect();
     world.commit(1);
-    let directory = (1..=4).fold(config(4, &[]), |c, id| c.location(id, "north"));
-    world.add(directory);
-    world.until(SECOND * 2, |w| {
-        w.node(4).eligibility() == Eligibility::Eligible
-    });
+    add_learner(&mut world);
     world.run(SECOND);
     world.stalled_disks.insert(4);
     world.commit(2);
@@ -260,11 +260,7 @@
     let mut world = World::voters(3);
     let leader = world.elect();
     world.commit(1);
-    let directory = (1..=4).fold(config(4, &[]), |c, id| c.location(id, "north"));
-    world.add(directory);
-    world.until(SECOND * 2, |w| {
-        w.node(4).eligibility() == Eligibility::Eligible
-    });
+    add_learner(&mut world);
     world.run(SECOND);
     world.answers.clear();
     let change = |proposal, added| {
@@ -312,10 +308,7 @@
     ids.iter().for_each(|id| {
         world.rates.insert((*id, 4), 128 << 10);
     });
-    world.add((1..=4).fold(config(4, &[]), |c, id| c.location(id, "north")));
-    world.until(SECOND * 2, |w| {
-        w.node(4).eligibility() == Eligibility::Eligible
-    });
+    add_learner(&mut world);
     let (proposal, voters) = (u64::MAX, vec![1, 2, 3, 4]);
     world.input(leader, Input::Reconfigure { proposal, voters });
     let took = world.until(SECOND * 300, |w| !w.node(leader).is_changing_voters());
