Log a shortage of descriptors once a second at most

Cause: the acceptor wrote a line for each shortage, and took one accepted connection for its end. Idle connections that close over more than its pause of 0.1 s make several shortages of one.

Ruled out: several listeners that each log (all lines name the callers' port); a loop without a pause (no two lines closer than 0.1 s).

Change: the limit counts time. A shortage is named if the last one was named a second ago or longer, else once that second is over and it still lasts. `connections are accepted again` follows each named one only, and counts the tries since the last such line.

--- a/src/adapters/accept.rs
+++ b/src/adapters/accept.rs
@@ -2,23 +2,32 @@
 //!
 //! A process may have no descriptor left for the next connection. Then nothing is accepted until one is
 //! free, which is looked for a few times a second, and the log says so once and not with each try.
+//! Connections that close one after the other make many short shortages of one; the log names one a
+//! second at most.
 
 use std::{io, net::SocketAddr, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// From one try to the next where none could be accepted: short beside what a peer waits for.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The least time from one shortage that the log names to the next.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A listener that waits where connections can't be accepted.
 #[derive(Debug)]
 pub(crate) struct Acceptor {
     listener: TcpListener,
-    /// Tries in a row that failed.
+    /// Tries that failed since the log last said that connections are accepted.
     failed: u64,
+    /// When the log last said that none can be accepted.
+    logged: Option<Instant>,
+    /// Whether it hasn't said since that they are accepted again.
+    short: bool,
 }
 
 impl Acceptor {
@@ -27,6 +36,8 @@
         Self {
             listener,
             failed: 0,
+            logged: None,
+            short: false,
         }
     }
 
@@ -45,17 +56,22 @@
     }
 
     fn note_failure(&mut self, error: &io::Error) {
-        if self.failed == 0 {
-            let address = self.listener.local_addr().ok();
-            log::warn!(error:%, address:?; "connections can't be accepted");
-        }
         self.failed += 1;
+        let recent = self.logged.is_some_and(|at| at.elapsed() < LOG_INTERVAL);
+        if self.short || recent {
+            return;
+        }
+        let address = self.listener.local_addr().ok();
+        log::warn!(error:%, address:?; "connections can't be accepted");
+        self.logged = Some(Instant::now());
+        self.short = true;
     }
 
     fn succeeded(&mut self) {
-        if self.failed > 0 {
+        if self.short {
             log::info!(tries = self.failed; "connections are accepted again");
             self.failed = 0;
+            self.short = false;
         }
     }
 }
