Judge a peer's silence by what its leader asked and could read

Callers saw: after a lost voter the join of the learner that lacked nothing was refused after 1.0 s, twice in a row, while the whole machine stalled.

Cause: a join was given up when the last answered message, or the beginning of the join, was a second ago by the clock, at any input. So a leader that had stood still for a second judged by the first message that it read, while the joining node's answer waited behind it, or although it had asked nothing yet. `silent_voters` counted alike, so that after such a second each voter counted as lost until it was heard again.

Change: the leader notes for each peer the first heartbeat without an answer, as it does for its quorum, and silence counts from that. A heartbeat that was under way as the leader was delayed is asked once more, and only once. The time of a delay doesn't count for unconfirmed entries either. Only a tick, which comes after the inputs that wait, gives a join up. The limits are as they were.

Ruled out: stalls in a row as the cause. With 30 ms between two stalls of 1.1 s the leader itself steps down first (`no quorum answered`).

Evidence: a world in which all hosts stand still for 1.1, 1.5 or 2.5 s at 25 moments after a join begins, 110 ms a link.

--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -1,6 +1,9 @@
 //! The state that only a leader keeps: how far each peer is, and the changes under way.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use super::{
     interface::{Index, Term},
@@ -21,7 +24,11 @@
     pub(super) probing: bool,
     /// The last index of each message with entries that is in flight.
     pub(super) in_flight: VecDeque<Index>,
-    /// Since when no entry was confirmed although some are in flight.
+    /// The first heartbeat that the node hasn't answered. `None` if it has answered that one or
+    /// anything sent later.
+    pub(super) unanswered: Option<Question>,
+    /// Since when no entry was confirmed although some are in flight. Time in which this leader was
+    /// delayed itself is left out.
     pub(super) unconfirmed_since: Option<Now>,
     /// The snapshot that is being sent, if the log doesn't reach back far enough.
     pub(super) transfer: Option<Transfer>,
@@ -30,13 +37,15 @@
 impl Progress {
     pub(super) fn new(next: Index) -> Self {
         let in_flight = VecDeque::new();
-        let (last_acked, unconfirmed_since, transfer) = (None, None, None);
+        let (last_acked, unanswered) = (None, None);
+        let (unconfirmed_since, transfer) = (None, None);
         Self {
             next,
             matched: 0,
             last_acked,
             probing: true,
             in_flight,
+            unanswered,
             unconfirmed_since,
             transfer,
         }
@@ -95,6 +104,19 @@
     pub(super) fn acked(&mut self, sent: Now) {
         self.last_acked = self.last_acked.max(Some(sent));
     }
+
+    /// Brings what the node owes up to date, on a tick to which this leader came late by `delay`.
+    pub(super) fn update_owed(&mut self, now: Now, delay: Duration) {
+        let question = self.unanswered.take();
+        self.unanswered = question.and_then(|q| q.update(self.last_acked, now, delay));
+        self.unconfirmed_since = self.unconfirmed_since.map(|since| since + delay);
+    }
+
+    /// Since when the node owes an answer to a heartbeat, or the confirmation of an entry.
+    pub(super) fn silent_since(&self) -> Option<Now> {
+        let asked = self.unanswered.map(|question| question.sent);
+        asked.into_iter().chain(self.unconfirmed_since).min()
+    }
 }
 
 /// A node that becomes a voter once it is up to date.
@@ -104,8 +126,6 @@
     /// All voters after the change.
     pub(super) voters: Vec<NodeId>,
     pub(super) node: NodeId,
-    /// When the leader began to wait for it.
-    pub(super) since: Now,
 }
 
 /// A hand-over of leadership to another voter that is under way.
@@ -116,7 +136,7 @@
     pub(super) until: Now,
 }
 
-/// A heartbeat that waits for the answers of a quorum.
+/// A heartbeat that waits for an answer: of one node, or of a quorum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Question {
     pub(super) sent: Now,
@@ -124,6 +144,31 @@
     pub(super) repeated: bool,
 }
 
+impl Question {
+    pub(super) fn new(now: Now) -> Self {
+        Self {
+            sent: now,
+            repeated: false,
+        }
+    }
+
+    /// What is still open if everything sent up to `acked` is answered. A leader that was delayed
+    /// itself asks once more, and only once: the heartbeat may have left it late, or the answers
+    /// may not have been read.
+    pub(super) fn update(self, acked: Option<Now>, now: Now, delay: Duration) -> Option<Self> {
+        if acked >= Some(self.sent) {
+            return None;
+        }
+        if delay.is_zero() || self.repeated {
+            return Some(self);
+        }
+        Some(Self {
+            sent: now,
+            repeated: true,
+        })
+    }
+}
+
 /// The state of a leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Leader {
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -42,12 +42,10 @@
             }
             Some(VoterChange::Add(node)) => {
                 self.give_up_joining();
-                let since = self.now;
                 self.start_joining(Joining {
                     proposal,
                     voters,
                     node,
-                    since,
                 });
             }
         }
@@ -130,36 +128,30 @@
     }
 
     /// Advances what a leader has under way besides replication.
-    pub(super) fn advance_changes(&mut self) {
-        self.advance_joining();
+    pub(super) fn advance_changes(&mut self, ticked: bool) {
+        self.advance_joining(ticked);
         self.drop_removed();
         self.advance_handover();
     }
 
     /// Adds a new voter once it has caught up so far that it won't hold up the majority that needs
-    /// it. Rejects the change if the voter falls silent.
-    fn advance_joining(&mut self) {
+    /// it. Rejects the change if the voter falls silent, which only a tick judges: the inputs before
+    /// it may hold the answer.
+    fn advance_joining(&mut self, ticked: bool) {
         let (now, last) = (self.now, self.log.last().index);
-        let wait = self.config.election_max;
+        let limit = self.config.election_max * SILENCE_ELECTION_TIMEOUTS;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let Some(Joining { node, since, .. }) = leader.joining else {
+        let Some(Joining { node, .. }) = leader.joining else {
             return;
         };
         let peer = leader.peers.get(&node);
         let matched = peer.map_or(0, |p| p.matched);
         let close = matched > 0 && matched + MAX_MISSING_ENTRIES >= last;
-        let acked = peer
-            .and_then(|p| p.last_acked)
-            .unwrap_or_default()
-            .max(since);
-        let confirmed = peer
-            .and_then(|p| p.unconfirmed_since)
-            .unwrap_or(now)
-            .min(acked);
-        let waits = now < confirmed.max(since) + wait * SILENCE_ELECTION_TIMEOUTS;
-        if !close && waits {
+        let since = peer.and_then(Progress::silent_since);
+        let silent = ticked && since.is_some_and(|since| now >= since + limit);
+        if !close && !silent {
             return;
         }
         let Some(joining) = leader.joining.take() else {
--- a/src/core/consensus/node.rs
+++ b/src/core/consensus/node.rs
@@ -289,7 +289,7 @@
         if self.is_leader() {
             self.replicate();
             self.advance_commit();
-            self.advance_changes();
+            self.advance_changes(ticked);
         } else {
             self.flush();
         }
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -5,6 +5,8 @@
 //! only if its log contains the position before them; it truncates its log where that differs. A
 //! leader never overwrites entries of its own log.
 
+use std::time::Duration;
+
 use super::{
     interface::{Content, Entry, Index, Output, Payload, Record, Resignation, Term},
     leader::{Progress, Question, quorum},
@@ -50,7 +52,7 @@
 
     /// Sends heartbeats, and steps down when no quorum answers any more or the disk has stalled.
     pub(super) fn tick_leader(&mut self) {
-        self.update_question();
+        self.update_questions();
         let quorum_lost = self.config.protections.lease && self.has_lost_quorum();
         if quorum_lost || self.is_disk_stalled() {
             self.resign(if quorum_lost {
@@ -69,10 +71,10 @@
             return;
         }
         leader.heartbeat_due = now + heartbeat;
-        leader.unanswered.get_or_insert(Question {
-            sent: now,
-            repeated: false,
-        });
+        leader.unanswered.get_or_insert(Question::new(now));
+        for peer in leader.peers.values_mut() {
+            peer.unanswered.get_or_insert(Question::new(now));
+        }
         self.send_heartbeats();
     }
 
@@ -90,24 +92,25 @@
         }
     }
 
-    /// Forgets the unanswered heartbeat once a quorum has answered it. If the next one is overdue
-    /// by a whole interval, this leader was delayed itself: the heartbeat may have left it late, or
-    /// its answers may not have been read. It then asks once more, and only once.
-    fn update_question(&mut self) {
+    /// Forgets the unanswered heartbeats that were answered since. If the next one is overdue by a
+    /// whole interval, this leader was delayed itself.
+    fn update_questions(&mut self) {
         let (now, heartbeat) = (self.now, self.config.heartbeat);
         let acked = self.quorum_acked();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let delayed = now >= leader.heartbeat_due + heartbeat;
-        leader.unanswered = match leader.unanswered {
-            Some(question) if acked >= Some(question.sent) => None,
-            Some(question) if delayed && !question.repeated => Some(Question {
-                sent: now,
-                repeated: true,
-            }),
-            question => question,
+        let overdue = now.saturating_sub(leader.heartbeat_due);
+        let delay = if overdue >= heartbeat {
+            overdue
+        } else {
+            Duration::ZERO
         };
+        let question = leader.unanswered.take();
+        leader.unanswered = question.and_then(|q| q.update(acked, now, delay));
+        for peer in leader.peers.values_mut() {
+            peer.update_owed(now, delay);
+        }
     }
 
     /// Whether no quorum has answered for a whole lease since it was asked. The time in which a
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -60,11 +60,12 @@
         self.applied < self.committed
     }
 
-    /// On the leader, the voters that for `limit` have answered nothing, or have confirmed no entry
-    /// though some were sent, as when a disk hangs.
+    /// On the leader, the voters that for `limit` have answered nothing that it asked, or have
+    /// confirmed no entry though some were sent, as when a disk hangs.
     ///
     /// The time counts from the election at the earliest, except for the former leader. That one
-    /// may have been missing since before the election, and has a few heartbeats to answer.
+    /// may have been missing since before the election, and has a few heartbeats to answer. Time in
+    /// which this leader was delayed itself doesn't count.
     pub fn silent_voters(&self, limit: Duration) -> Vec<NodeId> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
@@ -73,16 +74,16 @@
             let Some(peer) = leader.peers.get(voter) else {
                 return false;
             };
-            let predecessor = leader.predecessor.filter(|(node, _)| node == *voter);
-            let since = match (peer.last_acked, predecessor) {
-                (Some(acked), _) => acked.max(leader.elected),
-                (None, Some((_, seen))) => {
-                    let grace = self.config.heartbeat * PREDECESSOR_HEARTBEATS;
-                    seen.max((leader.elected + grace).saturating_sub(limit))
-                }
-                (None, None) => leader.elected,
+            let Some(owed) = peer.silent_since() else {
+                return false;
             };
-            let since = peer.unconfirmed_since.unwrap_or(since).min(since);
+            let predecessor = leader.predecessor.filter(|(node, _)| node == *voter);
+            let before = predecessor.filter(|_| peer.last_acked.is_none());
+            let since = before.map_or(owed, |(_, seen)| {
+                let grace = self.config.heartbeat * PREDECESSOR_HEARTBEATS;
+                let earliest = (leader.elected + grace).saturating_sub(limit);
+                seen.max(earliest).min(owed)
+            });
             self.now >= since + limit
         };
         self.voters().iter().filter(silent).copied().collect()
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -315,3 +315,68 @@
     assert!(took > SECOND * 30, "only {took:?}: it isn't slow");
     assert_eq!(world.node(leader).voters(), [1, 2, 3, 4]);
 }
+
+/// Holds all hosts up for a while, as when their machine stalls: what arrives meanwhile waits.
+fn stall(world: &mut World, time: Duration) {
+    let ids: Vec<_> = world.hosts.keys().copied().collect();
+    // A turn that begins when the time has passed, and not before.
+    let turn = world.now + time;
+    world.turns.extend(ids.iter().map(|&id| (id, turn)));
+    world.run(time);
+    world.turns.clear();
+}
+
+/// Guards against a join that is given up because its leader stood still: silence that is counted
+/// while nothing was asked, or while the answers waited to be read.
+#[test]
+fn a_leader_that_stood_still_does_not_give_up_a_join() {
+    let ms = Duration::from_millis;
+    let cases: Vec<_> = (0..25)
+        .flat_map(|at| [1100, 1500, 2500].map(|time| (at * 10, time)))
+        .collect();
+    let gives_up = |&(at, time): &(u64, u64)| {
+        let mut world = World::voters(3);
+        let leader = world.elect();
+        world.commit(1);
+        add_learner(&mut world);
+        // Longer than a heartbeat's interval, so that one is always on its way to each voter.
+        world.delay = ms(110);
+        world.run(SECOND);
+        let (proposal, voters) = (u64::MAX, vec![1, 2, 3, 4]);
+        world.input(leader, Input::Reconfigure { proposal, voters });
+        world.run(ms(at));
+        stall(&mut world, ms(time));
+        world.run(SECOND);
+        assert_eq!(world.leader(), Some(leader), "{:?}", world.resigned);
+        world.node(leader).voters() != [1, 2, 3, 4]
+    };
+    let given_up: Vec<_> = cases.iter().filter(|case| gives_up(case)).collect();
+    let all = cases.len();
+    assert!(
+        given_up.is_empty(),
+        "{} of {all}: {given_up:?}",
+        given_up.len()
+    );
+}
+
+/// Guards against voters that count as silent because their leader stood still.
+#[test]
+fn a_leader_that_stood_still_takes_no_voter_for_lost() {
+    for at in 0..25 {
+        let mut world = World::voters(5);
+        let leader = world.elect();
+        world.commit(1);
+        // Longer than a heartbeat's interval, so that one is always on its way to each voter.
+        world.delay = Duration::from_millis(110);
+        world.run(SECOND);
+        world.propose(leader, 2);
+        world.run(Duration::from_millis(at * 10));
+        stall(&mut world, SECOND * 3 / 2);
+        while world.commands(leader).len() < 2 || world.now < SECOND * 6 {
+            let silent = world.node(leader).silent_voters(SECOND);
+            assert!(silent.is_empty(), "{silent:?} at {:?}, {at}", world.now);
+            world.tick();
+        }
+        assert_eq!(world.leader(), Some(leader), "{:?}", world.resigned);
+    }
+}
