Plan only what consensus accepts

What callers saw: once the log of a leader had been full, nothing was started any more and no end was acknowledged, for as long as it led.

Cause: the scheduler took rounds that consensus rejected for open, and after two of them it decided no more. What else the rejected commands said (ends, abandoned attempts, ends of agents, maintenance, intents, jobs to forget) was lost with them. Class: an answer that is awaited to something that was never sent.

Ways weighed: (1) hand each rejected command back, as `take_back` does for orders: an inverse of each of some ten effects (slots, probes, caps, losses, intents), each of which can be wrong, and a whole plan made and undone in each turn; (2) decide nothing that can't be proposed: one number passed, exact as the control task proposes a plan's commands with no other input between them; what was learnt stays where it is, as while two rounds are open; (3) a new scheduler from the ledger: not safe within a term, as agents fence by the term and orders of the former scheduler may still be under way.

Change: `Node::room` says how many commands are accepted now, and proposals are rejected by the same function. `Scheduler::plan` is given it, and commits all or nothing, as ends with one cause are judged together. Renewals, starts of committed attempts and stops go on without room.

Ruled out: a hand-over that fails. By reading, a leader has no lease while it hands over, so it plans nothing (`lease_until`), and none begins within a plan.

--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -20,7 +20,7 @@
 
 impl Node {
     pub(super) fn propose(&mut self, proposal: u64, content: Content) {
-        if !self.is_leader() || self.is_handing_over() || self.is_backlog_full() {
+        if self.room() == 0 {
             self.reject(proposal);
             return;
         }
@@ -32,11 +32,6 @@
         });
     }
 
-    /// Whether so many entries wait to be committed that no more are accepted.
-    fn is_backlog_full(&self) -> bool {
-        self.log.last().index - self.committed >= self.config.backlog
-    }
-
     /// Appends an entry to the leader's own log.
     pub(super) fn append_own(&mut self, content: Content) -> Position {
         let index = self.log.last().index + 1;
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -48,6 +48,18 @@
         Some(self.quorum_acked()? + self.config.lease)
     }
 
+    /// How many commands this node accepts if they are proposed now, one after the other and with no
+    /// other input between them. None unless it leads, while it hands leadership over, and while too
+    /// many entries wait to be committed.
+    pub fn room(&self) -> usize {
+        if !self.is_leader() || self.is_handing_over() {
+            return 0;
+        }
+        let waiting = self.log.last().index - self.committed;
+        let room = self.config.backlog.saturating_sub(waiting);
+        usize::try_from(room).unwrap_or(usize::MAX)
+    }
+
     fn has_applied_own_term(&self) -> bool {
         self.log
             .position(self.applied)
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -436,7 +436,7 @@
                 operation.stage = Stage::Away;
                 operation.since = now;
                 if let Purpose::Maintain(wave) = operation.purpose {
-                    self.maintained.push((wave, host.clone()));
+                    self.maintained.insert((wave, host.clone()));
                 }
                 self.end_ordered_agent(host);
             }
@@ -461,7 +461,7 @@
                     },
                 ) = (&operation.purpose, answer)
                 {
-                    self.maintained.push((*wave, host.clone()));
+                    self.maintained.insert((*wave, host.clone()));
                 }
                 self.end_operation(now, host);
             }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -314,7 +314,7 @@
     /// When overdue renewals may be reported again; `None` if at once.
     overdue_due: Option<Now>,
     /// Hosts whose maintenance has begun, by wave, to be committed as such.
-    maintained: Vec<(WaveId, HostId)>,
+    maintained: BTreeSet<(WaveId, HostId)>,
     orders: Vec<Order>,
     /// See [`Plan::agent_ages`].
     agent_ages: Vec<Duration>,
@@ -393,7 +393,7 @@
             completions: Completions::default(),
             away: AwayTasks::default(),
             overdue_due: None,
-            maintained: Vec::new(),
+            maintained: BTreeSet::new(),
             orders: Vec::new(),
             agent_ages: Vec::new(),
             start_delays: Vec::new(),
@@ -495,25 +495,28 @@
     }
 
     /// Decides what to commit and what to order now.
-    pub fn plan(&mut self, now: Now, wall: Wall, ledger: &Ledger) -> Plan {
+    ///
+    /// `room` is how many commands consensus accepts now. What the plan says to commit is never
+    /// offered again, so nothing is decided that needs more: what was learnt stays here until there
+    /// is room for all of it. Orders don't depend on it.
+    pub fn plan(&mut self, now: Now, wall: Wall, ledger: &Ledger, room: usize) -> Plan {
         if self.superseded {
             return Plan::default();
         }
         self.agents.mark_due(now);
         self.open_due_occurrences(now, wall, ledger);
         self.retire_replaced(now);
-        let mut gone = std::mem::take(&mut self.terminated);
-        gone.retain(|agent| ledger.agent(agent).is_some());
-        let mut commands = self.loss_commands(now, wall, &gone);
-        for (wave, host) in std::mem::take(&mut self.maintained) {
-            let hosts = vec![host];
-            commands.push(Command::Maintained { wave, hosts });
+        self.terminated
+            .retain(|agent| ledger.agent(agent).is_some());
+        let has_room = self.max_commands() <= room;
+        let mut commands = Vec::new();
+        if has_room {
+            commands = self.housekeeping_commands(now, wall);
         }
-        commands.extend(self.forget_jobs(now));
         self.expire_leases(now);
         self.forget_strays(now);
         self.manage_hosts(now, wall, ledger);
-        if self.open_rounds < MAX_OPEN_ROUNDS {
+        if has_room && self.open_rounds < MAX_OPEN_ROUNDS {
             let round = self.build_round(now, wall, ledger);
             if !round.is_empty() {
                 self.open_rounds += 1;
@@ -537,6 +540,25 @@
         }
     }
 
+    /// The most commands that a plan can have now.
+    fn max_commands(&self) -> usize {
+        /// The jobs to forget, and a round.
+        const OTHERS: usize = 2;
+        self.terminated.len() + self.maintained.len() + OTHERS
+    }
+
+    /// The commands that record ends of agents and maintenance, and forget jobs.
+    fn housekeeping_commands(&mut self, now: Now, wall: Wall) -> Vec<Command> {
+        let gone = std::mem::take(&mut self.terminated);
+        let mut commands = self.loss_commands(now, wall, &gone);
+        for (wave, host) in std::mem::take(&mut self.maintained) {
+            let hosts = vec![host];
+            commands.push(Command::Maintained { wave, hosts });
+        }
+        commands.extend(self.forget_jobs(now));
+        commands
+    }
+
     /// Makes the next plan visit all agents instead of only those that have something due. The
     /// decisions are the same; tests compare the two.
     pub fn visit_all(&mut self) {
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -101,7 +101,7 @@
             };
             if presence.is_absent(host, *at) {
                 log::info!(wave = wave.wave, host:%; "a host of a wave no longer exists");
-                self.maintained.push((wave.wave, host.clone()));
+                self.maintained.insert((wave.wave, host.clone()));
                 // Don't report it again while this is being committed.
                 *at = now;
             }
--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -35,7 +35,7 @@
             scheduler.answered(now, order, Answer::Silent);
         }
         let share = scheduler.relay_share();
-        let plan = scheduler.plan(now, wall(), &self.ledger);
+        let plan = scheduler.plan(now, wall(), &self.ledger, self.node.room());
         self.load
             .record_plan(plan.orders.len(), plan.commands.len(), plan.visits);
         for age in &plan.agent_ages {
--- a/tests/consensus/world.rs
+++ b/tests/consensus/world.rs
@@ -440,7 +440,15 @@
 
     pub(crate) fn propose(&mut self, id: NodeId, proposal: u64) {
         let payload = Payload::from(proposal.to_be_bytes().to_vec());
+        let node = self.hosts.get(&id).and_then(|host| host.node.as_ref());
+        let room = node.map(Node::room);
+        let answered = self.answers.len();
         self.input(id, Input::Propose { proposal, payload });
+        let accepted = |(_, answer): &(NodeId, Output)| matches!(answer, Output::Appended { proposal: number, .. } if *number == proposal);
+        if let Some(room) = room {
+            let accepted = self.answers[answered..].iter().any(accepted);
+            assert_eq!(accepted, room > 0, "node {id} with room for {room}");
+        }
     }
 
     /// Commands as a node's state machine holds them.
--- a/tests/manager/leader_lease.rs
+++ b/tests/manager/leader_lease.rs
@@ -1,10 +1,10 @@
 //! A control node that leads and whose lease expires while it plans.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::Ipv4Addr,
     path::Path,
     sync::{
-        Arc, Mutex, OnceLock,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     thread,
@@ -12,36 +12,22 @@
 };
 
 use egretpin::{
-    adapters::{
-        disk::Disk,
-        mesh::{self, Mesh},
-    },
     core::{
-        consensus::{self, Content, Entry, Record},
-        types::{Map, MinionId, NodeId, Resources},
+        consensus,
+        types::{Map, MinionId},
         workload::{
-            catalog::{Catalog, JobId, PoolSpec, QueueSpec},
-            command::{AgentRecord, CatalogText, Command, Document, Placement, Round, Submission},
+            catalog::JobId,
+            command::{Command, Placement, Round, Submission},
             job::{StepId, TaskId},
             scheduler::{Answer, Order, OrderKind, Report, Running, Settings},
             spec::{JobSpec, StepSpec},
         },
     },
-    manager::{
-        control::{self, Control},
-        frame::Frame,
-        identity::{address, node_id},
-        metrics::Metrics,
-        ports::{Config, ControlStatus, Ports},
-    },
-};
-use rand::SeedableRng;
-use rand_pcg::Pcg64;
-use tokio::{
-    net::TcpListener,
-    sync::{mpsc, watch},
-    time::sleep,
+    manager::control::Control,
 };
+use tokio::time::sleep;
+
+use crate::voter::{Voter, agent_record, declare, free_port};
 
 const VOTERS: [Ipv4Addr; 2] = [Ipv4Addr::new(127, 9, 41, 1), Ipv4Addr::new(127, 9, 41, 2)];
 /// The agents. Each runs one long-running task.
@@ -104,25 +90,10 @@
 
 /// What an earlier leader has committed: the agents, and a long-running task at each.
 fn commands() -> Vec<Command> {
-    let text = CatalogText(b"catalog".to_vec().into());
-    let mut commands = vec![Command::Declare(Document { version: 1, text })];
+    let mut commands = vec![declare()];
     for number in 0..AGENTS {
-        let [.., high, low] = number.to_be_bytes();
-        commands.push(Command::Agent(Box::new(AgentRecord {
-            id: agent(number),
-            name: agent(number),
-            pool: "pool".into(),
-            address: ([10, 0, high, low], 80).into(),
-            data_centre: "east".into(),
-            labels: vec![format!("r{number}").as_str().into()],
-            capacity: Resources {
-                millicores: 8000,
-                ..Resources::default()
-            },
-            leaving: false,
-            acked: 0,
-            sequence: 0,
-        })));
+        let record = agent_record(&agent(number), number);
+        commands.push(Command::Agent(Box::new(record)));
     }
     let mut step = StepSpec::new(AGENTS, Duration::from_secs(1));
     step.need.millicores = 1000;
@@ -148,51 +119,6 @@
     commands
 }
 
-fn catalog() -> Catalog {
-    let queue = QueueSpec {
-        name: "queue".into(),
-        pool: "pool".into(),
-        max_attempts: 3,
-        ..QueueSpec::default()
-    };
-    let pool = PoolSpec {
-        name: "pool".into(),
-        ..PoolSpec::default()
-    };
-    Catalog::new(1, vec![queue], vec![pool])
-}
-
-/// Creates the data folder of a voter with the committed commands, and opens it.
-fn open_disk(folder: &Path, node: NodeId, voters: &[NodeId]) -> (Disk, consensus::Restored, u64) {
-    let (mut disk, _) = Disk::open(folder, node).unwrap();
-    let commands = commands()
-        .into_iter()
-        .map(|command| Content::Command(command.encode()));
-    let contents = [(0, Content::Voters(voters.to_vec())), (1, Content::Noop)]
-        .into_iter()
-        .chain(commands.map(|content| (1, content)));
-    let entries = contents.zip(1..).map(|((term, content), index)| Entry {
-        term,
-        index,
-        content,
-    });
-    let records = [
-        Record::Eligibility { voting: true },
-        Record::Ballot {
-            term: 1,
-            vote: Some(voters[0]),
-        },
-        Record::Append(entries.collect()),
-    ];
-    for record in records {
-        disk.write(&[record]).unwrap();
-    }
-    drop(disk);
-    let (disk, restored) = Disk::open(folder, node).unwrap();
-    let number = restored.identity.folder;
-    (disk, restored.log(), number)
-}
-
 /// Answers an order as an agent with its long-running task would, or not at all.
 async fn perform(order: Order, epoch: Instant, renewals: Renewals) -> Answer {
     let OrderKind::Renew { to, .. } = order.kind else {
@@ -225,63 +151,28 @@
 
 /// Starts a voter.
 async fn start(ip: Ipv4Addr, port: u16, folder: &Path, renewals: Renewals) -> Control {
-    let voters = VOTERS.map(|ip| node_id(ip, 0));
-    let node = node_id(ip, 0);
-    let (disk, restored, number) = open_disk(&folder.join("log"), node, &voters);
-    let slot: Arc<OnceLock<Control>> = Arc::default();
-    let receiver = Arc::clone(&slot);
-    let mesh = Mesh::start(
-        mesh::Config {
-            node,
-            folder: Some(number),
-            ..mesh::Config::default()
-        },
-        TcpListener::bind(SocketAddr::from((ip, port)))
-            .await
-            .unwrap(),
-        Arc::new(move |from, bytes| {
-            if let (Some(control), Some(frame)) = (receiver.get(), Frame::decode(&bytes)) {
-                Control::handle_frame(control, from, frame);
-            }
-        }),
-    );
-    for voter in voters.into_iter().filter(|voter| *voter != node) {
-        mesh.dial(address(voter, port));
-    }
     let epoch = Instant::now();
-    let (status, _) = watch::channel(ControlStatus::default());
-    let (fatal, _) = mpsc::unbounded_channel();
-    let control = control::spawn(
-        Config {
-            consensus: consensus::Config::new(node, Pcg64::seed_from_u64(node))
-                .election(Duration::from_secs(1), Duration::from_secs(2))
-                .heartbeat(Duration::from_millis(40))
-                .lease(LEADER_LEASE),
-            restored,
-            disk,
-            folder: folder.to_owned(),
-            data_centre: "east".into(),
-            mesh_port: port,
-            target_voters: 2,
-            silence_limit: PATIENCE,
-            repair_time: Duration::from_secs(4),
-            scheduler: Settings {
-                lease: AGENT_LEASE,
-                ..Settings::default()
-            },
-        },
-        Ports {
-            mesh: Arc::new(mesh),
-            perform: Arc::new(move |order| Box::pin(perform(order, epoch, Arc::clone(&renewals)))),
-            exchange_limit: EXCHANGE * 10,
-            decode: Arc::new(|_| Ok(catalog())),
-            metrics: Arc::new(Metrics::default()),
-            status,
-            fatal,
+    let voter = Voter {
+        ip,
+        voters: &VOTERS,
+        port,
+        folder,
+        commands: &commands(),
+        settings: Settings {
+            lease: AGENT_LEASE,
+            ..Settings::default()
         },
-    )
-    .unwrap();
-    slot.get_or_init(|| control).clone()
+        perform: Arc::new(move |order| Box::pin(perform(order, epoch, Arc::clone(&renewals)))),
+        exchange_limit: EXCHANGE * 10,
+    };
+    let (shortest, longest) = (Duration::from_secs(1), Duration::from_secs(2));
+    let consensus = |config: consensus::Config| {
+        config
+            .election(shortest, longest)
+            .heartbeat(Duration::from_millis(40))
+            .lease(LEADER_LEASE)
+    };
+    voter.start(consensus).await
 }
 
 /// The orders of a plan that was held up for longer than the leader's lease were dropped with their
@@ -292,9 +183,7 @@
     log::set_max_level(log::LevelFilter::Info);
     let renewals = Renewals::default();
     let folders = VOTERS.map(|_| tempfile::tempdir().unwrap());
-    let free = TcpListener::bind((VOTERS[0], 0)).await.unwrap();
-    let port = free.local_addr().unwrap().port();
-    drop(free);
+    let port = free_port(VOTERS[0]).await;
     let mut controls = Vec::new();
     for (ip, folder) in VOTERS.into_iter().zip(&folders) {
         controls.push(start(ip, port, folder.path(), Arc::clone(&renewals)).await);
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the parts of control nodes that need no running process.
 
+mod backlog;
 mod cluster;
 mod frame;
 mod leader_lease;
 mod membership;
 mod relays;
 mod repair;
+mod voter;
--- a/tests/workload/renewals.rs
+++ b/tests/workload/renewals.rs
@@ -4,7 +4,7 @@
 //! Long-running tasks ended with the leases of agents that were well, under a leader that took the
 //! tasks for running and said nothing.
 
-use egretpin::core::workload::{scheduler::OverdueRenewals, spec::JobSpec};
+use egretpin::core::workload::{job::JobState, scheduler::OverdueRenewals, spec::JobSpec};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -93,3 +93,28 @@
         assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
     }
 }
+
+/// What was planned while consensus accepted nothing was lost with the plan: rounds stayed open for
+/// good, so that nothing was started any more, and no end was acknowledged.
+#[test]
+fn a_leader_whose_proposals_arent_accepted_for_a_while_loses_nothing() {
+    for seed in 0..SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xf011);
+        let mut world = world(seed);
+        for job in 2..=10 {
+            world.backlog = if rng.random_bool(0.5) { 0 } else { 4 };
+            let (tasks, millis) = (rng.random_range(1..6), rng.random_range(100..2000));
+            world.submit(job, JobSpec::new("x", vec![step(tasks, 1, millis)]));
+            world.pass(ms(rng.random_range(0..4000)));
+            world.backlog = usize::MAX;
+            world.pass(ms(rng.random_range(0..100)));
+        }
+        world.pass(ms(10_000));
+        assert_eq!(overdue(&world), None, "seed {seed}");
+        assert_eq!(world.lapsed_runs, 0, "seed {seed}");
+        assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
+        for job in 2..=10 {
+            assert_eq!(world.state(job), Some(JobState::Completed), "seed {seed}");
+        }
+    }
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -317,6 +317,8 @@
     /// Whether the leader's lease expires while it makes its next plan with orders, and is valid
     /// again in the turn after that.
     pub(crate) lease_expires: bool,
+    /// How many commands may wait to be committed; none are accepted beyond.
+    pub(crate) backlog: usize,
     catalog: Arc<Catalog>,
     term: u64,
     index: u64,
@@ -460,6 +462,7 @@
             starts: BTreeMap::new(),
             lapsed_runs: 0,
             lease_expires: false,
+            backlog: usize::MAX,
             catalog: Arc::new(Catalog::new(
                 1,
                 vec![queue(QUEUE, POOL), queue(OTHER_QUEUE, OTHER_POOL), guided],
@@ -1079,6 +1082,7 @@
     /// Lets the leader plan and sends its orders. Returns the numbers of visits and of orders.
     fn decide(&mut self) -> (usize, usize) {
         self.check_evidence();
+        let room = self.backlog.saturating_sub(self.log.len());
         let Some(scheduler) = &mut self.scheduler else {
             return (0, 0);
         };
@@ -1086,10 +1090,10 @@
             .plans
             .is_multiple_of(FULL_VISIT_INTERVAL)
             .then(|| scheduler.clone());
-        let plan = scheduler.plan(self.now, self.now, &self.ledger);
+        let plan = scheduler.plan(self.now, self.now, &self.ledger, room);
         if let Some(mut full) = full {
             full.visit_all();
-            let full_plan = full.plan(self.now, self.now, &self.ledger);
+            let full_plan = full.plan(self.now, self.now, &self.ledger, room);
             assert_eq!(
                 plan.commands, full_plan.commands,
                 "a visit to all agents gives the same commands"
@@ -1100,6 +1104,10 @@
             );
         }
         self.check_starts(&plan.commands);
+        assert!(
+            plan.commands.len() <= room,
+            "no more is planned than is accepted"
+        );
         let (visits, orders) = (plan.visits, plan.orders.len());
         self.visits += visits;
         self.plans += 1;
