Forget a submission that was rejected

What callers saw: a job whose submission was refused as the log was full got no answer when it was sent again, on any later try at this leader.

Cause: the leader keeps the submissions that are proposed and lets later requests for the same job wait for them. A rejected one stayed there: its repetitions waited for something that was never appended.

Change: a rejected proposal comes back with its command. A submission is no longer pending then, and all who wait for it get the same refusal.

--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -6,14 +6,15 @@
 use super::{
     control::ControlTask,
     frame::Frame,
-    proposals::ReplyTo,
+    proposals::{PendingProposal, ReplyTo},
     request::{Refused, Reply},
 };
 use crate::{
     core::{
         consensus::{Content, Entry, Index, Output},
+        types::NodeId,
         workload::{
-            catalog::Catalog,
+            catalog::{Catalog, JobId},
             command::Command,
             ledger::{Change, Ledger},
         },
@@ -53,28 +54,46 @@
                 log::info!(term, why = why.label(); "this node stepped down as the leader");
             }
             Output::Rejected { proposal, leader } => {
-                if let Some(reply_to) = self.proposals.rejected(proposal) {
-                    // A node that stopped leading can't know why the change failed, and one whose
-                    // place another has taken didn't fail.
-                    let failed = self.node.is_leader() && self.node.joining().is_none();
-                    if failed
-                        && let ReplyTo::Membership {
-                            added: Some(added), ..
-                        } = reply_to
-                    {
-                        let now = self.now();
-                        self.members.change_failed(now, added);
-                    }
-                    let why = match leader {
-                        Some(leader) if leader == self.node.id() => Refused::Overloaded,
-                        leader => Refused::NotLeader(leader),
-                    };
-                    self.reply(reply_to, Reply::Refused(why));
+                if let Some(rejected) = self.proposals.rejected(proposal) {
+                    self.handle_rejected(rejected, leader);
                 }
             }
         }
     }
 
+    /// Replies to all who wait for a proposal that wasn't appended.
+    fn handle_rejected(&mut self, rejected: PendingProposal, leader: Option<NodeId>) {
+        let PendingProposal { reply_to, command } = rejected;
+        // A node that stopped leading can't know why the change failed, and one whose place another
+        // has taken didn't fail.
+        let failed = self.node.is_leader() && self.node.joining().is_none();
+        if failed
+            && let ReplyTo::Membership {
+                added: Some(added), ..
+            } = reply_to
+        {
+            let now = self.now();
+            self.members.change_failed(now, added);
+        }
+        let why = match leader {
+            Some(leader) if leader == self.node.id() => Refused::Overloaded,
+            leader => Refused::NotLeader(leader),
+        };
+        self.reply(reply_to, Reply::Refused(why));
+        if let Some(Command::Submit(submission)) = command {
+            for reply_to in self.take_waiting(submission.job) {
+                self.reply(reply_to, Reply::Refused(why));
+            }
+        }
+    }
+
+    /// Forgets a submission that is no longer pending. Returns where to reply besides to its first
+    /// requester.
+    fn take_waiting(&mut self, job: JobId) -> Vec<ReplyTo> {
+        let submitted = self.submissions.remove(&job);
+        submitted.map_or_else(Vec::new, |submitted| submitted.waiting)
+    }
+
     fn apply(&mut self, entry: &Entry) {
         let waiter = self.proposals.applied(entry.term, entry.index);
         let (waiter, command) = waiter.map_or((None, None), |applied| {
@@ -121,9 +140,7 @@
             self.adopt_cluster();
         }
         if let Command::Submit(submission) = command {
-            let submitted = self.submissions.remove(&submission.job);
-            let waiting = submitted.map_or_else(Vec::new, |submitted| submitted.waiting);
-            for reply_to in waiting {
+            for reply_to in self.take_waiting(submission.job) {
                 self.reply(reply_to, Reply::Done);
             }
         }
--- a/src/manager/proposals.rs
+++ b/src/manager/proposals.rs
@@ -31,13 +31,13 @@
 
 /// A proposal that hasn't been applied.
 #[derive(Debug)]
-struct PendingProposal {
-    reply_to: ReplyTo,
+pub(super) struct PendingProposal {
+    pub(super) reply_to: ReplyTo,
     /// The command, unless only consensus has to understand the proposal. It is kept until the
     /// entry is applied here, so that the proposer doesn't decode its own payload. Decoding takes a
     /// thirtieth of a busy leader's time, whose entries each hold the ends and starts of a hundred
     /// tasks.
-    command: Option<Command>,
+    pub(super) command: Option<Command>,
 }
 
 /// A proposal whose log index was applied.
@@ -76,11 +76,9 @@
         before.map(|(_, before)| before.reply_to)
     }
 
-    /// Removes a proposal that wasn't appended. Returns where to reply.
-    pub(super) fn rejected(&mut self, proposal: u64) -> Option<ReplyTo> {
-        self.proposed
-            .remove(&proposal)
-            .map(|before| before.reply_to)
+    /// Removes and returns a proposal that wasn't appended.
+    pub(super) fn rejected(&mut self, proposal: u64) -> Option<PendingProposal> {
+        self.proposed.remove(&proposal)
     }
 
     /// Removes the proposal at the index that is being applied, if there is one.
--- a/tests/manager/backlog.rs
+++ b/tests/manager/backlog.rs
@@ -25,7 +25,7 @@
     },
 };
 use futures_util::future::join_all;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::voter::{HOST, PREFIX, Voter, agent_record, declare, free_port};
 
@@ -37,6 +37,8 @@
 const FULL: Duration = Duration::from_millis(1500);
 /// How long a task that can be started may wait.
 const PROMISE: Duration = Duration::from_secs(3);
+/// Within this time a request is answered.
+const ANSWERED: Duration = Duration::from_secs(1);
 /// As long as the test may take to get into the state that it is about.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -154,3 +156,23 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// A job whose submission had been refused as the log was full got no answer when it was sent
+/// again, as the leader waited for the first one to be committed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_job_that_was_refused_as_the_log_was_full_is_accepted_later() {
+    let mut site = Site::start(Ipv4Addr::new(127, 9, 42, 2)).await;
+    let control = site.control.clone();
+    let began = Instant::now();
+    let mut job = 0;
+    loop {
+        assert!(began.elapsed() < PATIENCE, "no submission was refused");
+        job += 1;
+        let (_, reply) = tokio::join!(site.burst(), submit(&control, job));
+        if reply == Reply::Refused(Refused::Overloaded) {
+            break;
+        }
+    }
+    let again = timeout(ANSWERED, submit(&control, job)).await;
+    assert_eq!(again, Ok(Reply::Done));
+}
