Test long-running tasks under a leader that is held up in many ways

300 agents and 250 long-running tasks; leases that expire within plans, relays that stall for up to a second, a log that accepts none or few commands for up to 2.5 s, answers that are late or lost and starts that are refused at random, and a host that ends at each disturbance. Checked: no task lapses, all run again within three seconds of the end of each disturbance, all other jobs complete.

Not covered: relays that are lost for good, and orders that are dropped without an agent's knowledge, as then no renewal may reach an agent that is well.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod completed_suspects;
 mod delayed;
+mod disturbed;
 mod eligible;
 mod faults;
 mod hosts;
