Test that a leader whose hand-over fails leads on

A leader that hands over has no lease, so it plans nothing, and it has lease and room again once the hand-over is given up.

--- a/tests/consensus/elections.rs
+++ b/tests/consensus/elections.rs
@@ -128,6 +128,35 @@
     assert_eq!(world.commands(old), [1]);
 }
 
+/// Guards against commands that are planned while none is accepted: a leader that hands over has no
+/// lease, so it plans nothing, and it has both again when the hand-over fails.
+#[test]
+fn a_leader_whose_hand_over_fails_leads_on_with_a_lease_and_room() {
+    let mut world = World::voters(3);
+    let old = world.elect();
+    world.commit(1);
+    let to = old % 3 + 1;
+    world.cut(&[old], &[to]);
+    world.cut(&[to], &[old]);
+    world.propose(old, 2);
+    world.input(old, Input::HandOver { to: Some(to) });
+    let holds = |world: &World| {
+        let until = world.node(old).lease_until();
+        until.is_some_and(|until| world.now < until)
+    };
+    assert!(world.node(old).is_handing_over());
+    assert!(!holds(&world));
+    assert_eq!(world.node(old).room(), 0);
+    world.until(SECOND, |world| {
+        assert!(!(holds(world) && world.node(old).room() == 0));
+        !world.node(old).is_handing_over()
+    });
+    assert_eq!(world.leader(), Some(old));
+    assert!(holds(&world));
+    assert!(world.node(old).room() > 0);
+    world.commit(3);
+}
+
 #[test]
 fn a_leader_with_a_stalled_disk_steps_down() {
     let mut world = World::voters(3);
