Commit what a plan holds in parts where it is more than a log accepts

What callers would see: after some 9,998 ends of agents at once, a leader would start nothing any more.

Change: consensus says how much it accepts now and at most (`Room`). A plan waits for room for all of it, or for as much as there ever is, and the rest stays with the scheduler.

--- a/src/core/consensus/interface.rs
+++ b/src/core/consensus/interface.rs
@@ -100,6 +100,15 @@
     },
 }
 
+/// How many commands a node accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Now.
+    pub now: usize,
+    /// While it leads and none waits to be committed.
+    pub most: usize,
+}
+
 /// An action that the driver has to carry out, in order.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Output {
--- a/src/core/consensus/mod.rs
+++ b/src/core/consensus/mod.rs
@@ -88,7 +88,7 @@
 
 pub use self::{
     config::{Config, Protections},
-    interface::{Content, Entry, Index, Input, Output, Payload, Record, Resignation, Term},
+    interface::{Content, Entry, Index, Input, Output, Payload, Record, Resignation, Room, Term},
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node},
     restored::{Restored, Snapshot},
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -22,7 +22,7 @@
 
 impl Node {
     pub(super) fn propose(&mut self, proposal: u64, content: Content) {
-        if self.room() == 0 {
+        if self.room().now == 0 {
             self.reject(proposal);
             return;
         }
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    interface::{Entry, Index, Term},
+    interface::{Entry, Index, Room, Term},
     message::Position,
     node::{Eligibility, Node, Role},
     snapshot::{IncomingSnapshot, TransferProgress},
@@ -51,13 +51,15 @@
     /// How many commands this node accepts if they are proposed now, one after the other and with no
     /// other input between them. None unless it leads, while it hands leadership over, and while too
     /// many entries wait to be committed.
-    pub fn room(&self) -> usize {
+    pub fn room(&self) -> Room {
+        let count = |entries| usize::try_from(entries).unwrap_or(usize::MAX);
+        let most = count(self.config.backlog);
         if !self.is_leader() || self.is_handing_over() {
-            return 0;
+            return Room { now: 0, most };
         }
         let waiting = self.log.last().index - self.committed;
-        let room = self.config.backlog.saturating_sub(waiting);
-        usize::try_from(room).unwrap_or(usize::MAX)
+        let now = count(self.config.backlog.saturating_sub(waiting));
+        Room { now, most }
     }
 
     fn has_applied_own_term(&self) -> bool {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -119,13 +119,16 @@
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
 use crate::core::{
-    consensus::Term,
+    consensus::{Room, Term},
     types::{HostId, Map, MinionId, Name, Now, PoolId, Wall, WaveId},
 };
 
 /// Rounds that may be in the log at once without being applied: one is synced to disk while the
 /// next is decided.
 const MAX_OPEN_ROUNDS: usize = 2;
+/// Commands of a plan that don't record an end of an agent or a maintenance: the jobs to forget, and
+/// a round.
+const OTHER_COMMANDS: usize = 2;
 /// Maximum number of starts in one round; keeps a log entry far smaller than one message.
 const MAX_ROUND_STARTS: usize = 64;
 /// Delay from an answer to the next renewal, while there is time. Ends that come within it are
@@ -496,10 +499,10 @@
 
     /// Decides what to commit and what to order now.
     ///
-    /// `room` is how many commands consensus accepts now. What the plan says to commit is never
-    /// offered again, so nothing is decided that needs more: what was learnt stays here until there
-    /// is room for all of it. Orders don't depend on it.
-    pub fn plan(&mut self, now: Now, wall: Wall, ledger: &Ledger, room: usize) -> Plan {
+    /// `room` is how many commands consensus accepts. What the plan says to commit is never offered
+    /// again, so nothing is decided that needs more: what was learnt stays here until there is room
+    /// for all of it, or for as much of it as there ever is. Orders don't depend on it.
+    pub fn plan(&mut self, now: Now, wall: Wall, ledger: &Ledger, room: Room) -> Plan {
         if self.superseded {
             return Plan::default();
         }
@@ -508,10 +511,10 @@
         self.retire_replaced(now);
         self.terminated
             .retain(|agent| ledger.agent(agent).is_some());
-        let has_room = self.max_commands() <= room;
+        let has_room = self.max_commands().min(room.most) <= room.now;
         let mut commands = Vec::new();
         if has_room {
-            commands = self.housekeeping_commands(now, wall);
+            commands = self.housekeeping_commands(now, wall, room.now);
         }
         self.expire_leases(now);
         self.forget_strays(now);
@@ -542,16 +545,16 @@
 
     /// The most commands that a plan can have now.
     fn max_commands(&self) -> usize {
-        /// The jobs to forget, and a round.
-        const OTHERS: usize = 2;
-        self.terminated.len() + self.maintained.len() + OTHERS
+        self.terminated.len() + self.maintained.len() + OTHER_COMMANDS
     }
 
-    /// The commands that record ends of agents and maintenance, and forget jobs.
-    fn housekeeping_commands(&mut self, now: Now, wall: Wall) -> Vec<Command> {
-        let gone = std::mem::take(&mut self.terminated);
+    /// The commands that record ends of agents and maintenance, and forget jobs, leaving room for a
+    /// round.
+    fn housekeeping_commands(&mut self, now: Now, wall: Wall, room: usize) -> Vec<Command> {
+        let records = room.saturating_sub(OTHER_COMMANDS);
+        let gone = take_first(&mut self.terminated, records);
         let mut commands = self.loss_commands(now, wall, &gone);
-        for (wave, host) in std::mem::take(&mut self.maintained) {
+        for (wave, host) in take_first(&mut self.maintained, records - gone.len()) {
             let hosts = vec![host];
             commands.push(Command::Maintained { wave, hosts });
         }
@@ -612,3 +615,10 @@
         self.agents.get_mut(agent)?.slots.get_mut(&task)
     }
 }
+
+/// Removes the first elements of a set, `count` of them at most.
+fn take_first<T: Clone + Ord>(set: &mut BTreeSet<T>, count: usize) -> BTreeSet<T> {
+    let first_left = set.iter().nth(count).cloned();
+    let left = first_left.map_or_else(BTreeSet::new, |first| set.split_off(&first));
+    std::mem::replace(set, left)
+}
--- a/tests/consensus/world.rs
+++ b/tests/consensus/world.rs
@@ -447,7 +447,7 @@
         let accepted = |(_, answer): &(NodeId, Output)| matches!(answer, Output::Appended { proposal: number, .. } if *number == proposal);
         if let Some(room) = room {
             let accepted = self.answers[answered..].iter().any(accepted);
-            assert_eq!(accepted, room > 0, "node {id} with room for {room}");
+            assert_eq!(accepted, room.now > 0, "node {id} with {room:?}");
         }
     }
 
--- a/tests/workload/renewals.rs
+++ b/tests/workload/renewals.rs
@@ -118,3 +118,24 @@
         }
     }
 }
+
+/// What is committed all at once was never committed where it was more than a log accepts.
+#[test]
+fn more_ends_of_agents_than_a_log_accepts_are_committed() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(12, seed);
+        world.submit(LONG_RUNNING, JobSpec::new("x", vec![long_running(12, 5)]));
+        world.until("all run", ms(4000), |world| {
+            world.runs(LONG_RUNNING).len() == 12
+        });
+        world.max_backlog = 6;
+        let agents: Vec<_> = world.ledger.agents().map(|a| a.id.clone()).collect();
+        let lost = &agents[..10];
+        for agent in lost {
+            world.crash(agent);
+        }
+        world.pass(ms(10_000));
+        let known = |id: &&_| world.ledger.agent(id).is_some();
+        assert_eq!(lost.iter().find(known), None, "seed {seed}");
+    }
+}
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -19,6 +19,7 @@
 
 use egretpin::{
     core::{
+        consensus::Room,
         types::{HostId, MinionId, Name, Now, Resources, WaveId, WorkspaceId},
         workload::{
             catalog::{Catalog, Eligibility, PoolSpec, QueueSpec},
@@ -317,8 +318,10 @@
     /// Whether the leader's lease expires while it makes its next plan with orders, and is valid
     /// again in the turn after that.
     pub(crate) lease_expires: bool,
-    /// How many commands may wait to be committed; none are accepted beyond.
+    /// How many commands may wait to be committed for now; none are accepted beyond.
     pub(crate) backlog: usize,
+    /// How many may ever wait.
+    pub(crate) max_backlog: usize,
     catalog: Arc<Catalog>,
     term: u64,
     index: u64,
@@ -463,6 +466,7 @@
             lapsed_runs: 0,
             lease_expires: false,
             backlog: usize::MAX,
+            max_backlog: usize::MAX,
             catalog: Arc::new(Catalog::new(
                 1,
                 vec![queue(QUEUE, POOL), queue(OTHER_QUEUE, OTHER_POOL), guided],
@@ -1082,7 +1086,11 @@
     /// Lets the leader plan and sends its orders. Returns the numbers of visits and of orders.
     fn decide(&mut self) -> (usize, usize) {
         self.check_evidence();
-        let room = self.backlog.saturating_sub(self.log.len());
+        let backlog = self.backlog.min(self.max_backlog);
+        let room = Room {
+            now: backlog.saturating_sub(self.log.len()),
+            most: self.max_backlog,
+        };
         let Some(scheduler) = &mut self.scheduler else {
             return (0, 0);
         };
@@ -1105,7 +1113,7 @@
         }
         self.check_starts(&plan.commands);
         assert!(
-            plan.commands.len() <= room,
+            plan.commands.len() <= room.now,
             "no more is planned than is accepted"
         );
         let (visits, orders) = (plan.visits, plan.orders.len());
