Show that each election delays the replacement of a lost voter

A leader counts a voter's silence from its own election, and a new leader knows nothing of the time before. A world of six nodes, of which five vote, loses one voter for good, and two hand-overs follow at 0 to 2.2 s after the loss and 0, 0.7 or 1.4 s after the first.

--- a/tests/manager/repair.rs
+++ b/tests/manager/repair.rs
@@ -297,3 +297,46 @@
         assert!(world.leader().is_some(), "{case}: nobody leads");
     }
 }
+
+/// How long after the loss of a voter that never comes back another has its vote, with elections at
+/// some times after the loss.
+fn replaced_after(lost: usize, elections: &[Duration]) -> Duration {
+    let mut world = World::start(6);
+    world.run(Duration::from_millis(2500));
+    let leader = world.leader().expect("a leader");
+    let voters = world.hosts[&leader].node.voters().to_vec();
+    world.hosts.remove(&voters[lost]);
+    let begun = world.now;
+    let mut elections = elections.iter().map(|at| begun + *at).peekable();
+    while world.now < begun + PROMISE * 2 {
+        world.step();
+        let Some(leader) = world.leader() else {
+            continue;
+        };
+        if world.gone().is_empty() {
+            break;
+        }
+        if elections.next_if(|at| *at <= world.now).is_some() {
+            world.input(leader, Input::HandOver { to: None });
+        }
+    }
+    world.now - begun
+}
+
+/// Guards against a lost voter's silence that counts anew from each election, so that the voter
+/// isn't replaced before the next loss.
+#[test]
+fn elections_do_not_delay_the_replacement_of_a_lost_voter() {
+    let ms = Duration::from_millis;
+    let pairs = (0..12).flat_map(|at| [0, 700, 1400].map(|pause| (at * 200, pause)));
+    let mut late = Vec::new();
+    for (at, pause) in pairs {
+        for lost in 0..5 {
+            let took = replaced_after(lost, &[ms(at), ms(at + pause)]);
+            if took > PROMISE {
+                late.push((at, pause, lost, took));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{} of 180: {late:?}", late.len());
+}
