Count a lost voter's silence from before the election, too

Cause: a leader judges by answers to its own heartbeats, so each new leader counts the silence from its own election.

Change: a node remembers when it last heard a voter's view, and when it was last not in touch with most of the voters or looked late. A new leader takes a voter for lost that has not answered four heartbeats, if the voter's next view has been due for the whole limit and this node was in touch all the while.

By the constants a promise of 2 s isn't always kept (1 s until a view is due and a limit of 1 s). Not asked: whether another node has heard the voter.

--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -8,6 +8,11 @@
 //! voter is needed for a majority. The old voter is a learner then and may be chosen again. If
 //! there is no other node, the silent voter stays.
 //!
+//! A leader counts a voter's silence by its own heartbeats, and so from its election. Before that it
+//! may have missed the voter's views for a while. That time counts, too, if this node was in touch
+//! with most of the voters all the while. Otherwise each election would add to the time until a lost
+//! voter is replaced. Silence in views counts from when the next one was due.
+//!
 //! A new voter helps only once it has the log. A node that the leader's log reaches has it within
 //! milliseconds; one that lacks more needs a whole snapshot first. So of the nodes that don't vote,
 //! these count in turn:
@@ -72,9 +77,9 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
-use super::identity::ip;
+use super::{control::VIEW_INTERVALS, identity::ip};
 use crate::core::{
-    consensus::Index,
+    consensus::{Index, Node},
     types::{DataCentreId, NodeId, Now},
 };
 
@@ -92,6 +97,11 @@
 /// An alive node that was heard from within this time is chosen before others. Covers one interval
 /// of its views and some delay. A failure that takes a voter away may have taken nodes next to it.
 const FRESH_WITHIN: Duration = Duration::from_millis(1200);
+/// How long a voter that wasn't heard from before the election has to answer a new leader. Four
+/// heartbeats.
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+/// A look at the voters is late after three of its intervals. Views may wait to be read then.
+const LATE_LOOK: Duration = Duration::from_millis(600);
 /// Nodes that haven't been heard from for this long are forgotten. Otherwise replaced nodes would
 /// be announced and dialled for ever. Longer than any network partition that operators reported.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -151,6 +161,10 @@
     /// The node that is left to be fed before it is added as a voter, and since when.
     awaited: Option<(NodeId, Now)>,
     log_start: LogStart,
+    /// When this node last looked at the voters.
+    looked_at: Option<Now>,
+    /// When this node last wasn't in touch with most of the voters, or had stood still.
+    cut_off_at: Option<Now>,
 }
 
 /// The current voters as the leader sees them.
@@ -248,6 +262,37 @@
         self.reach(now, node) == Reach::Snapshot
     }
 
+    /// Records whether this node is in touch with most of the voters. Called at each look at the
+    /// voters, on every node.
+    pub fn record_touch(&mut self, now: Now, me: NodeId, voters: &[NodeId]) {
+        let heard =
+            |v: &&NodeId| **v == me || self.members.get(v).is_some_and(|m| !is_stale(now, m));
+        let touch = voters.iter().filter(heard).count() > voters.len() / 2;
+        let late = self.looked_at.is_none_or(|at| now >= at + LATE_LOOK);
+        self.looked_at = Some(now);
+        if late || !touch {
+            self.cut_off_at = Some(now);
+        }
+    }
+
+    /// The voters that count as lost at a leader after `limit` of silence. If this node has heard
+    /// nothing from a voter since before its election, that time counts, too, once the voter hasn't
+    /// answered a few heartbeats.
+    pub fn silent_voters(&self, now: Now, node: &Node, limit: Duration) -> Vec<NodeId> {
+        let silent = node.silent_voters(limit);
+        let mut asked = node.silent_voters(limit.min(ANSWER_WITHIN));
+        asked.retain(|v| silent.contains(v) || self.is_unheard(now, *v, limit));
+        asked
+    }
+
+    /// Whether a node's view has been due for `limit`, and this node was in touch with most of the
+    /// voters meanwhile: a node that was cut off mustn't take its own silence for theirs.
+    pub fn is_unheard(&self, now: Now, node: NodeId, limit: Duration) -> bool {
+        let last_seen = self.members.get(&node).and_then(|member| member.last_seen);
+        let due = last_seen.map(|seen| seen + VIEW_INTERVALS.1);
+        due.is_some_and(|due| now >= due.max(self.cut_off_at.unwrap_or(now)) + limit)
+    }
+
     /// Forgets nodes that haven't been heard from for a long time.
     pub fn forget(&mut self, now: Now) {
         self.members
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -40,6 +40,7 @@
             self.dial(voter);
         }
         self.log_voters(now);
+        self.members.record_touch(now, me, self.node.voters());
         self.members.record_log_start(now, self.node.log_start());
         self.log_transfer(now);
         self.members.forget(now);
@@ -59,10 +60,13 @@
         if joining.is_none() {
             self.propose_cluster(now);
         }
+        let silent = self
+            .members
+            .silent_voters(now, &self.node, self.silence_limit);
         let status = VoterStatus {
             leader: me,
             voters: self.node.voters(),
-            silent: &self.node.silent_voters(self.silence_limit),
+            silent: &silent,
             target: self.target_voters,
             joining,
             repair_time: self.repair_time,
--- a/tests/manager/membership.rs
+++ b/tests/manager/membership.rs
@@ -481,3 +481,49 @@
         assert_eq!(successor, Some(node(ahead)));
     }
 }
+
+/// Looks at the voters for a while, hearing some of them once a second.
+fn look_for(members: &mut Members, from: Now, time: Duration, heard: &[u8]) -> Now {
+    let mut now = from;
+    while now < from + time {
+        if (now - from).as_millis().is_multiple_of(1000) {
+            hear(members, now, heard);
+        }
+        members.record_touch(now, node(1), &nodes([1, 2, 3]));
+        now += LOOK;
+    }
+    now
+}
+
+/// Guards against a node that was cut off, or stood still, and takes its own silence for that of the
+/// others.
+#[test]
+fn silence_before_an_election_counts_only_while_the_node_was_in_touch() {
+    let second = Duration::from_secs(1);
+    let limit = second * 3 / 2;
+    let unheard = |members: &Members, now: Now| members.is_unheard(now, node(3), limit);
+    let start = || {
+        let mut members = heard(NOW, &["a", "b", "c"]);
+        let now = look_for(&mut members, NOW, second * 4, &[1, 2, 3]);
+        (members, now)
+    };
+    // In touch with the other: the time counts from when the third's view was due.
+    let (mut members, now) = start();
+    let now = look_for(&mut members, now, limit - LOOK, &[1, 2]);
+    assert!(!unheard(&members, now));
+    let now = look_for(&mut members, now, LOOK * 2, &[1, 2]);
+    assert!(unheard(&members, now));
+    // Cut off from both.
+    let (mut members, now) = start();
+    let now = look_for(&mut members, now, second * 4, &[1]);
+    assert!(!unheard(&members, now));
+    // The last look without touch was one interval ago.
+    let now = look_for(&mut members, now, limit - LOOK * 2, &[1, 2]);
+    assert!(!unheard(&members, now));
+    let now = look_for(&mut members, now, LOOK, &[1, 2]);
+    assert!(unheard(&members, now));
+    // Stood still.
+    let (mut members, now) = start();
+    let now = look_for(&mut members, now + second * 4, LOOK, &[1, 2]);
+    assert!(!unheard(&members, now));
+}
--- a/tests/manager/repair.rs
+++ b/tests/manager/repair.rs
@@ -165,8 +165,11 @@
         }
     }
 
-    /// What the leader does about the voters.
+    /// What each node notes, and the leader does, about the voters.
     fn look(&mut self) {
+        for (id, host) in &mut self.hosts {
+            host.members.record_touch(self.now, *id, host.node.voters());
+        }
         let Some(leader) = self.leader() else {
             return;
         };
@@ -177,10 +180,11 @@
         if host.node.is_changing_voters() && joining.is_none() {
             return;
         }
+        let silent = host.members.silent_voters(now, &host.node, SILENCE);
         let status = VoterStatus {
             leader,
             voters: host.node.voters(),
-            silent: &host.node.silent_voters(SILENCE),
+            silent: &silent,
             target: 5,
             joining,
             repair_time: PROMISE,
