Count an order whose execution panics as unanswered

What callers would see: an agent whose renewal panicked at the node that sends it gets no other, and its long-running tasks end with its lease.

Cause: the scheduler waits for the answer to each order, and a panic ended the task that would have sent it. Orders that a leader executes itself have no other limit (a relay's have one).

Change: a panic is caught, logged, and answered as no answer.

--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -1,8 +1,9 @@
 //! How a leader's orders get out and their answers back: sent by the leader itself, or through
 //! other control nodes as its relays.
 
-use std::sync::Arc;
+use std::{panic::AssertUnwindSafe, sync::Arc};
 
+use futures_util::FutureExt as _;
 use tokio::time::Instant;
 
 use super::{
@@ -96,7 +97,12 @@
         let answer = (self.ports.perform)(order);
         tokio::spawn(async move {
             let started_at = Instant::now();
-            let answer = answer.await;
+            // Each order needs an answer, as the scheduler waits for it without a limit.
+            let answer = AssertUnwindSafe(answer).catch_unwind().await;
+            let answer = answer.unwrap_or_else(|_| {
+                log::error!(order = id; "the execution of an order panicked");
+                Answer::Silent
+            });
             metrics.record_answer(&what, &answer, started_at.elapsed());
             // The send fails only when the task has ended.
             let _ = inbox.send(answered(id, answer).into()).await;
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod cluster;
+mod failed_orders;
 mod frame;
 mod leader_lease;
 mod membership;
