--- a/tests/consensus/elections.rs
+++ b/tests/consensus/elections.rs
@@ -146,14 +146,14 @@
     };
     assert!(world.node(old).is_handing_over());
     assert!(!holds(&world));
-    assert_eq!(world.node(old).room(), 0);
+    assert_eq!(world.node(old).room().now, 0);
     world.until(SECOND, |world| {
-        assert!(!(holds(world) && world.node(old).room() == 0));
+        assert!(!(holds(world) && world.node(old).room().now == 0));
         !world.node(old).is_handing_over()
     });
     assert_eq!(world.leader(), Some(old));
     assert!(holds(&world));
-    assert!(world.node(old).room() > 0);
+    assert!(world.node(old).room().now > 0);
     world.commit(3);
 }
 
