Give a silent peer a bounded grace after a delay of its leader

Change: silence counts from the first heartbeat without an answer, and from the first entry without a confirmation, as it is. After a delay of the leader the peer has four heartbeats to answer, once for each silence. Besides: what needs more than half of an empty log is committed in parts as soon as half of it is free, as a log in which nothing waits may never come; and the seed of the disturbed world that fails is a test of its own, so that the known red doesn't excuse the other seeds.

Left: two delays in a row are forgiven once; a tick comes after 256 inputs, so that an answer far behind may not be read.

--- a/src/core/consensus/interface.rs
+++ b/src/core/consensus/interface.rs
@@ -103,9 +103,9 @@
 /// How many commands a node accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Room {
-    /// Now.
+    /// The number that it accepts now.
     pub now: usize,
-    /// While it leads and none waits to be committed.
+    /// The number that a leader accepts if none wait to be committed.
     pub most: usize,
 }
 
--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -11,6 +11,10 @@
 };
 use crate::core::types::{NodeId, Now};
 
+/// How many heartbeats a node has to answer before its silence is judged, where the time before
+/// them may not be its own: its leader was delayed, or wasn't the leader yet.
+pub(super) const GRACE_HEARTBEATS: u32 = 4;
+
 /// How far the leader has replicated its log to one node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Progress {
@@ -24,12 +28,14 @@
     pub(super) probing: bool,
     /// The last index of each message with entries that is in flight.
     pub(super) in_flight: VecDeque<Index>,
-    /// The first heartbeat that the node hasn't answered. `None` if it has answered that one or
-    /// anything sent later.
-    pub(super) unanswered: Option<Question>,
-    /// Since when no entry was confirmed although some are in flight. Time in which this leader was
-    /// delayed itself is left out.
+    /// When the first heartbeat was sent that the node hasn't answered. `None` if it has answered
+    /// that one or anything sent later.
+    pub(super) unanswered_since: Option<Now>,
+    /// Since when no entry was confirmed although some are in flight.
     pub(super) unconfirmed_since: Option<Now>,
+    /// Until when the node's silence isn't judged, because this leader was delayed itself: what it
+    /// asked may have left it late, or the answers may not have been read. Once for each silence.
+    pub(super) grace_until: Option<Now>,
     /// The snapshot that is being sent, if the log doesn't reach back far enough.
     pub(super) transfer: Option<Transfer>,
 }
@@ -37,16 +43,17 @@
 impl Progress {
     pub(super) fn new(next: Index) -> Self {
         let in_flight = VecDeque::new();
-        let (last_acked, unanswered) = (None, None);
-        let (unconfirmed_since, transfer) = (None, None);
+        let (last_acked, transfer) = (None, None);
+        let (unanswered_since, unconfirmed_since, grace_until) = (None, None, None);
         Self {
             next,
             matched: 0,
             last_acked,
             probing: true,
             in_flight,
-            unanswered,
+            unanswered_since,
             unconfirmed_since,
+            grace_until,
             transfer,
         }
     }
@@ -105,17 +112,27 @@
         self.last_acked = self.last_acked.max(Some(sent));
     }
 
-    /// Brings what the node owes up to date, on a tick to which this leader came late by `delay`.
-    pub(super) fn update_owed(&mut self, now: Now, delay: Duration) {
-        let question = self.unanswered.take();
-        self.unanswered = question.and_then(|q| q.update(self.last_acked, now, delay));
-        self.unconfirmed_since = self.unconfirmed_since.map(|since| since + delay);
+    /// Brings the node's silence up to date on a tick. `grace` is how long it isn't judged from now
+    /// on if this leader has just been delayed.
+    pub(super) fn update_silence(&mut self, now: Now, grace: Option<Duration>) {
+        let answered = |since: &Now| self.last_acked >= Some(*since);
+        self.unanswered_since = self.unanswered_since.filter(|since| !answered(since));
+        self.grace_until = match (self.silent_since(), self.grace_until) {
+            (None, _) => None,
+            (Some(_), None) => grace.map(|grace| now + grace),
+            (Some(_), until) => until,
+        };
     }
 
-    /// Since when the node owes an answer to a heartbeat, or the confirmation of an entry.
+    /// Since when the node hasn't answered a heartbeat, or hasn't confirmed an entry.
     pub(super) fn silent_since(&self) -> Option<Now> {
-        let asked = self.unanswered.map(|question| question.sent);
-        asked.into_iter().chain(self.unconfirmed_since).min()
+        let since = [self.unanswered_since, self.unconfirmed_since];
+        since.into_iter().flatten().min()
+    }
+
+    /// Whether the node counts as silent after `limit`, if it is silent since then.
+    pub(super) fn is_silent(&self, since: Now, limit: Duration, now: Now) -> bool {
+        now >= since + limit && self.grace_until.is_none_or(|until| now >= until)
     }
 }
 
@@ -136,7 +153,7 @@
     pub(super) until: Now,
 }
 
-/// A heartbeat that waits for an answer: of one node, or of a quorum.
+/// A heartbeat that waits for the answers of a quorum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Question {
     pub(super) sent: Now,
@@ -144,31 +161,6 @@
     pub(super) repeated: bool,
 }
 
-impl Question {
-    pub(super) fn new(now: Now) -> Self {
-        Self {
-            sent: now,
-            repeated: false,
-        }
-    }
-
-    /// What is still open if everything sent up to `acked` is answered. A leader that was delayed
-    /// itself asks once more, and only once: the heartbeat may have left it late, or the answers
-    /// may not have been read.
-    pub(super) fn update(self, acked: Option<Now>, now: Now, delay: Duration) -> Option<Self> {
-        if acked >= Some(self.sent) {
-            return None;
-        }
-        if delay.is_zero() || self.repeated {
-            return Some(self);
-        }
-        Some(Self {
-            sent: now,
-            repeated: true,
-        })
-    }
-}
-
 /// The state of a leader.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Leader {
--- a/src/core/consensus/membership.rs
+++ b/src/core/consensus/membership.rs
@@ -149,8 +149,11 @@
         let peer = leader.peers.get(&node);
         let matched = peer.map_or(0, |p| p.matched);
         let close = matched > 0 && matched + MAX_MISSING_ENTRIES >= last;
-        let since = peer.and_then(Progress::silent_since);
-        let silent = ticked && since.is_some_and(|since| now >= since + limit);
+        let is_silent = |peer: &Progress| {
+            let since = peer.silent_since();
+            since.is_some_and(|since| peer.is_silent(since, limit, now))
+        };
+        let silent = ticked && peer.is_some_and(is_silent);
         if !close && !silent {
             return;
         }
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -5,11 +5,9 @@
 //! only if its log contains the position before them; it truncates its log where that differs. A
 //! leader never overwrites entries of its own log.
 
-use std::time::Duration;
-
 use super::{
     interface::{Content, Entry, Index, Output, Payload, Record, Resignation, Term},
-    leader::{Progress, Question, quorum},
+    leader::{GRACE_HEARTBEATS, Progress, Question, quorum},
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node, Role},
     restored::Snapshot,
@@ -66,9 +64,12 @@
             return;
         }
         leader.heartbeat_due = now + heartbeat;
-        leader.unanswered.get_or_insert(Question::new(now));
+        leader.unanswered.get_or_insert(Question {
+            sent: now,
+            repeated: false,
+        });
         for peer in leader.peers.values_mut() {
-            peer.unanswered.get_or_insert(Question::new(now));
+            peer.unanswered_since.get_or_insert(now);
         }
         self.send_heartbeats();
     }
@@ -88,23 +89,27 @@
     }
 
     /// Forgets the unanswered heartbeats that were answered since. If the next one is overdue by a
-    /// whole interval, this leader was delayed itself.
+    /// whole interval, this leader was delayed itself: the heartbeats may have left it late, or their
+    /// answers may not have been read. It then asks the quorum once more, and only once, and gives
+    /// each silent peer a few heartbeats to answer.
     fn update_questions(&mut self) {
         let (now, heartbeat) = (self.now, self.config.heartbeat);
         let acked = self.quorum_acked();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let overdue = now.saturating_sub(leader.heartbeat_due);
-        let delay = if overdue >= heartbeat {
-            overdue
-        } else {
-            Duration::ZERO
+        let delayed = now >= leader.heartbeat_due + heartbeat;
+        leader.unanswered = match leader.unanswered {
+            Some(question) if acked >= Some(question.sent) => None,
+            Some(question) if delayed && !question.repeated => Some(Question {
+                sent: now,
+                repeated: true,
+            }),
+            question => question,
         };
-        let question = leader.unanswered.take();
-        leader.unanswered = question.and_then(|q| q.update(acked, now, delay));
+        let grace = delayed.then(|| heartbeat * GRACE_HEARTBEATS);
         for peer in leader.peers.values_mut() {
-            peer.update_owed(now, delay);
+            peer.update_silence(now, grace);
         }
     }
 
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -4,15 +4,13 @@
 
 use super::{
     interface::{Entry, Index, Room, Term},
+    leader::GRACE_HEARTBEATS,
     message::Position,
     node::{Eligibility, Node, Role},
     snapshot::{IncomingSnapshot, TransferProgress},
 };
 use crate::core::types::{NodeId, Now};
 
-/// How many heartbeats a new leader sends to its predecessor before it may count it as silent.
-const PREDECESSOR_HEARTBEATS: u32 = 4;
-
 impl Node {
     /// The node's id.
     pub fn id(&self) -> NodeId {
@@ -78,8 +76,8 @@
     /// confirmed no entry though some were sent, as when a disk hangs.
     ///
     /// The time counts from the election at the earliest, except for the former leader. That one
-    /// may have been missing since before the election, and has a few heartbeats to answer. Time in
-    /// which this leader was delayed itself doesn't count.
+    /// may have been missing since before the election, and has a few heartbeats to answer. After a
+    /// delay of this leader itself all voters have them.
     pub fn silent_voters(&self, limit: Duration) -> Vec<NodeId> {
         let Role::Leader(leader) = &self.role else {
             return Vec::new();
@@ -88,17 +86,17 @@
             let Some(peer) = leader.peers.get(voter) else {
                 return false;
             };
-            let Some(owed) = peer.silent_since() else {
+            let Some(unanswered) = peer.silent_since() else {
                 return false;
             };
             let predecessor = leader.predecessor.filter(|(node, _)| node == *voter);
             let before = predecessor.filter(|_| peer.last_acked.is_none());
-            let since = before.map_or(owed, |(_, seen)| {
-                let grace = self.config.heartbeat * PREDECESSOR_HEARTBEATS;
+            let since = before.map_or(unanswered, |(_, seen)| {
+                let grace = self.config.heartbeat * GRACE_HEARTBEATS;
                 let earliest = (leader.elected + grace).saturating_sub(limit);
-                seen.max(earliest).min(owed)
+                seen.max(earliest).min(unanswered)
             });
-            self.now >= since + limit
+            peer.is_silent(since, limit, self.now)
         };
         self.voters().iter().filter(silent).copied().collect()
     }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -126,8 +126,8 @@
 /// Rounds that may be in the log at once without being applied: one is synced to disk while the
 /// next is decided.
 const MAX_OPEN_ROUNDS: usize = 2;
-/// Commands of a plan that don't record an end of an agent or a maintenance: the jobs to forget, and
-/// a round.
+/// The most commands of a plan besides those that record ends of agents and maintenance: one that
+/// forgets jobs, and a round.
 const OTHER_COMMANDS: usize = 2;
 /// Maximum number of starts in one round; keeps a log entry far smaller than one message.
 const MAX_ROUND_STARTS: usize = 64;
@@ -501,7 +501,8 @@
     ///
     /// `room` is how many commands consensus accepts. What the plan says to commit is never offered
     /// again, so nothing is decided that needs more: what was learnt stays here until there is room
-    /// for all of it, or for as much of it as there ever is. Orders don't depend on it.
+    /// for all of it. What needs more than half of an empty log is committed in parts, as soon as
+    /// half of the log is free. Orders don't depend on it.
     pub fn plan(&mut self, now: Now, wall: Wall, ledger: &Ledger, room: Room) -> Plan {
         if self.superseded {
             return Plan::default();
@@ -511,7 +512,8 @@
         self.retire_replaced(now);
         self.terminated
             .retain(|agent| ledger.agent(agent).is_some());
-        let has_room = self.max_commands().min(room.most) <= room.now;
+        let half = (room.most / 2).max(OTHER_COMMANDS);
+        let has_room = self.max_commands().min(half) <= room.now;
         let mut commands = Vec::new();
         if has_room {
             commands = self.housekeeping_commands(now, wall, room.now);
--- a/tests/consensus/membership.rs
+++ b/tests/consensus/membership.rs
@@ -169,6 +169,32 @@
     assert_eq!(world.node(leader).silent_voters(limit), [hung]);
 }
 
+/// Guards against a leader whose own delays hide that a voter's disk hangs.
+#[test]
+fn a_slow_leader_notices_a_voter_whose_disk_hangs() {
+    let ms = Duration::from_millis;
+    for turn in [150, 250].map(ms) {
+        let mut world = World::voters(3);
+        let leader = world.elect();
+        let hung = leader % 3 + 1;
+        world.commit(1);
+        world.turns.insert(leader, turn);
+        world.stalled_disks.insert(hung);
+        world.commit(2);
+        let limit = SECOND * 3 / 2;
+        // A few heartbeats of grace, and the turns in which the leader judges.
+        world.run(limit + ms(400) + turn * 2);
+        assert_eq!(
+            world.leader(),
+            Some(leader),
+            "{turn:?}: {:?}",
+            world.resigned
+        );
+        let silent = world.node(leader).silent_voters(limit);
+        assert_eq!(silent, [hung], "with turns of {turn:?}");
+    }
+}
+
 #[test]
 fn a_node_whose_disk_hangs_holds_up_the_change_that_adds_it_for_two_seconds_at_most() {
     let mut world = World::voters(3);
--- a/tests/workload/disturbed.rs
+++ b/tests/workload/disturbed.rs
@@ -56,8 +56,19 @@
 /// of agents that were well expired, and nothing was started any more.
 #[test]
 fn no_long_running_task_lapses_while_orders_and_proposals_are_held_up() {
+    hold_up(seeds());
+}
+
+/// The tasks don't all run again in time with this seed, whatever the cause.
+#[test]
+fn long_running_tasks_run_again_in_time_with_seed_78() {
+    hold_up(78..=78);
+}
+
+/// Holds up leaders, and checks what is promised of long-running tasks and of the other jobs.
+fn hold_up(seeds: RangeInclusive<u64>) {
     let tasks = usize::try_from(TASKS).unwrap();
-    for seed in seeds() {
+    for seed in seeds {
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xd157);
         let mut world = World::new(AGENTS, seed);
         world.submit(
