--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -2,13 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::{net::TcpStream, time::sleep};
+use bytes::Bytes;
+use tokio::{net::TcpStream, sync::mpsc, time::sleep};
 use tokio_tungstenite::client_async_with_config;
 
 use super::{
     MeshError, STALL, Shared,
     link::{self, Greeted},
-    queue::{Queue, Sender},
 };
 use crate::core::types::NodeId;
 
@@ -22,14 +22,14 @@
     /// Who must be there; whoever is, if not given.
     pub(super) expected: Option<NodeId>,
     /// Where what is to be sent is queued.
-    pub(super) sender: Sender,
+    pub(super) sender: mpsc::Sender<Bytes>,
     /// What all links share.
     pub(super) shared: Arc<Shared>,
 }
 
 impl Link {
     /// Keeps a connection to the address until the mesh is dropped.
-    pub(super) async fn run(self, mut queue: Queue) {
+    pub(super) async fn run(self, mut queue: mpsc::Receiver<Bytes>) {
         let (address, mut wait) = (self.address, RETRY.0);
         let Self {
             expected,
@@ -56,13 +56,13 @@
                         Ok(false) => log::info!(peer; "mesh link closed by its peer"),
                         // It took long enough; whoever is there may be well.
                         Err(error @ MeshError::Lost { stall }) => {
-                            let dropped = queue.drain();
+                            let (queued, bytes) = drain(&mut queue);
                             log::info!(
                                 peer, error:%, gave_up = stall.half.label(),
                                 writing_ms = stall.writing.map(millis),
                                 pinged_ms = stall.pinged.map(millis),
                                 shown_ms = millis(stall.shown), late_ms = millis(stall.late),
-                                queued = dropped.messages, bytes = dropped.bytes;
+                                queued, bytes;
                                 "mesh link lost"
                             );
                             continue;
@@ -74,11 +74,22 @@
             }
             sleep(wait).await;
             wait = RETRY.1.min(wait * 2);
-            queue.drain();
+            drain(&mut queue);
         }
     }
 }
 
+/// Drops what waited for a link that was lost: it is stale, and its senders have given up on it or
+/// will repeat it. Returns how many messages and bytes that were.
+fn drain(queue: &mut mpsc::Receiver<Bytes>) -> (usize, usize) {
+    let (mut queued, mut bytes) = (0, 0);
+    while let Ok(message) = queue.try_recv() {
+        queued += 1;
+        bytes += message.len();
+    }
+    (queued, bytes)
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -90,7 +101,7 @@
 ) -> Result<Greeted, MeshError> {
     let dial = async {
         let stream = TcpStream::connect(address).await?;
-        link::prepare(&stream)?;
+        stream.set_nodelay(true)?;
         let url = format!("ws://{address}/mesh");
         let (mut socket, _) = client_async_with_config(url, stream, Some(link::config())).await?;
         let ours = link::introduce(&mut socket, shared).await?;
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -16,11 +16,10 @@
     stream::{SplitSink, SplitStream},
 };
 use serde::{Deserialize, Serialize};
-use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     select,
-    sync::watch,
+    sync::{mpsc, watch},
     task::{unconstrained, yield_now},
     time::{Instant, MissedTickBehavior, interval_at, timeout, timeout_at},
 };
@@ -30,9 +29,8 @@
 };
 
 use super::{
-    LARGEST, MeshError, PING, PROTOCOL, SEND_BUFFER, STALL, Shared,
+    LARGEST, MeshError, PING, PROTOCOL, STALL, Shared,
     pulse::{Half, Pulse},
-    queue::Queue,
 };
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
@@ -49,9 +47,6 @@
 /// holds, unless its host is set up for that.
 const BACKLOG: usize = 8 << 20;
 
-/// Bytes that are written between two looks at the ping.
-const SPAN: usize = 64 << 10;
-
 /// A websocket between two nodes.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
@@ -79,20 +74,6 @@
     }
 }
 
-/// Sets up the socket of a connection, whoever dialled.
-///
-/// # Errors
-///
-/// The socket has failed.
-pub(super) fn prepare(stream: &TcpStream) -> Result<(), MeshError> {
-    stream.set_nodelay(true)?;
-    // A system that doesn't let a process choose has a size of its own.
-    if let Err(error) = SockRef::from(stream).set_send_buffer_size(SEND_BUFFER) {
-        log::debug!(error:%; "the send buffer of a mesh link can't be set");
-    }
-    Ok(())
-}
-
 /// How both ends are set up.
 pub(super) fn config() -> WebSocketConfig {
     WebSocketConfig::default()
@@ -198,16 +179,15 @@
 pub(super) async fn run(
     greeted: Greeted,
     end: End,
-    queue: &mut Queue,
+    queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
 ) -> Result<bool, MeshError> {
     let Greeted { socket, ours, peer } = greeted;
     let (said, theirs) = watch::channel(peer);
     let (sink, stream) = socket.split();
     let pulse = Pulse::new();
-    let node = said.borrow().node;
     select! {
-        written = write(sink, end, node, ours.clone(), queue, shared, &pulse) => written.map(|()| true),
+        written = write(sink, end, ours.clone(), queue, shared, &pulse) => written.map(|()| true),
         read = read(stream, end, &said, shared, &pulse) => read.map(|()| false),
         part = part(ours, theirs, shared) => part.map(|()| false),
     }
@@ -267,7 +247,6 @@
         match message {
             Message::Binary(bytes) => {
                 shared.traffic.count_received(bytes.len());
-                pulse.receive(bytes.len());
                 // Whoever waits for a change may run after this.
                 shared.admit(&said.borrow())?;
                 if !shared.faults.drops(peer) {
@@ -309,62 +288,52 @@
 async fn write(
     mut sink: SplitSink<Socket, Message>,
     end: End,
-    peer: NodeId,
     mut ours: watch::Receiver<Claim>,
-    queue: &mut Queue,
+    queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
     pulse: &Pulse,
 ) -> Result<(), MeshError> {
     let mut ping = interval_at(Instant::now() + PING, PING);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        if let Some(stale) = queue.stale() {
-            let (messages, bytes) = (stale.messages, stale.bytes);
-            log::info!(peer, messages, bytes; "messages waited too long for a mesh link");
-        }
-        let first = select! {
-            biased;
-            _ = ping.tick(), if end == End::Dialler => {
-                pulse.ping();
-                Message::Ping(Bytes::new())
-            }
-            Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
+        let message = select! {
             message = queue.recv() => match message {
                 Some(bytes) => Message::Binary(bytes),
                 None => return Ok(()),
             },
+            Ok(()) = ours.changed() => reintroduction(&ours.borrow_and_update()),
+            _ = ping.tick(), if end == End::Dialler => {
+                pulse.ping();
+                Message::Ping(Bytes::new())
+            }
         };
         pulse.begin();
         let due = Instant::now() + STALL;
-        let written = timeout_at(due, write_some(&mut sink, first, queue, shared))
+        timeout_at(due, write_all(&mut sink, message, queue, shared))
             .await
             .unwrap_or_else(|_| {
                 let stall = pulse.stall(Half::Writing, due);
                 Err(MeshError::Lost { stall })
             })?;
-        pulse.end(written);
+        pulse.end();
     }
 }
 
-/// Writes one message and some of what else already waits, then flushes once. Little enough that a
-/// ping doesn't wait for long, and that a slow peer takes it in time. Returns how many bytes.
-async fn write_some(
+/// Writes one message and whatever else already waits, then flushes once.
+async fn write_all(
     sink: &mut SplitSink<Socket, Message>,
     first: Message,
-    queue: &mut Queue,
+    queue: &mut mpsc::Receiver<Bytes>,
     shared: &Shared,
-) -> Result<usize, MeshError> {
-    let mut written = first.len();
+) -> Result<(), MeshError> {
     shared.traffic.count_sent(first.len());
     sink.feed(first).await?;
-    while written < SPAN {
-        let Some(bytes) = queue.try_recv() else { break };
-        written += bytes.len();
+    while let Ok(bytes) = queue.try_recv() {
         shared.traffic.count_sent(bytes.len());
         sink.feed(Message::Binary(bytes)).await?;
     }
     sink.flush().await?;
-    Ok(written)
+    Ok(())
 }
 
 /// Gives up on what takes too long.
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -10,9 +10,8 @@
 use tokio_tungstenite::accept_async_with_config;
 
 use super::{
-    MeshError, STALL, Shared,
+    MeshError, QUEUE, STALL, Shared,
     link::{self, Greeted},
-    queue::Queue,
 };
 use crate::adapters::accept::Acceptor;
 
@@ -42,7 +41,7 @@
 }
 
 async fn serve(stream: TcpStream, shared: &Shared) -> Result<(), MeshError> {
-    link::prepare(&stream)?;
+    stream.set_nodelay(true)?;
     let greeted = link::within(STALL, async {
         let mut socket = accept_async_with_config(stream, Some(link::config())).await?;
         let peer = link::greet(&mut socket).await?;
@@ -53,7 +52,7 @@
     });
     let greeted = greeted.await?;
     let peer = greeted.peer.node;
-    let (sender, mut queue) = Queue::new();
+    let (sender, mut queue) = mpsc::channel(QUEUE);
     let serial = shared.accepted(&greeted.peer, sender);
     let ended = link::run(greeted, link::End::Listener, &mut queue, shared).await;
     shared.dropped(peer, serial);
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -1,7 +1,7 @@
 //! The mesh: datagram-like messages between our own processes.
 //!
-//! A message is delivered at most once and may be lost: a queue that is full or slow, a peer that
-//! is down or a write that stalls all drop it. Consensus and the request path repeat what matters, so the
+//! A message is delivered at most once and may be lost: a queue that is full, a peer that is down
+//! or a write that stalls all drop it. Consensus and the request path repeat what matters, so the
 //! mesh never has to.
 //!
 //! Each node dials the peers that it is told of and sends on the connection that it dialled; to
@@ -17,10 +17,6 @@
 //! small hosts, so only one end pings: 8 bytes for a ping and its answer, some 170 with the heads of
 //! TCP and IP and the acknowledgements, 2.5 times a second.
 //!
-//! An end looks at the ping after each 64 KiB, and the system buffers little of what was written. So
-//! a link to a peer that reads stays, however much is queued, if it carries 2 Mbit/s and no single
-//! message takes a second.
-//!
 //! Each end says which cluster it is of, once it knows. Two that can't be of one cluster aren't
 //! linked ([`Claim::admits`]), and a link is dropped when that turns out later, so nothing that
 //! a node of another cluster says is handed on.
@@ -30,7 +26,6 @@
 mod link;
 mod listen;
 mod pulse;
-mod queue;
 mod strangers;
 mod traffic;
 
@@ -52,11 +47,7 @@
 };
 
 pub use self::{faults::Faults, traffic::Traffic};
-use self::{
-    pulse::Stall,
-    queue::{Queue, Sender},
-    strangers::Strangers,
-};
+use self::{pulse::Stall, strangers::Strangers};
 use crate::core::{
     cluster::{Claim, Cluster, FolderId},
     types::{Map, NodeId, Set},
@@ -64,6 +55,8 @@
 
 /// The version of the mesh's handshake; peers of another one are refused.
 pub const PROTOCOL: u32 = 2;
+/// Messages that wait for one peer before new ones are dropped.
+const QUEUE: usize = 4096;
 /// The largest message, in bytes.
 pub(crate) const LARGEST: usize = 16 << 20;
 /// A connection that has shown nothing of its peer for this long is dropped. Operators want all to
@@ -73,12 +66,8 @@
 pub(crate) const SILENT: Duration = Duration::from_millis(1000);
 /// From one ping to the next, whatever else is sent.
 pub(crate) const PING: Duration = Duration::from_millis(400);
-/// How long a dial, a handshake, a write of 64 KiB and a message, or the answer to a ping behind much
-/// else may take.
+/// How long a dial, a handshake or a write may take.
 pub(crate) const STALL: Duration = Duration::from_secs(2);
-/// The system's buffer for what was written, in bytes; Linux doubles it. By itself it grows to
-/// megabytes, which a slow connection needs many seconds for, and a ping as long.
-pub(crate) const SEND_BUFFER: usize = 64 << 10;
 
 /// What the mesh needs to know.
 #[derive(Debug, Default)]
@@ -149,17 +138,17 @@
 #[derive(Debug, Default)]
 struct Route {
     /// The connection that this node dialled, while it is up.
-    dialled: Option<Sender>,
+    dialled: Option<mpsc::Sender<Bytes>>,
     /// The newest connection that the peer dialled, under its serial number.
-    accepted: Option<(u64, Sender)>,
+    accepted: Option<(u64, mpsc::Sender<Bytes>)>,
     /// Where messages to a peer that is always dialled wait for the next connection.
-    waiting: Option<Sender>,
+    waiting: Option<mpsc::Sender<Bytes>>,
     /// What the peer said of itself last.
     said: Option<Claim>,
 }
 
 impl Route {
-    fn sender(&self) -> Option<&Sender> {
+    fn sender(&self) -> Option<&mpsc::Sender<Bytes>> {
         let accepted = self.accepted.as_ref().map(|(_, sender)| sender);
         self.dialled.as_ref().or(accepted).or(self.waiting.as_ref())
     }
@@ -182,7 +171,7 @@
 }
 
 impl Shared {
-    fn awaits(&self, peer: NodeId, sender: Sender) {
+    fn awaits(&self, peer: NodeId, sender: mpsc::Sender<Bytes>) {
         self.change(peer, |route| route.waiting = Some(sender));
     }
 
@@ -196,7 +185,7 @@
         Err(MeshError::Stranger { node: peer.node })
     }
 
-    fn dialled(&self, peer: &Claim, sender: Sender) {
+    fn dialled(&self, peer: &Claim, sender: mpsc::Sender<Bytes>) {
         self.change(peer.node, |route| {
             route.said = Some(peer.clone());
             route.dialled = Some(sender);
@@ -213,7 +202,7 @@
     }
 
     /// Keeps a connection that a peer dialled; returns its serial number.
-    fn accepted(&self, peer: &Claim, sender: Sender) -> u64 {
+    fn accepted(&self, peer: &Claim, sender: mpsc::Sender<Bytes>) -> u64 {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
         self.change(peer.node, |route| {
             route.said = Some(peer.clone());
@@ -241,7 +230,7 @@
     fn send(&self, to: NodeId, message: Bytes) -> bool {
         let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
         let sender = routes.get(&to).and_then(Route::sender);
-        sender.is_some_and(|sender| sender.send(message))
+        sender.is_some_and(|sender| sender.try_send(message).is_ok())
     }
 }
 
@@ -249,7 +238,7 @@
 pub struct Mesh {
     shared: Arc<Shared>,
     /// The addresses that are dialled. The senders keep the links' queues open.
-    dialled: RwLock<(Set<SocketAddr>, Vec<Sender>)>,
+    dialled: RwLock<(Set<SocketAddr>, Vec<mpsc::Sender<Bytes>>)>,
     // Dropped with the mesh, which ends the listener.
     _stop: mpsc::Sender<()>,
 }
@@ -302,8 +291,8 @@
         }
     }
 
-    fn link(&self, address: SocketAddr, expected: Option<NodeId>) -> Sender {
-        let (sender, queue) = Queue::new();
+    fn link(&self, address: SocketAddr, expected: Option<NodeId>) -> mpsc::Sender<Bytes> {
+        let (sender, queue) = mpsc::channel(QUEUE);
         let link = dial::Link {
             address,
             expected,
--- a/src/adapters/mesh/pulse.rs
+++ b/src/adapters/mesh/pulse.rs
@@ -3,9 +3,6 @@
 //! The two halves of a connection, which write and read, share it: the one that writes notes what
 //! it asks and how long that takes, the one that reads notes what shows that the peer is there and
 //! judges by both.
-//!
-//! A ping and its answer wait behind what was handed to the connection before them, which a slow
-//! connection takes a while for. An answer that has much before it may take longer.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
@@ -14,14 +11,10 @@
 
 use tokio::time::Instant;
 
-use super::{PING, SEND_BUFFER, SILENT, STALL, link::End};
+use super::{PING, SILENT, link::End};
 
 /// How long an answer may take: what is left of [`SILENT`] at the first ping after a sign.
 const ANSWER: Duration = SILENT.saturating_sub(PING);
-/// Bytes that a connection carries in a second at least: 2 Mbit, as the smallest entry hosts have.
-const SLOWEST: usize = 250_000;
-/// Bytes that may stand before a ping in the system's buffer: Linux doubles what is asked for.
-const BUFFERED: usize = 2 * SEND_BUFFER;
 
 /// Which half of a connection gave up on the peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,33 +57,14 @@
     state: Mutex<State>,
 }
 
-/// The first ping that has no answer yet.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    at: Instant,
-    /// Bytes that may stand before it.
-    before: usize,
-    /// Bytes that have come in since: the answer may stand behind more of them.
-    received: usize,
-}
-
-impl Asked {
-    /// When the answer has to be there: the connection may have to carry much before it.
-    fn due(&self) -> Instant {
-        let ahead = (self.before + self.received) as f64 / SLOWEST as f64;
-        self.at + STALL.min(ANSWER + Duration::from_secs_f64(ahead))
-    }
-}
-
 #[derive(Debug)]
 struct State {
     /// When something showed last that the peer is there.
     shown: Instant,
     /// When the last ping was handed to the connection.
     pinged: Option<Instant>,
-    asked: Option<Asked>,
-    /// Bytes that were written since the peer last answered.
-    unread: usize,
+    /// When the first ping was that has no answer yet.
+    asked: Option<Instant>,
     /// Since when a write is under way.
     writing: Option<Instant>,
 }
@@ -102,7 +76,6 @@
             shown: Instant::now(),
             pinged: None,
             asked: None,
-            unread: 0,
             writing: None,
         };
         Self {
@@ -115,14 +88,6 @@
         let mut state = self.state();
         state.shown = Instant::now();
         state.asked = None;
-        state.unread = 0;
-    }
-
-    /// Bytes came in.
-    pub(super) fn receive(&self, bytes: usize) {
-        if let Some(asked) = &mut self.state().asked {
-            asked.received += bytes;
-        }
     }
 
     /// When this end has to be shown that the peer is there.
@@ -134,7 +99,7 @@
         let due = state.shown + SILENT;
         match (end, state.asked) {
             (End::Listener, _) => due,
-            (End::Dialler, Some(asked)) => due.max(asked.due()),
+            (End::Dialler, Some(asked)) => due.max(asked + ANSWER),
             (End::Dialler, None) => due.max(Instant::now() + PING),
         }
     }
@@ -143,12 +108,7 @@
     pub(super) fn ping(&self) {
         let (mut state, now) = (self.state(), Instant::now());
         state.pinged = Some(now);
-        let before = state.unread.min(BUFFERED);
-        state.asked.get_or_insert(Asked {
-            at: now,
-            before,
-            received: 0,
-        });
+        state.asked.get_or_insert(now);
     }
 
     /// A write begins.
@@ -156,11 +116,9 @@
         self.state().writing = Some(Instant::now());
     }
 
-    /// The write is done, of so many bytes.
-    pub(super) fn end(&self, bytes: usize) {
-        let mut state = self.state();
-        state.writing = None;
-        state.unread += bytes;
+    /// The write is done.
+    pub(super) fn end(&self) {
+        self.state().writing = None;
     }
 
     /// The connection is given up by one half, that should have judged at `due`.
