Ask of a control node's contact in one place, and derive its grace from heartbeats

Cause: the change had written again whether a node is leaving (four places), when it was last heard (four) and whether that is recent (three, with two senses), and gave the four heartbeats of consensus as a second constant of 400 ms, the three intervals of a look as one of 600 ms.

Change: Members::is_leaving, last_seen and is_fresh; Node::answer_grace; LATE_LOOK from CHECK_INTERVAL. Nothing that a node decides changes: the values are the same with the heartbeat of 100 ms that the programs run with.

--- a/src/core/consensus/leader.rs
+++ b/src/core/consensus/leader.rs
@@ -11,10 +11,6 @@
 };
 use crate::core::types::{NodeId, Now};
 
-/// How many heartbeats a node has to answer before its silence is judged, where the time before
-/// them may not be its own: its leader was delayed, or wasn't the leader yet.
-pub(super) const GRACE_HEARTBEATS: u32 = 4;
-
 /// How far the leader has replicated its log to one node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Progress {
--- a/src/core/consensus/replication.rs
+++ b/src/core/consensus/replication.rs
@@ -7,7 +7,7 @@
 
 use super::{
     interface::{Content, Entry, Index, Output, Payload, Record, Resignation, Term},
-    leader::{GRACE_HEARTBEATS, Progress, Question, quorum},
+    leader::{Progress, Question, quorum},
     message::{AppendOutcome, Message, Position},
     node::{Eligibility, Node, Role},
     restored::Snapshot,
@@ -94,7 +94,7 @@
     /// each silent peer a few heartbeats to answer.
     fn update_questions(&mut self) {
         let (now, heartbeat) = (self.now, self.config.heartbeat);
-        let acked = self.quorum_acked();
+        let (acked, grace) = (self.quorum_acked(), self.answer_grace());
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -107,7 +107,7 @@
             }),
             question => question,
         };
-        let grace = delayed.then(|| heartbeat * GRACE_HEARTBEATS);
+        let grace = delayed.then_some(grace);
         for peer in leader.peers.values_mut() {
             peer.update_silence(now, grace);
         }
--- a/src/core/consensus/view.rs
+++ b/src/core/consensus/view.rs
@@ -4,13 +4,15 @@
 
 use super::{
     interface::{Entry, Index, Room, Term},
-    leader::GRACE_HEARTBEATS,
     message::Position,
     node::{Eligibility, Node, Role},
     snapshot::{IncomingSnapshot, TransferProgress},
 };
 use crate::core::types::{NodeId, Now};
 
+/// How many heartbeats [`Node::answer_grace`] takes.
+const GRACE_HEARTBEATS: u32 = 4;
+
 impl Node {
     /// The node's id.
     pub fn id(&self) -> NodeId {
@@ -72,6 +74,12 @@
         self.applied < self.committed
     }
 
+    /// How long a node has to answer a leader before its silence is judged, where the time before may
+    /// not be its own: the leader was delayed, or wasn't the leader yet.
+    pub fn answer_grace(&self) -> Duration {
+        self.config.heartbeat * GRACE_HEARTBEATS
+    }
+
     /// On the leader, the voters that for `limit` have answered nothing that it asked, or have
     /// confirmed no entry though some were sent, as when a disk hangs.
     ///
@@ -92,8 +100,7 @@
             let predecessor = leader.predecessor.filter(|(node, _)| node == *voter);
             let before = predecessor.filter(|_| peer.last_acked.is_none());
             let since = before.map_or(unanswered, |(_, seen)| {
-                let grace = self.config.heartbeat * GRACE_HEARTBEATS;
-                let earliest = (leader.elected + grace).saturating_sub(limit);
+                let earliest = (leader.elected + self.answer_grace()).saturating_sub(limit);
                 seen.max(earliest).min(unanswered)
             });
             peer.is_silent(since, limit, self.now)
--- a/src/manager/membership.rs
+++ b/src/manager/membership.rs
@@ -77,7 +77,10 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
-use super::{control::VIEW_INTERVALS, identity::ip};
+use super::{
+    control::{CHECK_INTERVAL, VIEW_INTERVALS},
+    identity::ip,
+};
 use crate::core::{
     consensus::{Index, Node},
     types::{DataCentreId, NodeId, Now},
@@ -97,11 +100,8 @@
 /// An alive node that was heard from within this time is chosen before others. Covers one interval
 /// of its views and some delay. A failure that takes a voter away may have taken nodes next to it.
 const FRESH_WITHIN: Duration = Duration::from_millis(1200);
-/// How long a voter that wasn't heard from before the election has to answer a new leader. Four
-/// heartbeats.
-const ANSWER_WITHIN: Duration = Duration::from_millis(400);
 /// A look at the voters is late after three of its intervals. Views may wait to be read then.
-const LATE_LOOK: Duration = Duration::from_millis(600);
+const LATE_LOOK: Duration = CHECK_INTERVAL.saturating_mul(3);
 /// Nodes that haven't been heard from for this long are forgotten. Otherwise replaced nodes would
 /// be announced and dialled for ever. Longer than any network partition that operators reported.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -265,8 +265,7 @@
     /// Records whether this node is in touch with most of the voters. Called at each look at the
     /// voters, on every node.
     pub fn record_touch(&mut self, now: Now, me: NodeId, voters: &[NodeId]) {
-        let heard =
-            |v: &&NodeId| **v == me || self.members.get(v).is_some_and(|m| !is_stale(now, m));
+        let heard = |v: &&NodeId| **v == me || self.is_fresh(now, **v);
         let touch = voters.iter().filter(heard).count() > voters.len() / 2;
         let late = self.looked_at.is_none_or(|at| now >= at + LATE_LOOK);
         self.looked_at = Some(now);
@@ -280,16 +279,15 @@
     /// answered a few heartbeats.
     pub fn silent_voters(&self, now: Now, node: &Node, limit: Duration) -> Vec<NodeId> {
         let silent = node.silent_voters(limit);
-        let mut asked = node.silent_voters(limit.min(ANSWER_WITHIN));
-        asked.retain(|v| silent.contains(v) || self.is_unheard(now, *v, limit));
-        asked
+        let mut unanswered = node.silent_voters(limit.min(node.answer_grace()));
+        unanswered.retain(|v| silent.contains(v) || self.is_unheard(now, *v, limit));
+        unanswered
     }
 
     /// Whether a node's view has been due for `limit`, and this node was in touch with most of the
     /// voters meanwhile: a node that was cut off mustn't take its own silence for theirs.
     pub fn is_unheard(&self, now: Now, node: NodeId, limit: Duration) -> bool {
-        let last_seen = self.members.get(&node).and_then(|member| member.last_seen);
-        let due = last_seen.map(|seen| seen + VIEW_INTERVALS.1);
+        let due = self.last_seen(node).map(|seen| seen + VIEW_INTERVALS.1);
         due.is_some_and(|due| now >= due.max(self.cut_off_at.unwrap_or(now)) + limit)
     }
 
@@ -312,11 +310,8 @@
     /// The nodes other than `me` that were heard from recently, aren't about to end and aren't
     /// superseded, with their data centres.
     pub fn fresh_peers(&self, now: Now, me: NodeId) -> Vec<(NodeId, DataCentreId)> {
-        let others = self.members.iter().filter(|(node, member)| {
-            let fresh = member
-                .last_seen
-                .is_some_and(|last_seen| now < last_seen + FRESH_WITHIN);
-            **node != me && fresh && !member.leaving && !self.is_superseded(now, **node)
+        let others = self.members.iter().filter(|(node, _)| {
+            **node != me && self.is_fresh(now, **node) && self.is_able(now, **node)
         });
         others
             .map(|(node, member)| (*node, member.data_centre.clone()))
@@ -381,14 +376,11 @@
         joining: NodeId,
         other: NodeId,
     ) -> bool {
-        let leaving = |member: &Member| member.leaving;
-        if self.members.get(&joining).is_some_and(leaving) || self.is_superseded(now, joining) {
+        if self.is_leaving(joining) || self.is_superseded(now, joining) {
             return true;
         }
-        let fit = self
-            .members
-            .get(&other)
-            .is_some_and(|member| member.failed_at.is_none() && !is_stale(now, member));
+        let failed = |member: &Member| member.failed_at.is_some();
+        let fit = self.is_fresh(now, other) && !self.members.get(&other).is_some_and(failed);
         if !fit || self.reach(now, other) == Reach::Snapshot {
             return false;
         }
@@ -432,25 +424,21 @@
     pub fn successor(&self, now: Now, status: &VoterStatus<'_>) -> Option<NodeId> {
         let voters = status.voters.iter().copied();
         let able = |v: &NodeId| {
-            let leaving = self.members.get(v).is_some_and(|member| member.leaving);
-            *v != status.leader && !leaving && !status.silent.contains(v) && self.is_alive(now, *v)
+            let there = !self.is_leaving(*v) && self.is_alive(now, *v);
+            *v != status.leader && there && !status.silent.contains(v)
         };
-        voters.filter(able).max_by_key(|v| {
-            (
-                self.last_index(*v),
-                self.members.get(v).and_then(|m| m.last_seen),
-            )
-        })
+        voters
+            .filter(able)
+            .max_by_key(|v| (self.last_index(*v), self.last_seen(*v)))
     }
 
     /// The voter that most needs to be replaced.
     fn voter_to_replace(&self, now: Now, status: &VoterStatus<'_>) -> Option<NodeId> {
         let voters = || status.voters.iter().copied();
-        let leaving = |v: &NodeId| self.members.get(v).is_some_and(|member| member.leaving);
         voters()
             .find(|v| self.is_superseded(now, *v))
             .or_else(|| voters().find(|v| status.silent.contains(v)))
-            .or_else(|| voters().find(|v| leaving(v) && *v != status.leader))
+            .or_else(|| voters().find(|v| self.is_leaving(*v) && *v != status.leader))
     }
 
     /// Whether the loss of one data centre would take fewer voters if `node` replaced a voter in
@@ -484,7 +472,7 @@
             (
                 failed(member),
                 self.reach(now, node),
-                is_stale(now, member),
+                !self.is_fresh(now, node),
                 self.count_in_centre(node, staying),
                 Reverse(self.last_index(node)),
                 node,
@@ -501,8 +489,12 @@
 
     /// Whether a node could vote: it is alive, not about to end and not superseded.
     fn is_able(&self, now: Now, node: NodeId) -> bool {
-        let leaving = self.members.get(&node).is_some_and(|member| member.leaving);
-        !leaving && self.is_alive(now, node) && !self.is_superseded(now, node)
+        !self.is_leaving(node) && self.is_alive(now, node) && !self.is_superseded(now, node)
+    }
+
+    /// Whether a node has announced that it is about to end.
+    fn is_leaving(&self, node: NodeId) -> bool {
+        self.members.get(&node).is_some_and(|member| member.leaving)
     }
 
     /// Whether this node's log reaches a node. While views may be older than the log's start, the
@@ -531,14 +523,25 @@
         nodes.iter().filter(|n| centre(n) == centre(&node)).count()
     }
 
+    /// When this node last heard from a node.
+    fn last_seen(&self, node: NodeId) -> Option<Now> {
+        self.members.get(&node)?.last_seen
+    }
+
+    /// Whether a node was heard from just now, so that it is hardly lost.
+    fn is_fresh(&self, now: Now, node: NodeId) -> bool {
+        let last_seen = self.last_seen(node);
+        last_seen.is_some_and(|last_seen| now < last_seen + FRESH_WITHIN)
+    }
+
     fn is_alive(&self, now: Now, node: NodeId) -> bool {
-        let last_seen = self.members.get(&node).and_then(|member| member.last_seen);
+        let last_seen = self.last_seen(node);
         last_seen.is_some_and(|last_seen| now < last_seen + ALIVE_WITHIN)
     }
 
     /// Whether another id is alive at this node's address and was heard from later.
     fn is_superseded(&self, now: Now, node: NodeId) -> bool {
-        let last_seen = self.members.get(&node).and_then(|member| member.last_seen);
+        let last_seen = self.last_seen(node);
         self.members.iter().any(|(other, member)| {
             *other != node
                 && ip(*other) == ip(node)
@@ -548,13 +551,6 @@
     }
 }
 
-/// Whether a node hasn't been heard from just now, so that it may be lost.
-fn is_stale(now: Now, member: &Member) -> bool {
-    member
-        .last_seen
-        .is_none_or(|last_seen| now >= last_seen + FRESH_WITHIN)
-}
-
 fn without(voters: &[NodeId], lost: NodeId) -> Vec<NodeId> {
     voters.iter().copied().filter(|v| *v != lost).collect()
 }
