Check what renewals promise by one function in their tests

Two tests ended with the same three assertions, which are one function now, with the same message. Evidence: the module's five tests pass, one run.

--- a/tests/workload/renewals.rs
+++ b/tests/workload/renewals.rs
@@ -34,6 +34,13 @@
         .overdue_renewals(world.now)
 }
 
+/// All long-running tasks run, none has lapsed, and no renewal is overdue.
+fn assert_renewed(world: &World, seed: u64) {
+    assert_eq!(overdue(world), None, "seed {seed}");
+    assert_eq!(world.lapsed_runs, 0, "seed {seed}");
+    assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
+}
+
 #[test]
 fn nothing_is_overdue_while_agents_answer() {
     let mut world = world(1);
@@ -88,9 +95,7 @@
             world.lease_expires = true;
         }
         world.pass(ms(10_000));
-        assert_eq!(overdue(&world), None, "seed {seed}");
-        assert_eq!(world.lapsed_runs, 0, "seed {seed}");
-        assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
+        assert_renewed(&world, seed);
     }
 }
 
@@ -110,9 +115,7 @@
             world.pass(ms(rng.random_range(0..100)));
         }
         world.pass(ms(10_000));
-        assert_eq!(overdue(&world), None, "seed {seed}");
-        assert_eq!(world.lapsed_runs, 0, "seed {seed}");
-        assert_eq!(world.runs(LONG_RUNNING).len(), TASKS, "seed {seed}");
+        assert_renewed(&world, seed);
         for job in 2..=10 {
             assert_eq!(world.state(job), Some(JobState::Completed), "seed {seed}");
         }
