Place the long-running job of an earlier leader by one function in the manager's tests

Two tests built the same job, its placements and its agents' records. One function of their shared voter does now; the task of the panicking renewal reserves a core, as those of the other test do, which its agent of eight cores has. The assertions are as they were.

--- a/tests/manager/failed_orders.rs
+++ b/tests/manager/failed_orders.rs
@@ -9,57 +9,15 @@
     time::Duration,
 };
 
-use egretpin::core::workload::{
-    command::{Command, Placement, Round, Submission},
-    job::{StepId, TaskId},
-    scheduler::{Answer, OrderKind, Settings},
-    spec::{JobSpec, StepSpec},
-};
+use egretpin::core::workload::scheduler::{Answer, OrderKind, Settings};
 use tokio::time::{Instant, sleep};
 
-use crate::voter::{Voter, agent_record, declare, free_port};
+use crate::voter::{Voter, free_port, long_running_job};
 
 const VOTER: Ipv4Addr = Ipv4Addr::new(127, 9, 43, 1);
-const JOB: u64 = 1;
 /// Enough for an election and some renewals.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// An agent with a long-running task, which an earlier leader has placed there.
-fn commands() -> Vec<Command> {
-    let mut step = StepSpec::new(1, Duration::from_secs(1));
-    step.long_running = true;
-    step.disruption_budget = 1;
-    let submission = Submission {
-        job: JOB,
-        queue: "queue".into(),
-        pool: "pool".into(),
-        workspace: None,
-        spec: JobSpec::new("x", vec![step]),
-        accepted_at: Duration::ZERO,
-    };
-    let step = StepId {
-        job: JOB,
-        occurrence: 0,
-        step: 0,
-    };
-    let start = Placement {
-        task: TaskId { step, task: 0 },
-        attempt: 1,
-        agent: "a".into(),
-    };
-    let round = Round {
-        starts: vec![start],
-        ..Round::default()
-    };
-    let record = agent_record(&"a".into(), 0);
-    vec![
-        declare(),
-        Command::Agent(Box::new(record)),
-        Command::Submit(Box::new(submission)),
-        Command::Round(round),
-    ]
-}
-
 /// A renewal whose execution panicked was waited for without a limit, so that no other followed and
 /// the lease of its agent expired.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -72,7 +30,7 @@
         voters: &[VOTER],
         port: free_port(VOTER).await,
         folder: folder.path(),
-        commands: &commands(),
+        commands: &long_running_job(&["a".into()]),
         settings: Settings::default(),
         perform: Arc::new(move |order| {
             let renews = matches!(order.kind, OrderKind::Renew { .. });
--- a/tests/manager/leader_lease.rs
+++ b/tests/manager/leader_lease.rs
@@ -15,19 +15,13 @@
     core::{
         consensus,
         types::{Map, MinionId},
-        workload::{
-            catalog::JobId,
-            command::{Command, Placement, Round, Submission},
-            job::{StepId, TaskId},
-            scheduler::{Answer, Order, OrderKind, Report, Running, Settings},
-            spec::{JobSpec, StepSpec},
-        },
+        workload::scheduler::{Answer, Order, OrderKind, Report, Running, Settings},
     },
     manager::control::Control,
 };
 use tokio::time::sleep;
 
-use crate::voter::{Voter, agent_record, declare, free_port};
+use crate::voter::{Voter, free_port, long_running_job, task};
 
 const VOTERS: [Ipv4Addr; 2] = [Ipv4Addr::new(127, 9, 41, 1), Ipv4Addr::new(127, 9, 41, 2)];
 /// The agents. Each runs one long-running task.
@@ -76,49 +70,6 @@
     format!("a{number}").as_str().into()
 }
 
-/// The long-running job with a task for each agent.
-const JOB: JobId = 1;
-
-fn task(number: u32) -> TaskId {
-    let step = StepId {
-        job: JOB,
-        occurrence: 0,
-        step: 0,
-    };
-    TaskId { step, task: number }
-}
-
-/// What an earlier leader has committed: the agents, and a long-running task at each.
-fn commands() -> Vec<Command> {
-    let mut commands = vec![declare()];
-    for number in 0..AGENTS {
-        let record = agent_record(&agent(number), number);
-        commands.push(Command::Agent(Box::new(record)));
-    }
-    let mut step = StepSpec::new(AGENTS, Duration::from_secs(1));
-    step.need.millicores = 1000;
-    step.long_running = true;
-    step.disruption_budget = 1;
-    commands.push(Command::Submit(Box::new(Submission {
-        job: JOB,
-        queue: "queue".into(),
-        pool: "pool".into(),
-        workspace: None,
-        spec: JobSpec::new("x", vec![step]),
-        accepted_at: Duration::ZERO,
-    })));
-    let starts = (0..AGENTS).map(|number| Placement {
-        task: task(number),
-        attempt: 1,
-        agent: agent(number),
-    });
-    commands.push(Command::Round(Round {
-        starts: starts.collect(),
-        ..Round::default()
-    }));
-    commands
-}
-
 /// Answers an order as an agent with its long-running task would, or not at all.
 async fn perform(order: Order, epoch: Instant, renewals: Renewals) -> Answer {
     let OrderKind::Renew { to, .. } = order.kind else {
@@ -152,12 +103,13 @@
 /// Starts a voter.
 async fn start(ip: Ipv4Addr, port: u16, folder: &Path, renewals: Renewals) -> Control {
     let epoch = Instant::now();
+    let agents: Vec<_> = (0..AGENTS).map(agent).collect();
     let voter = Voter {
         ip,
         voters: &VOTERS,
         port,
         folder,
-        commands: &commands(),
+        commands: &long_running_job(&agents),
         settings: Settings {
             lease: AGENT_LEASE,
             ..Settings::default()
--- a/tests/manager/voter.rs
+++ b/tests/manager/voter.rs
@@ -16,9 +16,11 @@
         consensus::{self, Content, Entry, Record},
         types::{MinionId, NodeId, Resources},
         workload::{
-            catalog::{Catalog, PoolSpec, QueueSpec},
-            command::{AgentRecord, CatalogText, Command, Document},
+            catalog::{Catalog, JobId, PoolSpec, QueueSpec},
+            command::{AgentRecord, CatalogText, Command, Document, Placement, Round, Submission},
+            job::{StepId, TaskId},
             scheduler::Settings,
+            spec::{JobSpec, StepSpec},
         },
     },
     manager::{
@@ -150,6 +152,55 @@
     }
 }
 
+/// The number of the job of [`long_running_job`].
+const JOB: JobId = 1;
+
+/// A task of the job of [`long_running_job`].
+pub(crate) fn task(number: u32) -> TaskId {
+    let step = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    };
+    TaskId { step, task: number }
+}
+
+/// The commands of an earlier leader that has put the catalog in force, and placed a task of a
+/// long-running job at each of these agents.
+pub(crate) fn long_running_job(agents: &[MinionId]) -> Vec<Command> {
+    let numbered = || (0..).zip(agents);
+    let records = numbered().map(|(number, id)| agent_record(id, number));
+    let records = records.map(|record| Command::Agent(Box::new(record)));
+    let count = u32::try_from(agents.len()).unwrap();
+    let mut step = StepSpec::new(count, Duration::from_secs(1));
+    step.need.millicores = 1000;
+    step.long_running = true;
+    step.disruption_budget = 1;
+    let submission = Submission {
+        job: JOB,
+        queue: "queue".into(),
+        pool: "pool".into(),
+        workspace: None,
+        spec: JobSpec::new("x", vec![step]),
+        accepted_at: Duration::ZERO,
+    };
+    let starts = numbered().map(|(number, agent)| Placement {
+        task: task(number),
+        attempt: 1,
+        agent: agent.clone(),
+    });
+    let round = Round {
+        starts: starts.collect(),
+        ..Round::default()
+    };
+    let placed = [Command::Submit(Box::new(submission)), Command::Round(round)];
+    [declare()]
+        .into_iter()
+        .chain(records)
+        .chain(placed)
+        .collect()
+}
+
 fn catalog() -> Catalog {
     let queue = QueueSpec {
         name: "queue".into(),
