Tell an order that never left from one that its peer left unanswered

Seen from callers: on Ewedu large a class of reports is served below its floor; hosts stand in operations for 3 to 35 s while their orders count as unanswered. Neither logs nor metrics told whether an order had waited in this node for one of its connections, or at the provider.

Change: the client reports an exchange that got no connection until its limit as unsent, and the answer, its label and the log line of an order about a host say so. A histogram shows how long orders wait for a connection, by the kind of peer; a line a second shows how many hosts are in which stage of an operation; an operation's time counts from its beginning. No decision changes: unsent counts as unanswered.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -41,6 +41,9 @@
 #[derive(Debug)]
 #[derive(Snafu)]
 pub enum Failure {
+    /// No connection became free in time, so that nothing was sent.
+    #[snafu(display("no connection became free in time"))]
+    Unsent,
     /// It took too long.
     #[snafu(display("no answer in time"))]
     Late,
@@ -79,10 +82,59 @@
     address: SocketAddr,
     /// The address as requests name it, written once.
     host: HeaderValue,
-    places: Semaphore,
+    places: Arc<Semaphore>,
     idle: Mutex<Vec<(Connection, Instant)>>,
 }
 
+/// The right to one exchange with an address.
+#[derive(Debug)]
+pub struct Place<'a> {
+    client: &'a Client,
+    lane: Arc<Lane>,
+    permit: OwnedSemaphorePermit,
+}
+
+impl Place<'_> {
+    /// Sends a request and reads its answer whole.
+    ///
+    /// A connection may have gone silent without an end, and others to its address with it. So one
+    /// exchange that is late is enough for all that are idle to be left, and the next goes out on a
+    /// new one. What was answered since it began shows nothing: an exchange that waits may have
+    /// begun before the silence.
+    ///
+    /// # Errors
+    ///
+    /// No answer came until the end. Whether the request was carried out isn't known.
+    pub async fn send(
+        self,
+        request: Request<Bytes>,
+        end: Instant,
+    ) -> Result<Response<Bytes>, Failure> {
+        let Self {
+            client,
+            lane,
+            permit,
+        } = self;
+        let exchange = async {
+            let connection = match lane.idle().await {
+                Some(connection) => connection,
+                None => client.open(lane.address).await?,
+            };
+            let (connection, answer) = exchange(connection, &lane.host, request).await?;
+            if client.waiting.load(Ordering::Relaxed) == 0 {
+                lane.keep(connection);
+            }
+            drop(permit);
+            Ok(answer)
+        };
+        let outcome = timeout_at(end, exchange).await;
+        outcome.unwrap_or_else(|_| {
+            lane.leave();
+            Err(Failure::Late)
+        })
+    }
+}
+
 impl Client {
     /// A client that has at most so many connections to an address at once.
     pub fn new(connections: usize) -> Self {
@@ -102,16 +154,13 @@
         }
     }
 
-    /// Sends a request and reads its answer whole, waiting for a connection if need be.
-    ///
-    /// A connection may have gone silent without an end, and others to its address with it. So one
-    /// exchange that is late is enough for all that are idle to be left, and the next goes out on a
-    /// new one. What was answered since it began shows nothing: an exchange that waits may have
-    /// begun before the silence.
+    /// Sends a request and reads its answer whole, waiting for a connection if need be. The wait
+    /// counts towards the limit.
     ///
     /// # Errors
     ///
-    /// No answer came. Whether the request was carried out isn't known.
+    /// No answer came. Whether the request was carried out isn't known, except that it wasn't if it
+    /// is [`Failure::Unsent`].
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -119,24 +168,26 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let end = Instant::now() + limit;
+        let place = self.acquire(address, end).await?;
+        place.send(request, end).await
+    }
+
+    /// Waits until one more exchange with an address may begin.
+    ///
+    /// # Errors
+    ///
+    /// That took until the end.
+    pub async fn acquire(&self, address: SocketAddr, end: Instant) -> Result<Place<'_>, Failure> {
         let lane = self.lane(address)?;
-        let exchange = async {
-            let place = lane.places.acquire().await.map_err(io::Error::other)?;
-            let connection = match lane.idle().await {
-                Some(connection) => connection,
-                None => self.open(lane.address).await?,
-            };
-            let (connection, answer) = exchange(connection, &lane.host, request).await?;
-            if self.waiting.load(Ordering::Relaxed) == 0 {
-                lane.keep(connection);
-            }
-            drop(place);
-            Ok(answer)
-        };
-        let outcome = timeout_at(end, exchange).await;
-        outcome.unwrap_or_else(|_| {
+        let acquired = timeout_at(end, Arc::clone(&lane.places).acquire_owned()).await;
+        let Ok(permit) = acquired else {
             lane.leave();
-            Err(Failure::Late)
+            return Err(Failure::Unsent);
+        };
+        Ok(Place {
+            client: self,
+            lane,
+            permit: permit.map_err(io::Error::other)?,
         })
     }
 
@@ -149,7 +200,7 @@
         let lane = Arc::new(Lane {
             address,
             host: host(address)?,
-            places: Semaphore::new(self.connections),
+            places: Arc::new(Semaphore::new(self.connections)),
             idle: Mutex::default(),
         });
         lanes.known.insert(address, Arc::clone(&lane));
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -8,6 +8,6 @@
 mod server;
 
 pub use self::{
-    client::{Client, Failure, post, send},
+    client::{Client, Failure, Place, post, send},
     server::{Limits, Replied, json, serve, text},
 };
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -44,6 +44,11 @@
             self.superseded = true;
             return;
         }
+        let answer = match (&about, answer) {
+            (About::Operation(_), answer) => answer,
+            (_, Answer::Unsent) => Answer::Silent,
+            (_, answer) => answer,
+        };
         match about {
             About::Start(agent, task) => {
                 let start = SentStart {
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -97,6 +97,7 @@
             return;
         }
         self.hosts.logged_at = now;
+        self.log_operations(now);
         let mut empties = HostCounts::new();
         for (_, view, _) in self.empty_hosts(now) {
             *empties.entry(view.pool.clone()).or_default() += 1;
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -95,7 +95,9 @@
 pub(super) struct Operation {
     pub(super) purpose: Purpose,
     pub(super) stage: Stage,
+    /// Since when it is in this stage, or when its order is due.
     pub(super) since: Now,
+    pub(super) begun_at: Now,
     /// The agent that was at the host when the operation began: its name, and its incarnation once
     /// that is known.
     pub(super) name: Option<Name>,
@@ -306,6 +308,26 @@
         }
     }
 
+    /// Logs how many operations are in each stage and how long the oldest order has been under way.
+    pub(super) fn log_operations(&self, now: Now) {
+        let (mut emptying, mut due, mut under_way, mut away) = (0, 0, 0, 0);
+        let mut oldest = Duration::ZERO;
+        for operation in self.hosts.operations.values() {
+            match operation.stage {
+                Stage::Emptying => emptying += 1,
+                Stage::Due | Stage::Recording | Stage::Recorded => due += 1,
+                Stage::Ordered(_) => {
+                    under_way += 1;
+                    oldest = oldest.max(now.saturating_sub(operation.since));
+                }
+                Stage::Away => away += 1,
+            }
+        }
+        if emptying + due + under_way + away > 0 {
+            log::info!(emptying, due, under_way, away, oldest:?; "operations on hosts");
+        }
+    }
+
     /// The agent of a host, if it is known.
     pub(super) fn agent_at(&self, view: &HostView) -> Option<&Agent> {
         self.agents.current(view.agent.as_ref()?)
@@ -321,7 +343,7 @@
         let Some(operation) = self.hosts.operations.remove(host) else {
             return;
         };
-        log::info!(host:%, what:? = operation.purpose, took:? = now.saturating_sub(operation.since); "an operation on a host has ended");
+        log::info!(host:%, what:? = operation.purpose, took:? = now.saturating_sub(operation.begun_at); "an operation on a host has ended");
         if let Some(agent) = operation.agent.and_then(|id| self.agents.get_mut(&id)) {
             agent.cordoned = false;
             agent.evicting = false;
@@ -347,6 +369,7 @@
             purpose: what,
             stage,
             since: now,
+            begun_at: now,
             name,
             agent,
         };
@@ -443,6 +466,7 @@
             // An order that got no answer may have been carried out; repeating it shows whether it
             // was.
             Answer::Silent
+            | Answer::Unsent
             | Answer::Refused {
                 why: Refusal::Throttled,
                 ..
--- a/src/core/workload/scheduler/order.rs
+++ b/src/core/workload/scheduler/order.rs
@@ -177,6 +177,8 @@
     Eligible(Vec<(MinionId, Name)>),
     /// No clear answer came: the order may have been carried out, or may still be.
     Silent,
+    /// The order waited for a connection until its time limit and was never sent.
+    Unsent,
 }
 
 /// Why an order was refused.
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -38,6 +38,12 @@
     order: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct PeerLabel {
+    peer: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct PhaseLabel {
@@ -75,6 +81,7 @@
     retries: Counter,
     orders: Family<OrderLabels, Counter>,
     order_time: Family<OrderLabel, Histogram>,
+    connection_wait: Family<PeerLabel, Histogram>,
     /// 1 while this node leads.
     pub leading: Gauge,
     /// The current term of the log.
@@ -126,6 +133,7 @@
             retries: Counter::default(),
             orders: Family::default(),
             order_time: Family::new_with_constructor(duration_histogram),
+            connection_wait: Family::new_with_constructor(duration_histogram),
             leading: Gauge::default(),
             term: Gauge::default(),
             applied: Gauge::default(),
@@ -190,6 +198,11 @@
             "From order to answer",
             self.order_time.clone(),
         );
+        registry.register(
+            "connection_wait_seconds",
+            "How long an order waited for a connection to its peer",
+            self.connection_wait.clone(),
+        );
         let gauges = [
             ("leading", "1 while this node leads", &self.leading),
             ("term", "The term of the log", &self.term),
@@ -295,6 +308,12 @@
         time.observe(took.as_secs_f64());
     }
 
+    /// Records how long an order waited for a connection to a kind of peer.
+    pub fn record_connection_wait(&self, peer: &'static str, wait: Duration) {
+        let time = self.connection_wait.get_or_create(&PeerLabel { peer });
+        time.observe(wait.as_secs_f64());
+    }
+
     /// Records the longest time that an input of a turn waited.
     pub fn record_wait(&self, wait: Duration) {
         self.input_wait.observe(wait.as_secs_f64());
@@ -391,6 +410,7 @@
         Answer::Restarted => "reborn",
         Answer::Elsewhere => "elsewhere",
         Answer::Silent => "silent",
+        Answer::Unsent => "unsent",
         Answer::Refused { why, .. } => match why {
             Refusal::Fence => "fence",
             Refusal::Old => "old",
--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -115,7 +115,7 @@
             && let Some(scheduler) = &mut self.scheduler
         {
             self.relays
-                .record_direct_answer(order, !matches!(answer, Answer::Silent));
+                .record_direct_answer(order, has_reached(&answer));
             scheduler.answered(now, order, answer);
         }
     }
@@ -148,8 +148,10 @@
             return;
         };
         for (order, answer) in answers {
-            let reached = !matches!(answer, Answer::Silent);
-            if self.relays.record_answer(relay, order, reached) {
+            if self
+                .relays
+                .record_answer(relay, order, has_reached(&answer))
+            {
                 scheduler.answered(now, order, answer);
             }
         }
@@ -164,3 +166,8 @@
         }
     }
 }
+
+/// Whether an order reached its agent, as far as its answer tells.
+fn has_reached(answer: &Answer) -> bool {
+    !matches!(answer, Answer::Silent | Answer::Unsent)
+}
