--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -9,6 +9,7 @@
 mod disturbed;
 mod eligible;
 mod faults;
+mod host_orders;
 mod hosts;
 mod incarnations;
 mod intents;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -132,6 +132,25 @@
     pub(crate) order: Duration,
 }
 
+/// The connections of a node to the provider, and how long the provider takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProviderLink {
+    /// Orders that are sent at once; more wait in the node.
+    pub(crate) connections: usize,
+    /// From sending an order to its answer.
+    pub(crate) answer_time: Duration,
+    /// How long an order waits for a connection before it is given up.
+    pub(crate) max_wait: Duration,
+}
+
+/// What a [`ProviderLink`] is doing.
+#[derive(Debug, Default)]
+struct ProviderQueue {
+    /// Orders that wait for a connection, and since when.
+    waiting: VecDeque<(Now, Order)>,
+    sent: usize,
+}
+
 /// The most inputs that a leader with a [`Processor`] handles between two decisions.
 const MAX_INPUT_BATCH: usize = 256;
 
@@ -248,6 +267,8 @@
         since: u64,
         recipient: MinionId,
     },
+    /// The provider carries out an order that was sent over a [`ProviderLink`].
+    ProviderDone { order: Order },
     /// A host is up again in its pool.
     HostUp { host: HostId },
     /// A delayed heartbeat arrives.
@@ -303,6 +324,13 @@
     down: BTreeMap<WaveId, BTreeSet<HostId>>,
     pub(crate) peak_down: usize,
     pub(crate) moves: usize,
+    /// The link to the provider. Without it all orders about hosts are sent at once.
+    pub(crate) provider: Option<ProviderLink>,
+    provider_queue: ProviderQueue,
+    /// How long each order about a host waited in the node before it was sent or given up.
+    pub(crate) order_waits: Vec<Duration>,
+    /// The number of orders about hosts that were given up without having been sent.
+    pub(crate) unsent_orders: usize,
     /// The grants that the eligibility service issued: the step, the agent, and when they expire.
     grants: BTreeMap<Name, (StepId, MinionId, Now)>,
     /// The number of queries to the eligibility service, and whether the service is down.
@@ -458,6 +486,10 @@
             down: BTreeMap::new(),
             peak_down: 0,
             moves: 0,
+            provider: None,
+            provider_queue: ProviderQueue::default(),
+            order_waits: Vec::new(),
+            unsent_orders: 0,
             grants: BTreeMap::new(),
             service_queries: 0,
             service_down: false,
@@ -1015,6 +1047,7 @@
             }
             Some(processor) => self.run_processor(processor),
         }
+        self.run_provider_link();
     }
 
     /// Applies the next command if it is committed by now. Returns whether there was one.
@@ -1204,6 +1237,14 @@
             OrderKind::Renew { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
+        let about_host = matches!(
+            order.kind,
+            OrderKind::Move { .. } | OrderKind::Maintain { .. }
+        );
+        if about_host && self.provider.is_some() {
+            self.provider_queue.waiting.push_back((self.now, order));
+            return;
+        }
         let (term, id) = (order.term, order.id);
         // The answer that the leader gets if no other arrives by then.
         self.schedule(
@@ -1214,10 +1255,7 @@
                 answer: Answer::Silent,
             },
         );
-        let to_agent = !matches!(
-            order.kind,
-            OrderKind::Hosts | OrderKind::Move { .. } | OrderKind::Maintain { .. }
-        );
+        let to_agent = !about_host && !matches!(order.kind, OrderKind::Hosts);
         let agent = self.target(&order);
         let recipient = agent.map(|agent| agent.record.id.clone());
         let stalled =
@@ -1242,6 +1280,33 @@
         );
     }
 
+    /// Sends the orders that wait for a connection to the provider, and gives up those that have
+    /// waited for too long.
+    fn run_provider_link(&mut self) {
+        let Some(link) = self.provider else {
+            return;
+        };
+        while let Some((since, _)) = self.provider_queue.waiting.front() {
+            let wait = self.now.saturating_sub(*since);
+            let is_free = self.provider_queue.sent < link.connections;
+            if !is_free && wait < link.max_wait {
+                return;
+            }
+            let Some((_, order)) = self.provider_queue.waiting.pop_front() else {
+                return;
+            };
+            self.order_waits.push(wait);
+            if wait < link.max_wait {
+                self.provider_queue.sent += 1;
+                let done = Event::ProviderDone { order };
+                self.schedule(self.now + link.answer_time, done);
+            } else {
+                self.unsent_orders += 1;
+                self.send_answer(&order, Answer::Unsent);
+            }
+        }
+    }
+
     /// Checks that orders of two leaders about one host are far enough apart.
     fn check_handover(&mut self, order: &Order) {
         let (OrderKind::Move { host, .. } | OrderKind::Maintain { host, .. }) = &order.kind else {
@@ -1282,6 +1347,10 @@
                 None => self.deliver_answer(term, order, answer),
                 Some(_) => self.inbox.push_back(Input::Answer(term, order, answer)),
             },
+            Event::ProviderDone { order } => {
+                self.provider_queue.sent -= 1;
+                self.receive_order(&order, false, false, None);
+            }
             Event::HostUp { host } => {
                 for down in self.down.values_mut() {
                     down.remove(&host);
