Give orders about hosts only when they can be sent, the most urgent first

Callers saw: a class of reports served below its floor on the large site, as hosts stood in operations for seconds (with half the cores for half a minute) instead of working.

Cause: a leader decided hundreds of moves at once and handed all orders to its client, which has three connections to the provider (a figure meant for agents). What waited there could not be taken back, its host was cordoned, and after 2 s it counted as unanswered though it had never left; it was due again 0.4 s later and joined the same queue. So the queue was as long as there were hosts in operations, and didn't drain when less was asked for.

Ruled out: a slow provider; the leader's full thread alone.

Change: orders that are due stand in a line in the scheduler, sorted by what they are for (a pool's work, maintenance, expected work, idle hosts). One is given only if it can be sent: no more at once than the node has connections, no more a second than the provider states. The line is as long as the leader needs until it looks at the pools again; beyond that no host is chosen or cordoned, and an idle host of a wave only if it may go down. Hosts that were emptied and can't move yet are released. While hosts wait to be moved, waves don't take them.

--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need, hosts::Purpose,
-    vacating::take_emptiest,
+    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need,
+    host_orders::Priority, hosts::Purpose, vacating::take_emptiest,
 };
 use crate::core::types::HostId;
 
@@ -24,6 +24,8 @@
 const PARK_DELAY: Duration = Duration::from_millis(2500);
 /// How long a surge of demand takes to reach its peak.
 const SURGE_RISE: Duration = Duration::from_secs(4);
+/// Delay between checks of what the pools need.
+pub(super) const POOL_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Delay between log lines of what the pools need.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -43,28 +45,69 @@
         let kept: HostCounts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         let spares = spare.as_ref();
         let mut free = self.empty_hosts_by_pool(now);
-        self.fill_pools(now, &present, &mut have, |needs, have, to| {
-            take_empty(&mut free, needs, have, spares, to)
-        });
-        let mut soon = self.hosts_empty_soon(now);
-        self.fill_pools(now, &present, &mut have, |needs, have, to| {
-            take_emptiest(&mut soon, needs, have, to)
-        });
-        self.fill_pools(now, &kept, &mut have, |needs, have, to| {
-            take_empty(&mut free, needs, have, spares, to)
-        });
+        let mut room = self.hosts.orders.room(now, Priority::Needed);
+        self.fill_pools(
+            now,
+            Priority::Needed,
+            &present,
+            &mut have,
+            |needs, have, to| {
+                take_with_room(&mut room, || take_empty(&mut free, needs, have, spares, to))
+            },
+        );
+        // While empty hosts wait for their turn, no busy ones are emptied.
+        if room > 0 {
+            let mut soon = self.hosts_empty_soon(now);
+            self.fill_pools(
+                now,
+                Priority::Needed,
+                &present,
+                &mut have,
+                |needs, have, to| take_emptiest(&mut soon, needs, have, to),
+            );
+        }
+        let mut room = self.hosts.orders.room(now, Priority::Expected);
+        self.fill_pools(
+            now,
+            Priority::Expected,
+            &kept,
+            &mut have,
+            |needs, have, to| {
+                take_with_room(&mut room, || take_empty(&mut free, needs, have, spares, to))
+            },
+        );
         // Before the first surge it is unknown where hosts will be needed, and while a surge builds
         // up its pool will soon need those that are idle elsewhere.
         let last = self.hosts.surges.last();
         let settled = last.is_some_and(|began| now >= began + SURGE_RISE);
-        if let Some(spare) = spare.filter(|_| settled) {
-            self.park_idle(now, &kept, &mut have, &spare);
+        if let Some(spare) = spare.as_ref().filter(|_| settled) {
+            self.park_idle(now, &kept, &mut have, spare);
         }
         let surplus = |(pool, keep): (PoolId, usize)| {
             let have = have.get(&pool).copied().unwrap_or_default();
             (pool, have.saturating_sub(keep))
         };
         self.hosts.surplus = kept.into_iter().map(surplus).collect();
+        self.keep_for_moves(&present, &have, spares);
+    }
+
+    /// Takes hosts out of the surplus that will be moved to other pools once there is room for
+    /// their orders. Spares count as a surplus, and are moved last.
+    fn keep_for_moves(&mut self, needs: &HostCounts, have: &HostCounts, spare: Option<&PoolId>) {
+        let count = |pool| have.get(pool).copied().unwrap_or_default();
+        let missing = needs
+            .iter()
+            .map(|(pool, need)| need.saturating_sub(count(pool)));
+        let mut missing: usize = missing.sum();
+        let mut spares = spare.map(count);
+        let surplus = self.hosts.surplus.values_mut();
+        for surplus in surplus.chain(&mut spares) {
+            let kept = missing.min(*surplus);
+            *surplus -= kept;
+            missing -= kept;
+        }
+        let spares = spare.cloned().zip(spares);
+        self.hosts.surplus.extend(spares);
     }
 
     /// Moves hosts to the pools that have fewer than they need from pools that have more. `choose`
@@ -72,6 +115,7 @@
     fn fill_pools(
         &mut self,
         now: Now,
+        priority: Priority,
         needs: &HostCounts,
         have: &mut HostCounts,
         mut choose: impl FnMut(&HostCounts, &HostCounts, &PoolId) -> Option<HostId>,
@@ -86,7 +130,7 @@
                 *have.entry(view.pool.clone()).or_default() -= 1;
             }
             *have.entry(pool.clone()).or_default() += 1;
-            self.begin_operation(now, &host, Purpose::Move(pool));
+            self.begin_operation(now, &host, Purpose::Move(pool), priority);
         }
     }
 
@@ -203,18 +247,30 @@
         let idle: Vec<_> = idle
             .map(|(host, view, _)| (host.clone(), view.pool.clone()))
             .collect();
+        let mut room = self.hosts.orders.room(now, Priority::Idle);
         for (host, pool) in idle {
+            if room == 0 {
+                return;
+            }
             let count = have.entry(pool.clone()).or_default();
             // One host more than the pool needs stays, so that the pool isn't emptied and refilled
             // in alternation.
             if *count > needs.get(&pool).copied().unwrap_or_default() + 1 {
                 *count -= 1;
-                self.begin_operation(now, &host, Purpose::Move(spare.clone()));
+                room -= 1;
+                self.begin_operation(now, &host, Purpose::Move(spare.clone()), Priority::Idle);
             }
         }
     }
 }
 
+/// Takes a host while there is room in the line of orders.
+fn take_with_room(room: &mut usize, take: impl FnOnce() -> Option<HostId>) -> Option<HostId> {
+    let host = (*room > 0).then(take).flatten()?;
+    *room -= 1;
+    Some(host)
+}
+
 /// Takes an empty host that another pool can spare: from the pool with the largest surplus, and
 /// from the spare pool only if no other has one, since spares cost nothing while they wait.
 fn take_empty(
--- a/src/core/workload/scheduler/host_intents.rs
+++ b/src/core/workload/scheduler/host_intents.rs
@@ -89,25 +89,7 @@
     /// What a round writes to the log about hosts: those whose orders are due, and that time has
     /// passed.
     pub(super) fn next_intent(&mut self, now: Now) -> Option<OrderIntent> {
-        let mut hosts = Vec::new();
-        for (host, duty) in &mut self.hosts.operations {
-            let agent = duty.agent.as_ref().and_then(|id| self.agents.get(id));
-            if duty.stage == Stage::Due && agent.is_some_and(|a| !a.slots.is_empty() && !a.evicting)
-            {
-                // The agent got tasks after it was found empty.
-                duty.stage = Stage::Emptying;
-                continue;
-            }
-            let due = duty.stage == Stage::Due && now >= duty.since;
-            if due && !self.intents.is_held(now, host) {
-                if !self.settings.protections.intents {
-                    duty.stage = Stage::Recorded;
-                    continue;
-                }
-                duty.stage = Stage::Recording;
-                hosts.push(host.clone());
-            }
-        }
+        let hosts = self.give_host_orders(now);
         let HostIntents {
             last_stamp,
             stamp_until,
@@ -129,6 +111,38 @@
         })
     }
 
+    /// Gives the orders of the line that can be sent. Returns the hosts whose orders have to be in
+    /// the log before.
+    fn give_host_orders(&mut self, now: Now) -> Vec<HostId> {
+        let (free, due) = self.hosts.orders.due(now);
+        let due = due.filter(|(_, _, host)| !self.intents.is_held(now, host));
+        let due: Vec<_> = due.take(free).cloned().collect();
+        let mut hosts = Vec::new();
+        for entry in due {
+            let (priority, since, host) = &entry;
+            let Some(operation) = self.hosts.operations.get_mut(host) else {
+                continue;
+            };
+            let agent = operation.agent.as_ref();
+            let agent = agent.and_then(|id| self.agents.get(id));
+            if agent.is_some_and(|agent| !agent.slots.is_empty() && !agent.evicting) {
+                // The agent got tasks after it was found empty.
+                operation.stage = Stage::Emptying;
+                self.hosts.orders.remove(*priority, *since, host);
+                continue;
+            }
+            self.hosts.orders.give(now, &entry);
+            if self.settings.protections.intents {
+                operation.stage = Stage::Recording;
+                hosts.push(host.clone());
+            } else {
+                operation.stage = Stage::Recorded;
+                self.hosts.orders.record(host);
+            }
+        }
+        hosts
+    }
+
     /// Notes that a round of this leader was applied, so that the orders it announced may go out.
     pub(super) fn intent_applied(&mut self, now: Now, round: &Round) {
         let Some(touch) = &round.intent else {
@@ -139,6 +153,7 @@
             if let Some(duty) = duty.filter(|duty| duty.stage == Stage::Recording) {
                 duty.stage = Stage::Recorded;
                 duty.since = now;
+                self.hosts.orders.record(host);
             }
         }
     }
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -13,7 +13,11 @@
 
 use super::{
     About, Agent, Answer, HostState, HostView, MinionId, Name, Now, OrderId, OrderKind, PoolId,
-    Refusal, Scheduler, Wall, balance::HostCounts, demand::Demand, forecast::Surges,
+    Refusal, Scheduler, Wall,
+    balance::{HostCounts, POOL_CHECK_DELAY},
+    demand::Demand,
+    forecast::Surges,
+    host_orders::{HostOrders, OrderLimits, Priority},
     presence::Presence,
 };
 use crate::core::{
@@ -33,8 +37,6 @@
 /// a check visits each host of a wave. This delay is a hundredth of what a maintenance takes, so it
 /// delays none.
 const OPERATION_CHECK_DELAY: Duration = Duration::from_millis(20);
-/// Delay between checks of what the pools need.
-const POOL_CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// What is known about the hosts, and what is being done with them.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +56,7 @@
     asked_at: Option<Now>,
     list_pending: bool,
     pub(super) operations: BTreeMap<HostId, Operation>,
+    pub(super) orders: HostOrders,
     /// When an order about each host was last refused.
     pub(super) refused_at: BTreeMap<HostId, Now>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
@@ -69,6 +72,22 @@
 }
 
 impl Hosts {
+    pub(super) fn new(limits: OrderLimits) -> Self {
+        Self {
+            orders: HostOrders::new(limits),
+            ..Self::default()
+        }
+    }
+
+    /// Puts the order of an operation into the line, from `due` on.
+    pub(super) fn line_up(&mut self, due: Now, host: &HostId) {
+        if let Some(operation) = self.operations.get_mut(host) {
+            operation.stage = Stage::Due;
+            operation.since = due;
+            self.orders.push(operation.priority, due, host);
+        }
+    }
+
     /// Whether the lists show that an agent that was present at `since` has terminated. `home` is
     /// its host, if one is known.
     fn is_terminated(&self, home: Option<&HostId>, name: &Name, since: Now) -> bool {
@@ -97,6 +116,7 @@
     pub(super) stage: Stage,
     /// Since when it is in this stage, or when its order is due.
     pub(super) since: Now,
+    pub(super) priority: Priority,
     pub(super) begun_at: Now,
     /// The agent that was at the host when the operation began: its name, and its incarnation once
     /// that is known.
@@ -343,6 +363,10 @@
         let Some(operation) = self.hosts.operations.remove(host) else {
             return;
         };
+        let Operation {
+            priority, since, ..
+        } = operation;
+        self.hosts.orders.remove(priority, since, host);
         log::info!(host:%, what:? = operation.purpose, took:? = now.saturating_sub(operation.begun_at); "an operation on a host has ended");
         if let Some(agent) = operation.agent.and_then(|id| self.agents.get_mut(&id)) {
             agent.cordoned = false;
@@ -350,7 +374,13 @@
         }
     }
 
-    pub(super) fn begin_operation(&mut self, now: Now, host: &HostId, what: Purpose) {
+    pub(super) fn begin_operation(
+        &mut self,
+        now: Now,
+        host: &HostId,
+        what: Purpose,
+        priority: Priority,
+    ) {
         let name = self.hosts.views.get(host).and_then(|v| v.agent.clone());
         let agent = name.as_ref().and_then(|name| self.agents.current(name));
         let agent = agent.map(|agent| agent.record.id.clone());
@@ -361,33 +391,30 @@
         });
         log::info!(host:%, what:?, empty; "an operation on a host begins");
         // A wave limits how many hosts may be away, and decides by itself when each host is due.
-        let stage = match what {
-            Purpose::Move(_) if empty => Stage::Due,
-            Purpose::Move(_) | Purpose::Maintain(_) => Stage::Emptying,
-        };
+        let is_due = empty && matches!(what, Purpose::Move(_));
         let operation = Operation {
             purpose: what,
-            stage,
+            stage: Stage::Emptying,
             since: now,
+            priority,
             begun_at: now,
             name,
             agent,
         };
         self.hosts.operations.insert(host.clone(), operation);
+        if is_due {
+            self.hosts.line_up(now, host);
+        }
     }
 
     pub(super) fn send_host_orders(&mut self, now: Now) {
-        let due = self.hosts.operations.iter();
-        let due = due.filter(|(_, operation)| operation.stage == Stage::Recorded);
-        let due: Vec<_> = due
-            .map(|(host, operation)| (host.clone(), operation.purpose.clone()))
-            .collect();
-        for (host, what) in due {
-            let agent = self
-                .hosts
-                .operations
-                .get(&host)
-                .and_then(|operation| operation.agent.as_ref());
+        for host in self.hosts.orders.take_recorded() {
+            let operation = self.hosts.operations.get(&host);
+            let Some(operation) = operation.filter(|o| o.stage == Stage::Recorded) else {
+                continue;
+            };
+            let what = operation.purpose.clone();
+            let agent = operation.agent.as_ref();
             let agent = agent.and_then(|id| self.agents.get(id));
             let ends = agent.map_or(0, |agent| agent.slots.len());
             let id = agent.map_or("", |agent| &*agent.record.id);
@@ -458,6 +485,7 @@
             Answer::Done { .. } => {
                 operation.stage = Stage::Away;
                 operation.since = now;
+                self.hosts.orders.answered(host);
                 if let Purpose::Maintain(wave) = operation.purpose {
                     self.maintained.insert((wave, host.clone()));
                 }
@@ -471,8 +499,7 @@
                 why: Refusal::Throttled,
                 ..
             } => {
-                operation.stage = Stage::Due;
-                operation.since = now + HOST_RETRY_DELAY;
+                self.hosts.line_up(now + HOST_RETRY_DELAY, host);
             }
             _ => {
                 log::info!(host:%, what:? = operation.purpose, answer:?; "an order about a host was refused");
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -59,6 +59,7 @@
 mod eligible;
 mod forecast;
 mod host_intents;
+mod host_orders;
 mod hosts;
 mod jobs;
 mod learned;
@@ -105,6 +106,7 @@
 };
 pub use self::{
     delayed::{Candidates, DelayReason, DelayedTask},
+    host_orders::OrderLimits,
     order::{
         AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
         Running, StartOrder, Target,
@@ -184,6 +186,8 @@
     pub start_window: Duration,
     /// How long a job that is over is kept at least.
     pub retention: Duration,
+    /// How many orders about hosts may be given.
+    pub host_orders: OrderLimits,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -197,6 +201,7 @@
             max_stop: Duration::from_secs(1),
             start_window: Duration::from_secs(6),
             retention: Duration::from_secs(180),
+            host_orders: OrderLimits::default(),
             protections: Protections::default(),
         }
     }
@@ -385,7 +390,7 @@
             strays: BTreeMap::new(),
             open_rounds: 0,
             proposed: Proposed::default(),
-            hosts: Hosts::default(),
+            hosts: Hosts::new(settings.host_orders),
             intents: HostIntents::new(now, settings.handover_delay, ledger.intents()),
             eligible: Eligible::default(),
             learned: BTreeMap::new(),
--- a/src/core/workload/scheduler/vacating.rs
+++ b/src/core/workload/scheduler/vacating.rs
@@ -11,6 +11,7 @@
     Now, PoolId, Scheduler,
     balance::{HostCounts, surplus},
     demand::{MOVE_TIME, Need},
+    host_orders::Priority,
     hosts::{Purpose, Stage},
 };
 use crate::core::types::HostId;
@@ -42,7 +43,7 @@
         soon
     }
 
-    /// Moves hosts that have become empty. Gives up hosts that the other pool no longer needs or
+    /// Lets hosts move that have become empty. Gives up hosts that the other pool no longer needs or
     /// that don't become empty in time.
     pub(super) fn check_vacating(
         &mut self,
@@ -50,7 +51,7 @@
         needs: &BTreeMap<PoolId, Need>,
         have: &mut HostCounts,
     ) {
-        let mut kept = Vec::new();
+        let (mut emptied, mut kept) = (Vec::new(), Vec::new());
         for (host, operation) in &mut self.hosts.operations {
             let Purpose::Move(to) = &operation.purpose else {
                 continue;
@@ -62,14 +63,25 @@
             let need = needs.get(to).map_or(0, |need| need.now);
             let count = have.entry(to.clone()).or_default();
             if agent.is_none_or(|agent| agent.slots.is_empty()) {
-                operation.stage = Stage::Due;
-                operation.since = now;
+                emptied.push(host.clone());
             } else if *count > need || now >= operation.since + EMPTYING_TIMEOUT {
                 *count -= 1;
                 kept.push(host.clone());
             }
         }
-        for host in kept {
+        // Those that can't move yet go on working, and are chosen again if they are still needed.
+        let room = self.hosts.orders.room(now, Priority::Needed);
+        let waiting = emptied.split_off(room.min(emptied.len()));
+        for host in emptied {
+            self.hosts.line_up(now, &host);
+        }
+        for host in &waiting {
+            let operation = self.hosts.operations.get(host);
+            if let Some(Purpose::Move(to)) = operation.map(|operation| &operation.purpose) {
+                *have.entry(to.clone()).or_default() -= 1;
+            }
+        }
+        for host in kept.into_iter().chain(waiting) {
             if let Some(view) = self.hosts.views.get(&host) {
                 *have.entry(view.pool.clone()).or_default() += 1;
             }
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Agent, HostState, Map, Now, Phase, Scheduler, StepId, TaskId, Wall,
+    host_orders::Priority,
     hosts::{Hosts, Operation, Purpose, Stage, WaveTimes},
 };
 use crate::core::{
@@ -71,12 +72,12 @@
         let time = self.hosts.waves.entry(wave.wave);
         let time = *time.or_insert(WaveTimes { since: now, due });
         let left = time.due.saturating_sub(now);
-        self.empty_wave_hosts(now, wave, cap, time.since, left);
+        let open = cap.saturating_sub(self.hosts_away(now, wave));
+        self.empty_wave_hosts(now, wave, open, time.since, left);
         let turns = wave.remaining.len().div_ceil(cap.max(1));
         let needed = MAINTENANCE_TIME * u32::try_from(turns).unwrap_or(u32::MAX);
         let late = needed >= left;
-        let away = self.hosts_away(now, wave);
-        self.admit_hosts(now, ledger, wave.wave, cap.saturating_sub(away), late);
+        self.admit_hosts(now, ledger, wave.wave, open, late);
     }
 
     /// Removes hosts from a wave that no longer exist.
@@ -108,19 +109,25 @@
         }
     }
 
-    /// Begins to empty hosts of a wave: hosts that no pool needs at once, and others only as fast
-    /// as the wave's time requires, since each host that is emptied is missing in its pool.
+    /// Begins to empty hosts of a wave: idle hosts that no pool needs as soon as they may go down,
+    /// and others only as fast as the wave's time requires, since each host that is emptied is
+    /// missing in its pool. `open` more hosts may go down.
     fn empty_wave_hosts(
         &mut self,
         now: Now,
         wave: &WaveRecord,
-        cap: usize,
+        open: usize,
         since: Now,
         left: Duration,
     ) {
         let mine = |operation: &&Operation| operation.purpose == Purpose::Maintain(wave.wave);
         let mut under = self.hosts.operations.values().filter(mine).count();
-        let most = cap.saturating_mul(2);
+        let most = usize::try_from(wave.max_concurrent).unwrap_or(usize::MAX);
+        let most = most.saturating_mul(2);
+        let room = self.hosts.orders.room(now, Priority::Maintenance);
+        let waiting = self.hosts.operations.values().filter(mine);
+        let waiting = waiting.filter(|o| o.stage == Stage::Emptying && self.is_emptied(o));
+        let mut idle = room.min(open).saturating_sub(waiting.count());
         let needed = hosts_needed(wave.remaining.len(), left);
         let mut candidates: Vec<_> = wave
             .remaining
@@ -134,15 +141,24 @@
             if under >= most {
                 return;
             }
-            let unneeded = burden == EmptyingCost::default() && self.take_surplus(&host);
+            let is_idle = burden == EmptyingCost::default();
+            let unneeded = is_idle && idle > 0 && self.take_surplus(&host);
+            idle -= usize::from(unneeded);
             let pressing = left.mul_f64(PLANNED_PART) <= burden.duration();
             if unneeded || pressing || under < needed {
                 under += 1;
-                self.begin_operation(now, &host, Purpose::Maintain(wave.wave));
+                let purpose = Purpose::Maintain(wave.wave);
+                self.begin_operation(now, &host, purpose, Priority::Maintenance);
             }
         }
     }
 
+    /// Whether the agent of an operation runs nothing.
+    fn is_emptied(&self, operation: &Operation) -> bool {
+        let agent = operation.agent.as_ref().and_then(|id| self.agents.get(id));
+        agent.is_none_or(|agent| agent.slots.is_empty())
+    }
+
     /// Takes a host out of its pool's surplus. Returns whether the host can be spared.
     fn take_surplus(&mut self, host: &HostId) -> bool {
         let Some(view) = self.hosts.views.get(host) else {
@@ -155,7 +171,7 @@
                 true
             }
             Some(_) => false,
-            // No pool needs a spare host until it is moved.
+            // The pools haven't been compared yet.
             None => true,
         }
     }
@@ -223,7 +239,7 @@
         let emptying: Vec<_> = emptying
             .map(|(host, operation)| (host.clone(), operation.agent.clone()))
             .collect();
-        let mut room = room;
+        let mut room = room.min(self.hosts.orders.room(now, Priority::Maintenance));
         for (host, id) in emptying {
             let agent = id.as_ref().and_then(|id| self.agents.get(id));
             let ready = agent.is_none_or(|agent| {
@@ -240,10 +256,7 @@
                 // What the agent runs counts as away from here on.
                 agent.evicting = true;
             }
-            if let Some(operation) = self.hosts.operations.get_mut(&host) {
-                operation.stage = Stage::Due;
-                operation.since = now;
-            }
+            self.hosts.line_up(now, &host);
         }
     }
 
--- a/tests/workload/host_orders.rs
+++ b/tests/workload/host_orders.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use egretpin::core::workload::spec::JobSpec;
+use egretpin::core::workload::{scheduler::OrderLimits, spec::JobSpec};
 
 use crate::world::{
     OTHER_POOL, OTHER_QUEUE, ProviderLink, QUEUE, SPARE_POOL, World, long_running, ms, step,
@@ -21,12 +21,23 @@
     answer_time: ms(80),
     max_wait: ms(2000),
 };
+/// The limits of a leader that knows of the connections.
+const LIMITS: OrderLimits = OrderLimits {
+    at_once: LINK.connections,
+    per_second: 100,
+};
 /// Tasks of a job; each takes a whole host.
 const TASKS: u32 = 8;
 
 /// A world of two pools, the other one small, behind [`LINK`].
 fn world(seed: u64) -> World {
+    limited_world(seed, LIMITS)
+}
+
+fn limited_world(seed: u64, limits: OrderLimits) -> World {
     let mut world = World::new(HOSTS, seed);
+    world.order_limits = limits;
+    world.lead();
     for host in HOSTS..HOSTS + 10 {
         world.add_host(&format!("h{host}"), OTHER_POOL);
     }
@@ -72,6 +83,35 @@
     }
 }
 
+/// Without limits of its own the leader gives orders that wait in the node.
+#[test]
+fn hosts_are_idle_where_the_leader_does_not_limit_its_orders() {
+    let limits = OrderLimits {
+        at_once: usize::MAX,
+        per_second: usize::MAX,
+    };
+    let started = started_where_hosts_are_wanted_elsewhere(limited_world(0, limits));
+    assert!(started < 150, "{started} of 160 tasks run");
+}
+
+/// Orders beyond the provider's rate would be refused.
+#[test]
+fn no_more_orders_are_given_than_the_provider_accepts() {
+    let limits = OrderLimits {
+        at_once: 100,
+        per_second: 20,
+    };
+    let mut world = limited_world(7, limits);
+    world.provider = None;
+    submit(&mut world, OTHER_QUEUE, 1, 240, 9000);
+    for second in 1..=5 {
+        let before = world.moves;
+        world.pass(ms(1000));
+        let moves = world.moves - before;
+        assert!((15..=20).contains(&moves), "{moves} in second {second}");
+    }
+}
+
 /// Checks that what was ordered was sent at once.
 fn assert_sent_at_once(world: &World, orders: usize) {
     let (sent, longest) = (world.order_waits.len(), world.order_waits.iter().max());
@@ -156,6 +196,8 @@
 #[test]
 fn a_wave_behind_a_slow_provider_keeps_the_budget() {
     let mut world = World::new(8, 6);
+    world.order_limits = LIMITS;
+    world.lead();
     world.submit(1, JobSpec::new("x", vec![long_running(5, 2)]));
     world.until("it runs", ms(2000), |world| world.runs(1).len() == 5);
     world.provider = Some(ProviderLink {
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -28,7 +28,8 @@
             ledger::Ledger,
             scheduler::{
                 AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind,
-                Protections, Refusal, Report, Running, Scheduler, Settings, StartOrder, Target,
+                OrderLimits, Protections, Refusal, Report, Running, Scheduler, Settings,
+                StartOrder, Target,
             },
             spec::{JobSpec, StepSpec},
             workspace::{Cap, WorkspaceSpec},
@@ -326,6 +327,8 @@
     pub(crate) moves: usize,
     /// The link to the provider. Without it all orders about hosts are sent at once.
     pub(crate) provider: Option<ProviderLink>,
+    /// How many orders about hosts the next leader may give.
+    pub(crate) order_limits: OrderLimits,
     provider_queue: ProviderQueue,
     /// How long each order about a host waited in the node before it was sent or given up.
     pub(crate) order_waits: Vec<Duration>,
@@ -487,6 +490,7 @@
             peak_down: 0,
             moves: 0,
             provider: None,
+            order_limits: OrderLimits::default(),
             provider_queue: ProviderQueue::default(),
             order_waits: Vec::new(),
             unsent_orders: 0,
@@ -662,6 +666,7 @@
             max_stop: self.stop_time,
             start_window: START_WINDOW,
             retention: RETENTION,
+            host_orders: self.order_limits,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
