Count the time for an answer from when an order has a connection

Cause: the client's time limit ran while an exchange waited for one of its connections. What had never left counted as possibly carried out, was held against its receiver (an agent that doesn't answer, an attempt that may run), and closed the idle connections to the address as if they had gone silent. Class: a queue of ours whose wait counts against a peer's time.

Change: an exchange waits for its connection (a free one, or a place for a new one) under a limit of its own, 100 ms for orders; the limit of the answer runs from then on. What found no connection is unsent: a renewal, a start or an order about a host is due again 0.2 s later if it is still wanted, and says nothing about its receiver. Orders that weren't sent because the lease expired go the same way. Elsewhere: orders to agents and questions to the eligibility service waited behind the same three connections. A node has now as many connections to that service as questions are open. Relays' deadlines and the delay after which a successor may order contain the 100 ms.

By reading, left: the other engine's client waits for a place without a limit, though not under its time limit.

--- a/src/adapters/http/client.rs
+++ b/src/adapters/http/client.rs
@@ -23,7 +23,7 @@
 use tokio::{
     net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout},
 };
 
 use crate::core::types::Map;
@@ -66,7 +66,7 @@
     /// Places for connections that are open.
     open: Arc<Semaphore>,
     /// Exchanges that wait for such a place.
-    waiting: AtomicUsize,
+    waiting: Arc<AtomicUsize>,
 }
 
 #[derive(Debug)]
@@ -84,17 +84,27 @@
     host: HeaderValue,
     places: Arc<Semaphore>,
     idle: Mutex<Vec<(Connection, Instant)>>,
+    /// See [`Client::waiting`].
+    waiting: Arc<AtomicUsize>,
 }
 
 /// The right to one exchange with an address.
 #[derive(Debug)]
-pub struct Place<'a> {
-    client: &'a Client,
+pub struct Place {
     lane: Arc<Lane>,
     permit: OwnedSemaphorePermit,
+    connection: Reserved,
 }
 
-impl Place<'_> {
+/// The connection of an exchange.
+#[derive(Debug)]
+enum Reserved {
+    Kept(Connection),
+    /// One that is to be opened, in this place among all connections of the client.
+    New(OwnedSemaphorePermit),
+}
+
+impl Place {
     /// Sends a request and reads its answer whole.
     ///
     /// A connection may have gone silent without an end, and others to its address with it. So one
@@ -104,30 +114,30 @@
     ///
     /// # Errors
     ///
-    /// No answer came until the end. Whether the request was carried out isn't known.
+    /// No answer came within the limit. Whether the request was carried out isn't known.
     pub async fn send(
         self,
         request: Request<Bytes>,
-        end: Instant,
+        limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let Self {
-            client,
             lane,
             permit,
+            connection,
         } = self;
         let exchange = async {
-            let connection = match lane.idle().await {
-                Some(connection) => connection,
-                None => client.open(lane.address).await?,
+            let connection = match connection {
+                Reserved::Kept(connection) => connection,
+                Reserved::New(place) => open(lane.address, Some(place)).await?,
             };
             let (connection, answer) = exchange(connection, &lane.host, request).await?;
-            if client.waiting.load(Ordering::Relaxed) == 0 {
+            if lane.waiting.load(Ordering::Relaxed) == 0 {
                 lane.keep(connection);
             }
             drop(permit);
             Ok(answer)
         };
-        let outcome = timeout_at(end, exchange).await;
+        let outcome = timeout(limit, exchange).await;
         outcome.unwrap_or_else(|_| {
             lane.leave();
             Err(Failure::Late)
@@ -150,12 +160,12 @@
                 swept: Instant::now(),
             }),
             open: Arc::new(Semaphore::new(all)),
-            waiting: AtomicUsize::new(0),
+            waiting: Arc::default(),
         }
     }
 
-    /// Sends a request and reads its answer whole, waiting for a connection if need be. The wait
-    /// counts towards the limit.
+    /// Sends a request and reads its answer whole. Waits up to the limit for a connection, and then
+    /// up to the limit for the answer, so that a wait here isn't held against the receiver.
     ///
     /// # Errors
     ///
@@ -167,28 +177,30 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
-        let end = Instant::now() + limit;
-        let place = self.acquire(address, end).await?;
-        place.send(request, end).await
+        let place = self.acquire(address, limit).await?;
+        place.send(request, limit).await
     }
 
     /// Waits until one more exchange with an address may begin.
     ///
     /// # Errors
     ///
-    /// That took until the end.
-    pub async fn acquire(&self, address: SocketAddr, end: Instant) -> Result<Place<'_>, Failure> {
+    /// None may within the limit.
+    pub async fn acquire(&self, address: SocketAddr, limit: Duration) -> Result<Place, Failure> {
         let lane = self.lane(address)?;
-        let acquired = timeout_at(end, Arc::clone(&lane.places).acquire_owned()).await;
-        let Ok(permit) = acquired else {
-            lane.leave();
-            return Err(Failure::Unsent);
+        let place = async {
+            let permit = Arc::clone(&lane.places).acquire_owned().await;
+            let connection = match lane.idle().await {
+                Some(connection) => Reserved::Kept(connection),
+                None => Reserved::New(self.reserve().await?),
+            };
+            Ok(Place {
+                permit: permit.map_err(io::Error::other)?,
+                connection,
+                lane,
+            })
         };
-        Ok(Place {
-            client: self,
-            lane,
-            permit: permit.map_err(io::Error::other)?,
-        })
+        timeout(limit, place).await.unwrap_or(Err(Failure::Unsent))
     }
 
     fn lane(&self, address: SocketAddr) -> io::Result<Arc<Lane>> {
@@ -202,18 +214,18 @@
             host: host(address)?,
             places: Arc::new(Semaphore::new(self.connections)),
             idle: Mutex::default(),
+            waiting: Arc::clone(&self.waiting),
         });
         lanes.known.insert(address, Arc::clone(&lane));
         Ok(lane)
     }
 
-    /// Opens a connection as soon as one more may be open.
-    async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
-        let place = match Arc::clone(&self.open).try_acquire_owned() {
-            Ok(place) => place,
-            Err(_) => self.wait().await?,
-        };
-        open(address, Some(place)).await
+    /// Waits until one more connection may be open.
+    async fn reserve(&self) -> io::Result<OwnedSemaphorePermit> {
+        match Arc::clone(&self.open).try_acquire_owned() {
+            Ok(place) => Ok(place),
+            Err(_) => self.wait().await,
+        }
     }
 
     /// Closes the connection that has been idle for the longest.
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -7,7 +7,7 @@
     OrderId, OrderKind, Pending, Phase, Placement, RENEWAL_GAP, RENEWAL_RETRY_DELAY, Refusal,
     Report, ReportedEnd, Scheduler, Settings, Slot, TaskId, UNWELL_PAUSE,
 };
-use super::{agent::OVERDUE_EXCLUSION, throttle::UNKNOWN_SHARE};
+use super::{agent::OVERDUE_EXCLUSION, hosts::Stage, throttle::UNKNOWN_SHARE};
 use crate::core::workload::command::Ending;
 
 /// The progress that a long-running task reports when it does all its work, in percent.
@@ -33,6 +33,9 @@
 impl Scheduler {
     /// Takes in the answer to an order.
     pub fn answered(&mut self, now: Now, order: OrderId, answer: Answer) {
+        if matches!(answer, Answer::Unsent) {
+            return self.return_order(now, now + ORDER_RETRY_DELAY, order);
+        }
         let Some(Pending { sent, about }) = self.pending.remove(&order) else {
             return;
         };
@@ -44,11 +47,6 @@
             self.superseded = true;
             return;
         }
-        let answer = match (&about, answer) {
-            (About::Operation(_), answer) => answer,
-            (_, Answer::Unsent) => Answer::Silent,
-            (_, answer) => answer,
-        };
         match about {
             About::Start(agent, task) => {
                 let start = SentStart {
@@ -91,29 +89,41 @@
 
     /// Takes back orders of the last plan that weren't sent, because the leader's lease expired
     /// while it planned. The lease may become valid again in the same term, and an order that is
-    /// never sent gets no answer. So its renewal or start becomes due at once; all else that wasn't
-    /// sent counts as unanswered.
+    /// never sent gets no answer.
     pub fn take_back(&mut self, now: Now, orders: impl IntoIterator<Item = OrderId>) {
         for order in orders {
-            match self.pending.get(&order).map(|pending| &pending.about) {
-                Some(About::Renew { agent, .. }) => {
-                    if let Some(agent) = self.agents.get_mut(agent) {
-                        agent.renewal = None;
-                    }
-                    self.pending.remove(&order);
+            self.return_order(now, now, order);
+        }
+    }
+
+    /// Handles that an order was never sent. It certainly wasn't carried out, and it says nothing
+    /// about its receiver. So a renewal, a start or an order about a host is due again from `due`
+    /// on, if it is still wanted then; all else counts as unanswered and is repeated.
+    fn return_order(&mut self, now: Now, due: Now, order: OrderId) {
+        match self.pending.get(&order).map(|pending| &pending.about) {
+            Some(About::Renew { agent, .. }) => {
+                if let Some(agent) = self.agents.get_mut(agent) {
+                    agent.renewal = None;
+                    agent.renewal_due = agent.renewal_due.max(due);
+                }
+            }
+            Some(About::Start(agent, task)) => {
+                let agent = self.agents.get_mut(agent);
+                let slot = agent.and_then(|agent| agent.slots.get_mut(task));
+                if let Some(slot) = slot.filter(|slot| slot.phase == Phase::Starting(order)) {
+                    slot.tries -= 1;
+                    slot.set_phase(due, Phase::Due);
                 }
-                Some(About::Start(agent, task)) => {
-                    let agent = self.agents.get_mut(agent);
-                    let slot = agent.and_then(|agent| agent.slots.get_mut(task));
-                    if let Some(slot) = slot.filter(|slot| slot.phase == Phase::Starting(order)) {
-                        slot.tries -= 1;
-                        slot.set_phase(now, Phase::Due);
-                    }
-                    self.pending.remove(&order);
+            }
+            Some(About::Operation(host)) => {
+                let operation = self.hosts.operations.get(host);
+                if operation.is_some_and(|o| o.stage == Stage::Ordered(order)) {
+                    self.hosts.line_up(due, host);
                 }
-                _ => self.answered(now, order, Answer::Silent),
             }
+            _ => return self.answered(now, order, Answer::Silent),
         }
+        self.pending.remove(&order);
     }
 
     fn start_answered(&mut self, now: Now, start: &SentStart<'_>, answer: &Answer) {
--- a/src/core/workload/scheduler/eligible.rs
+++ b/src/core/workload/scheduler/eligible.rs
@@ -19,9 +19,9 @@
 /// Most agents in one question. The service takes time for each agent, and the objectives of jobs
 /// allow for one question about this many agents for each step.
 const MAX_AGENTS_ASKED: usize = 30;
-/// Questions that may be outstanding at once. The service answers one after the other, and holds at
-/// most 32 of all leaders together; it refuses more.
-const MAX_OPEN_QUESTIONS: usize = 8;
+/// Questions to the eligibility service that may be outstanding at once. The service answers one
+/// after the other, and holds at most 32 of all leaders together; it refuses more.
+pub const MAX_OPEN_QUESTIONS: usize = 8;
 /// Delay from a question that got no answer to the next one.
 const QUESTION_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// A grant isn't used within this time before it expires: a start may take as long to arrive.
--- a/src/core/workload/scheduler/host_intents.rs
+++ b/src/core/workload/scheduler/host_intents.rs
@@ -21,8 +21,8 @@
 };
 
 /// How long an order may still be under way to the provider after the log said that it would go
-/// out: as long as the provider has to answer it.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(2);
+/// out: as long as it may wait for a connection and the provider has to answer it.
+const MAX_ORDER_DELAY: Duration = Duration::from_millis(2100);
 /// The longest interval at which the log records that time has passed, while a successor may have
 /// to wait because of an intent. It lengthens that wait by this at most.
 const STAMP_INTERVAL: Duration = Duration::from_millis(250);
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -494,7 +494,6 @@
             // An order that got no answer may have been carried out; repeating it shows whether it
             // was.
             Answer::Silent
-            | Answer::Unsent
             | Answer::Refused {
                 why: Refusal::Throttled,
                 ..
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -106,6 +106,7 @@
 };
 pub use self::{
     delayed::{Candidates, DelayReason, DelayedTask},
+    eligible::MAX_OPEN_QUESTIONS,
     host_orders::OrderLimits,
     order::{
         AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
--- a/src/core/workload/scheduler/order.rs
+++ b/src/core/workload/scheduler/order.rs
@@ -177,7 +177,7 @@
     Eligible(Vec<(MinionId, Name)>),
     /// No clear answer came: the order may have been carried out, or may still be.
     Silent,
-    /// The order waited for a connection until its time limit and was never sent.
+    /// The order was never sent, because no connection to its receiver became free in time.
     Unsent,
 }
 
--- a/tests/workload/faults.rs
+++ b/tests/workload/faults.rs
@@ -29,8 +29,9 @@
     JobSpec::new("x", steps.collect())
 }
 
-/// Faults of all kinds at once.
+/// Faults of all kinds at once, except for orders that are never sent.
 pub(crate) const ALL_FAULTS: Faults = Faults {
+    unsent_orders: 0.0,
     lost_answers: 0.05,
     late_orders: 0.03,
     lease_from_arrival: false,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -27,6 +27,7 @@
 mod scarce_hosts;
 mod spec;
 mod suspicion;
+mod unsent_orders;
 mod vacating;
 mod workspaces;
 mod world;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -66,6 +66,8 @@
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
 /// How long the leader waits for an answer, in addition to the wait that the order itself asks for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an order waits for a connection before it is given up.
+const CONNECTION_WAIT: Duration = Duration::from_millis(100);
 /// How long a stop takes, unless a test sets [`World::stop_time`].
 const STOP_TIME: Duration = Duration::from_millis(300);
 /// How long a poison task runs before it crashes its host, unless a test sets
@@ -105,6 +107,8 @@
 pub(crate) struct Faults {
     /// An answer of an agent or of the provider is lost.
     pub(crate) lost_answers: f64,
+    /// An order to an agent finds no connection and is never sent.
+    pub(crate) unsent_orders: f64,
     /// An order to an agent gets no answer and is carried out two to twelve seconds later.
     pub(crate) late_orders: f64,
     /// Whether an agent counts a lease that arrives late from its arrival, so that it outlives what
@@ -1261,6 +1265,17 @@
             },
         );
         let to_agent = !about_host && !matches!(order.kind, OrderKind::Hosts);
+        if to_agent && self.is_unsent() {
+            self.schedule(
+                self.now + CONNECTION_WAIT,
+                Event::Answer {
+                    term,
+                    order: id,
+                    answer: Answer::Unsent,
+                },
+            );
+            return;
+        }
         let agent = self.target(&order);
         let recipient = agent.map(|agent| agent.record.id.clone());
         let stalled =
@@ -1285,6 +1300,12 @@
         );
     }
 
+    /// Whether an order to an agent finds no connection.
+    fn is_unsent(&mut self) -> bool {
+        let share = self.faults.unsent_orders;
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
     /// Sends the orders that wait for a connection to the provider, and gives up those that have
     /// waited for too long.
     fn run_provider_link(&mut self) {
