Repeat an order about a host only where the agent is still the one that was emptied

Cause: a host is chosen, and found empty, with the agent that it has then. Its rack went dark, the order got no answer, and the host came back with another agent. The operation knew the old one only, so the new one was neither cordoned nor looked at; the order was repeated without a look at who is there, carried out, and ended five tasks. Class: a condition that was checked once, for an incarnation that is gone, and an act that is repeated.

Change: an operation whose order isn't under way ends when the list shows another agent, or another incarnation, on its host, which is then decided anew. An order that got no answer is repeated only once a list asked for after that shows who is there; so is one about a host whose agent isn't known. Elsewhere: a host that is being emptied, and one that is back after its order, are compared in the same way.

--- a/src/core/workload/scheduler/host_intents.rs
+++ b/src/core/workload/scheduler/host_intents.rs
@@ -115,7 +115,9 @@
     /// the log before.
     fn give_host_orders(&mut self, now: Now) -> Vec<HostId> {
         let (free, due) = self.hosts.orders.due(now);
-        let due = due.filter(|(_, _, host)| !self.intents.is_held(now, host));
+        let due = due.filter(|(_, _, host)| {
+            !self.intents.is_held(now, host) && self.is_agent_confirmed(host)
+        });
         let due: Vec<_> = due.take(free).cloned().collect();
         let mut hosts = Vec::new();
         for entry in due {
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -118,6 +118,8 @@
     pub(super) since: Now,
     pub(super) priority: Priority,
     pub(super) begun_at: Now,
+    /// When its last order turned out to get no answer, if it did.
+    pub(super) unanswered_at: Option<Now>,
     /// The agent that was at the host when the operation began: its name, and its incarnation once
     /// that is known.
     pub(super) name: Option<Name>,
@@ -297,21 +299,17 @@
         for (host, operation) in operations {
             let is_over = match (views.get(host), operation.stage) {
                 (Some(view), Stage::Away) => {
-                    // The host may be back with an agent of the same name, as another incarnation.
-                    let there = view
-                        .agent
-                        .as_ref()
-                        .and_then(|name| self.agents.current(name));
-                    let there = there.map(|agent| &agent.record.id);
-                    let other = view.agent != operation.name
-                        || view.agent.is_none()
-                        || there != operation.agent.as_ref();
+                    let other = view.agent.is_none() || !self.has_same_agent(operation, view);
                     let settled = listed >= operation.since + SETTLE_DELAY;
                     settled && view.state == HostState::Up && other
                 }
                 (None, Stage::Away) => presence.is_absent(host, operation.since + SETTLE_DELAY),
                 // The answer to the order shows its result.
                 (_, Stage::Ordered(_)) => false,
+                // An order would end what runs at another agent, which was never emptied.
+                (Some(view), _) if view.state == HostState::Up => {
+                    !self.has_same_agent(operation, view)
+                }
                 (Some(view), _) => listed >= operation.since && view.state == HostState::Down,
                 // For a host of a wave that isn't there, the refusal of its order shows that.
                 (None, _) => {
@@ -328,6 +326,25 @@
         }
     }
 
+    /// Whether a host still has the agent that it had when an operation began. The host may be back
+    /// with an agent of the same name, as another incarnation.
+    fn has_same_agent(&self, operation: &Operation, view: &HostView) -> bool {
+        let there = self.agent_at(view).map(|agent| &agent.record.id);
+        view.agent == operation.name && there == operation.agent.as_ref()
+    }
+
+    /// Whether a list is recent enough to tell which agent an order about a host would end: after an
+    /// order that got no answer, and where the agent isn't known, another one may run there by now.
+    pub(super) fn is_agent_confirmed(&self, host: &HostId) -> bool {
+        let Some(operation) = self.hosts.operations.get(host) else {
+            return false;
+        };
+        let is_unknown = operation.agent.is_none() && operation.name.is_some();
+        let begun = is_unknown.then_some(operation.begun_at);
+        let since = operation.unanswered_at.max(begun);
+        since.is_none_or(|since| self.hosts.listed_at >= Some(since))
+    }
+
     /// Logs how many operations are in each stage and how long the oldest order has been under way.
     pub(super) fn log_operations(&self, now: Now) {
         let (mut emptying, mut due, mut under_way, mut away) = (0, 0, 0, 0);
@@ -398,6 +415,7 @@
             since: now,
             priority,
             begun_at: now,
+            unanswered_at: None,
             name,
             agent,
         };
@@ -492,12 +510,15 @@
                 self.end_ordered_agent(host);
             }
             // An order that got no answer may have been carried out; repeating it shows whether it
-            // was.
+            // was, if the same agent is still there.
             Answer::Silent
             | Answer::Refused {
                 why: Refusal::Throttled,
                 ..
             } => {
+                if matches!(answer, Answer::Silent) {
+                    operation.unanswered_at = Some(now);
+                }
                 self.hosts.line_up(now + HOST_RETRY_DELAY, host);
             }
             _ => {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -23,6 +23,7 @@
 mod poison_tasks;
 mod relays;
 mod renewals;
+mod repeated_orders;
 mod restarted_agents;
 mod scarce_hosts;
 mod spec;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -334,6 +334,8 @@
     /// How many orders about hosts the next leader may give.
     pub(crate) order_limits: OrderLimits,
     provider_queue: ProviderQueue,
+    /// Hosts about which orders are lost: they aren't carried out and get no answer.
+    pub(crate) unreachable_hosts: BTreeSet<HostId>,
     /// How long each order about a host waited in the node before it was sent or given up.
     pub(crate) order_waits: Vec<Duration>,
     /// The number of orders about hosts that were given up without having been sent.
@@ -496,6 +498,7 @@
             provider: None,
             order_limits: OrderLimits::default(),
             provider_queue: ProviderQueue::default(),
+            unreachable_hosts: BTreeSet::new(),
             order_waits: Vec::new(),
             unsent_orders: 0,
             grants: BTreeMap::new(),
@@ -1448,6 +1451,11 @@
         recipient: Option<MinionId>,
     ) {
         match &order.kind {
+            OrderKind::Move { host, .. } | OrderKind::Maintain { host, .. }
+                if self.unreachable_hosts.contains(host) =>
+            {
+                return;
+            }
             OrderKind::Hosts => {
                 let listed = |view: &&HostView| !self.unlisted.contains(&view.host);
                 let hosts = self.hosts.values().filter(listed).cloned().collect();
