--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -14,11 +14,8 @@
 };
 
 use super::{
-    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler,
-    demand::{MOVE_TIME, Need},
-    host_orders::Priority,
-    hosts::Purpose,
-    vacating::take_emptiest,
+    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need,
+    host_orders::Priority, hosts::Purpose, vacating::take_emptiest,
 };
 use crate::core::types::HostId;
 
@@ -29,8 +26,6 @@
 const SURGE_RISE: Duration = Duration::from_secs(4);
 /// Delay between checks of what the pools need.
 pub(super) const POOL_CHECK_DELAY: Duration = Duration::from_millis(100);
-/// The part of its hosts at work that a pool gets of unused hosts in one check, as a divisor.
-const SHARE_DIVISOR: usize = 10;
 /// Delay between log lines of what the pools need.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -71,7 +66,6 @@
                 |needs, have, to| take_emptiest(&mut soon, needs, have, to),
             );
         }
-        self.share_unused(now, &present, &mut have, &mut free);
         let mut room = self.hosts.orders.room(now, Priority::Expected);
         self.fill_pools(
             now,
@@ -97,50 +91,6 @@
         self.keep_for_moves(&present, &have, spares);
     }
 
-    /// Moves hosts that a pool doesn't use, though it lacks hosts for its backlog, to pools that
-    /// lack more. A leader that can't start tasks as fast as they are asked for leaves hosts idle;
-    /// a pool with a large backlog would keep them all, and others would have none for work that
-    /// can still be in time.
-    ///
-    /// A pool gets few at a time, in proportion to those that it has at work, because it may not be
-    /// able to use them either.
-    fn share_unused(
-        &mut self,
-        now: Now,
-        needs: &HostCounts,
-        have: &mut HostCounts,
-        free: &mut BTreeMap<PoolId, BTreeSet<HostId>>,
-    ) {
-        let mut unused = HostCounts::new();
-        for (_, view, since) in self.empty_hosts(now) {
-            if view.agent.is_some() && now >= since + MOVE_TIME {
-                *unused.entry(view.pool.clone()).or_default() += 1;
-            }
-        }
-        if unused.is_empty() {
-            return;
-        }
-        let mut room = self.hosts.orders.room(now, Priority::Needed);
-        let mut shares: HostCounts = needs
-            .iter()
-            .map(|(pool, _)| (pool.clone(), self.at_work(pool) / SHARE_DIVISOR + 1))
-            .collect();
-        self.fill_pools(now, Priority::Needed, needs, have, |needs, have, to| {
-            let share = shares.get_mut(to).filter(|share| **share > 0)?;
-            let host = take_with_room(&mut room, || {
-                take_unused(free, &mut unused, needs, have, to)
-            });
-            *share -= usize::from(host.is_some());
-            host
-        });
-    }
-
-    /// Hosts of a pool that run something.
-    fn at_work(&self, pool: &PoolId) -> usize {
-        let agents = self.agents.with_room(pool, 0);
-        agents.filter(|agent| !agent.slots.is_empty()).count()
-    }
-
     /// Takes hosts out of the surplus that will be moved to other pools once there is room for
     /// their orders. Spares count as a surplus, and are moved last.
     fn keep_for_moves(&mut self, needs: &HostCounts, have: &HostCounts, spare: Option<&PoolId>) {
@@ -340,28 +290,6 @@
     free.get_mut(&pool)?.pop_last()
 }
 
-/// Takes an unused host from the pool that lacks the least, if that lacks less than `to`.
-fn take_unused(
-    free: &mut BTreeMap<PoolId, BTreeSet<HostId>>,
-    unused: &mut HostCounts,
-    needs: &HostCounts,
-    have: &HostCounts,
-    to: &PoolId,
-) -> Option<HostId> {
-    let part = |pool: &PoolId| {
-        let need = needs.get(pool).copied().unwrap_or_default();
-        have.get(pool).copied().unwrap_or_default() * 1000 / need.max(1)
-    };
-    let left = unused.iter().filter(|(pool, count)| {
-        **count > 0 && free.get(*pool).is_some_and(|hosts| !hosts.is_empty())
-    });
-    // A pool that has all that it needs keeps it.
-    let able = left.filter(|(pool, _)| (part(to)..1000).contains(&part(pool)) && *pool != to);
-    let pool = able.max_by_key(|(pool, _)| part(pool))?.0.clone();
-    *unused.get_mut(&pool)? -= 1;
-    free.get_mut(&pool)?.pop_last()
-}
-
 /// Hosts that a pool has beyond what it needs.
 pub(super) fn surplus(needs: &HostCounts, have: &HostCounts, pool: &PoolId) -> usize {
     let have = have.get(pool).copied().unwrap_or_default();
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -29,7 +29,6 @@
 mod spec;
 mod suspicion;
 mod unsent_orders;
-mod unused_hosts;
 mod vacating;
 mod workspaces;
 mod world;
