--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -7,7 +7,7 @@
     OrderId, OrderKind, Pending, Phase, Placement, RENEWAL_GAP, RENEWAL_RETRY_DELAY, Refusal,
     Report, ReportedEnd, Scheduler, Settings, Slot, TaskId, UNWELL_PAUSE,
 };
-use super::{agent::OVERDUE_EXCLUSION, hosts::Stage, throttle::UNKNOWN_SHARE};
+use super::{agent::OVERDUE_EXCLUSION, operations::Stage, throttle::UNKNOWN_SHARE};
 use crate::core::workload::command::Ending;
 
 /// The progress that a long-running task reports when it does all its work, in percent.
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need,
-    host_orders::Priority, hosts::Purpose, vacating::take_emptiest,
+    host_orders::Priority, operations::Purpose, vacating::take_emptiest,
 };
 use crate::core::types::HostId;
 
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -10,7 +10,7 @@
 use super::{
     Agent, AgentRecord, Change, Job, Ledger, MAX_ORDER_TRANSIT, MinionId, Now, Phase, Placement,
     Run, Scheduler, Settings, Slot, StepSpec, Task, TaskId, Wall,
-    hosts::Stage,
+    operations::Stage,
     throttle::{INHERITED_SHARE, UNKNOWN_SHARE},
 };
 use crate::core::types::Attempt;
--- a/src/core/workload/scheduler/host_intents.rs
+++ b/src/core/workload/scheduler/host_intents.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use super::{Now, Round, Scheduler, hosts::Stage};
+use super::{Now, Round, Scheduler, operations::Stage};
 use crate::core::{
     types::HostId,
     workload::intents::{OrderIntent, OrderIntents},
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -27,7 +27,7 @@
 };
 
 use super::{
-    Agent, MinionId, Now, PoolId, Scheduler, Slot, TaskId, agent::RECENTLY_SEEN, hosts::Stage,
+    Agent, MinionId, Now, PoolId, Scheduler, Slot, TaskId, agent::RECENTLY_SEEN, operations::Stage,
     suspects::Suspects, unit::SuspectUnit,
 };
 use crate::core::{
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -65,6 +65,7 @@
 mod learned;
 mod leases;
 mod losses;
+mod operations;
 mod order;
 mod overdue;
 mod place;
--- a/src/core/workload/scheduler/vacating.rs
+++ b/src/core/workload/scheduler/vacating.rs
@@ -12,7 +12,7 @@
     balance::{HostCounts, surplus},
     demand::{MOVE_TIME, Need},
     host_orders::Priority,
-    hosts::{Purpose, Stage},
+    operations::{Purpose, Stage},
 };
 use crate::core::types::HostId;
 
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -11,7 +11,8 @@
 use super::{
     Agent, HostState, Map, Now, Phase, Scheduler, StepId, TaskId, Wall,
     host_orders::Priority,
-    hosts::{Hosts, Operation, Purpose, Stage, WaveTimes},
+    hosts::{Hosts, WaveTimes},
+    operations::{Operation, Purpose, Stage},
 };
 use crate::core::{
     types::{HostId, WaveId},
