--- a/src/core/workload/scheduler/host_intents.rs
+++ b/src/core/workload/scheduler/host_intents.rs
@@ -114,14 +114,14 @@
     /// Gives the orders of the line that can be sent. Returns the hosts whose orders have to be in
     /// the log before.
     fn give_host_orders(&mut self, now: Now) -> Vec<HostId> {
-        let (free, due) = self.hosts.orders.due(now);
-        let due = due.filter(|(_, _, host)| {
-            !self.intents.is_held(now, host) && self.is_agent_confirmed(host)
+        let due = self.hosts.orders.due(now).filter(|due| {
+            !self.intents.is_held(now, &due.host) && self.is_agent_confirmed(&due.host)
         });
+        let free = self.hosts.orders.free(now);
         let due: Vec<_> = due.take(free).cloned().collect();
         let mut hosts = Vec::new();
-        for entry in due {
-            let (priority, since, host) = &entry;
+        for order in due {
+            let host = &order.host;
             let Some(operation) = self.hosts.operations.get_mut(host) else {
                 continue;
             };
@@ -130,10 +130,10 @@
             if agent.is_some_and(|agent| !agent.slots.is_empty() && !agent.evicting) {
                 // The agent got tasks after it was found empty.
                 operation.stage = Stage::Emptying;
-                self.hosts.orders.remove(*priority, *since, host);
+                self.hosts.orders.remove(&order);
                 continue;
             }
-            self.hosts.orders.give(now, &entry);
+            self.hosts.orders.give(now, &order);
             if self.settings.protections.intents {
                 operation.stage = Stage::Recording;
                 hosts.push(host.clone());
--- a/src/core/workload/scheduler/host_orders.rs
+++ b/src/core/workload/scheduler/host_orders.rs
@@ -53,14 +53,20 @@
     Idle,
 }
 
-/// An order that is due, sorted by when it goes out.
-type Due = (Priority, Now, HostId);
+/// An order that is due, sorted by which goes out first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct DueOrder {
+    pub(super) priority: Priority,
+    /// From when on it is due.
+    pub(super) at: Now,
+    pub(super) host: HostId,
+}
 
 /// The line of orders about hosts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HostOrders {
     limits: OrderLimits,
-    line: BTreeSet<Due>,
+    line: BTreeSet<DueOrder>,
     /// Hosts with an order that has been given and not answered.
     given: BTreeSet<HostId>,
     /// When orders were given within the last [`RATE_WINDOW`].
@@ -84,29 +90,33 @@
         let until_then = self.limits.per_second.div_ceil(checks_per_second());
         let sendable = self.limits.at_once.saturating_add(until_then);
         let sendable = sendable.saturating_sub(self.given.len());
-        let ahead = self.line.iter().take_while(|due| due.0 <= priority);
+        let ahead = self.line.iter().take_while(|due| due.priority <= priority);
         sendable
             .min(self.allowance(next_check))
             .saturating_sub(ahead.count())
     }
 
-    /// Puts an order into the line that is due at `due`.
-    pub(super) fn push(&mut self, priority: Priority, due: Now, host: &HostId) {
-        self.given.remove(host);
-        self.line.insert((priority, due, host.clone()));
+    /// Puts an order into the line.
+    pub(super) fn push(&mut self, order: DueOrder) {
+        self.given.remove(&order.host);
+        self.line.insert(order);
     }
 
-    /// The orders that are due now, the most urgent first, and how many of them may be given.
-    pub(super) fn due(&self, now: Now) -> (usize, impl Iterator<Item = &Due>) {
+    /// How many orders may be given now.
+    pub(super) fn free(&self, now: Now) -> usize {
         let free = self.limits.at_once.saturating_sub(self.given.len());
-        let due = self.line.iter().filter(move |due| now >= due.1);
-        (free.min(self.allowance(now)), due)
+        free.min(self.allowance(now))
+    }
+
+    /// The orders that are due now, the most urgent first.
+    pub(super) fn due(&self, now: Now) -> impl Iterator<Item = &DueOrder> {
+        self.line.iter().filter(move |due| now >= due.at)
     }
 
     /// Notes that an order of the line is given.
-    pub(super) fn give(&mut self, now: Now, due: &Due) {
-        self.line.remove(due);
-        self.given.insert(due.2.clone());
+    pub(super) fn give(&mut self, now: Now, order: &DueOrder) {
+        self.line.remove(order);
+        self.given.insert(order.host.clone());
         while self
             .given_at
             .front()
@@ -132,10 +142,10 @@
         self.given.remove(host);
     }
 
-    /// Removes an order from the line.
-    pub(super) fn remove(&mut self, priority: Priority, due: Now, host: &HostId) {
-        self.given.remove(host);
-        self.line.remove(&(priority, due, host.clone()));
+    /// Removes an order, whether it stands in the line or is given.
+    pub(super) fn remove(&mut self, order: &DueOrder) {
+        self.given.remove(&order.host);
+        self.line.remove(order);
     }
 
     /// How many orders may be given until `at` without exceeding the rate.
--- a/src/core/workload/scheduler/operations.rs
+++ b/src/core/workload/scheduler/operations.rs
@@ -12,7 +12,7 @@
 use super::{
     About, Answer, HostState, HostView, MinionId, Name, Now, OrderId, OrderKind, PoolId, Refusal,
     Scheduler,
-    host_orders::Priority,
+    host_orders::{DueOrder, Priority},
     hosts::{Hosts, SETTLE_DELAY},
 };
 use crate::core::types::{HostId, WaveId};
@@ -59,13 +59,24 @@
     Away,
 }
 
+impl Operation {
+    /// Its order, as it stands in the line.
+    fn due_order(&self, host: &HostId) -> DueOrder {
+        DueOrder {
+            priority: self.priority,
+            at: self.since,
+            host: host.clone(),
+        }
+    }
+}
+
 impl Hosts {
     /// Puts the order of an operation into the line, from `due` on.
     pub(super) fn line_up(&mut self, due: Now, host: &HostId) {
         if let Some(operation) = self.operations.get_mut(host) {
             operation.stage = Stage::Due;
             operation.since = due;
-            self.orders.push(operation.priority, due, host);
+            self.orders.push(operation.due_order(host));
         }
     }
 }
@@ -182,10 +193,7 @@
         let Some(operation) = self.hosts.operations.remove(host) else {
             return;
         };
-        let Operation {
-            priority, since, ..
-        } = operation;
-        self.hosts.orders.remove(priority, since, host);
+        self.hosts.orders.remove(&operation.due_order(host));
         log::info!(host:%, what:? = operation.purpose, took:? = now.saturating_sub(operation.begun_at); "an operation on a host has ended");
         if let Some(agent) = operation.agent.and_then(|id| self.agents.get_mut(&id)) {
             agent.cordoned = false;
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -128,7 +128,7 @@
         let room = self.hosts.orders.room(now, Priority::Maintenance);
         let waiting = self.hosts.operations.values().filter(mine);
         let waiting = waiting.filter(|o| o.stage == Stage::Emptying && self.is_emptied(o));
-        let mut idle = room.min(open).saturating_sub(waiting.count());
+        let mut idle_room = room.min(open).saturating_sub(waiting.count());
         let needed = hosts_needed(wave.remaining.len(), left);
         let mut candidates: Vec<_> = wave
             .remaining
@@ -143,8 +143,8 @@
                 return;
             }
             let is_idle = burden == EmptyingCost::default();
-            let unneeded = is_idle && idle > 0 && self.take_surplus(&host);
-            idle -= usize::from(unneeded);
+            let unneeded = is_idle && idle_room > 0 && self.take_surplus(&host);
+            idle_room -= usize::from(unneeded);
             let pressing = left.mul_f64(PLANNED_PART) <= burden.duration();
             if unneeded || pressing || under < needed {
                 under += 1;
