Let pools take turns in the rounds of starts

Cause: a round of the log holds 64 starts, and pools were visited in the order of their names. A pool with a large backlog filled one round after the other, so a pool after it by name got no start, its long-running tasks included. Class: what is shared is handed out in a fixed order, and the first takes all.

Ruled out: a cap, suspicion, hosts that don't answer (the line on the delayed tasks says so).

Change: the pool that filled a round is the last to be visited in the next one.

Test: tests/workload/pools_in_turn.rs, red without the turn (0 of 3 long-running tasks run after a second beside a backlog), green with it.

--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -308,6 +308,8 @@
     strays: BTreeMap<MinionId, Now>,
     /// Rounds that were proposed and aren't applied yet.
     open_rounds: usize,
+    /// The pool whose starts last filled a round.
+    last_filled: Option<PoolId>,
     /// The attempts that these rounds place, summed by workspace.
     proposed: Proposed,
     hosts: Hosts,
@@ -391,6 +393,7 @@
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             open_rounds: 0,
+            last_filled: None,
             proposed: Proposed::default(),
             hosts: Hosts::new(settings.host_orders),
             intents: HostIntents::new(now, settings.handover_delay, ledger.intents()),
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -44,12 +44,27 @@
         };
         self.ready.demote_late(now);
         self.agents.update_indexes();
-        for pool in self.ready.pools() {
-            self.fill_pool(now, ledger, &pool, &mut round.starts);
-        }
+        self.fill_pools_in_turn(now, ledger, &mut round.starts);
         round
     }
 
+    /// Starts ready tasks of all pools while there is room in the round.
+    ///
+    /// A pool with a large backlog can fill one round after the other. So the pool that filled a
+    /// round is the last to be visited in the next one.
+    fn fill_pools_in_turn(&mut self, now: Now, ledger: &Ledger, starts: &mut Vec<Placement>) {
+        let mut pools = self.ready.pools();
+        let next = pools.partition_point(|pool| Some(pool) <= self.last_filled.as_ref());
+        pools.rotate_left(next);
+        for pool in pools {
+            self.fill_pool(now, ledger, &pool, starts);
+            if starts.len() >= MAX_ROUND_STARTS {
+                self.last_filled = Some(pool);
+                return;
+            }
+        }
+    }
+
     /// The jobs that fail for good because of these ends.
     pub(super) fn failed_jobs(&self, ledger: &Ledger, ends: &[EndBatch]) -> Vec<JobId> {
         let mut counts: BTreeMap<TaskId, u32> = BTreeMap::new();
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -21,6 +21,7 @@
 mod poison_false_positives;
 mod poison_queues;
 mod poison_tasks;
+mod pools_in_turn;
 mod relays;
 mod renewals;
 mod repeated_orders;
