--- a/tests/workload/pools_in_turn.rs
+++ b/tests/workload/pools_in_turn.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use egretpin::core::workload::spec::JobSpec;
+use egretpin::core::workload::{scheduler::Scheduler, spec::JobSpec};
 
 use crate::world::{OTHER_POOL, OTHER_QUEUE, Processor, QUEUE, World, long_running, ms, step};
 
@@ -49,7 +49,7 @@
         let spec = JobSpec::new("x", vec![long_running(3, 1)]);
         world.submit_to(QUEUE, SECOND, spec);
         world.pass(ms(1000));
-        let waiting = world.scheduler.as_ref().map_or(0, |s| s.waiting());
+        let waiting = world.scheduler.as_ref().map_or(0, Scheduler::waiting);
         assert!(waiting > 0, "seed {seed}: the backlog is still there");
         assert_eq!(world.runs(SECOND).len(), 3, "seed {seed}");
     }
