Show in a world that a wave is late by the step whose stops bound it

Callers' long-running tasks bound a wave: the budget of a step lets one or a few of its tasks be away, so those on hosts of the wave are stopped one after the other. The wave comes at 2.1 s and is due at 27.1 s. The step that was last to be done has its first task stopped at 14.8 s, then at 17.6, 19.8, 22.4, 25.3, 31.3, 37.9 and 44.1 s, on hosts that were all cordoned at 14.8 s; hosts with the most such tasks are chosen last, since each host's time is reckoned by its own tasks and not by its step's.

Ruled out in the same log: tasks that move from one host of the wave to another and are stopped again (98 stops, each of another task).

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -31,5 +31,6 @@
 mod suspicion;
 mod unsent_orders;
 mod vacating;
+mod waves;
 mod workspaces;
 mod world;
