Empty the hosts of a wave by the chains of stops that bound it

Cause: the tasks of a long-running step are stopped one after the other, as far as its budget goes, but what a wave took was reckoned host by host. Hosts whose steps have the longest chain were chosen last, all at once, and stood cordoned until the budget came to them.

Change: a wave counts, for each step, its tasks on hosts that are left. A host presses as soon as the whole chain of one of its steps needs the time that is left, the longest chain goes first, and no host is emptied that would only wait for a budget: at most twice as many tasks of a step wait on hosts being emptied as may be away.

--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -6,7 +6,7 @@
 //! once the budgets of all its long-running steps allow their tasks to be away. Long-running tasks
 //! are stopped only within the budget of their step.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use super::{
     Agent, HostState, Map, Now, Phase, Scheduler, StepId, TaskId, Wall,
@@ -28,6 +28,9 @@
 /// Time from the stop of a long-running task until it works elsewhere and the next task of its step
 /// may be stopped: what agents take to stop and start a task, with the polls in between.
 const RESTART_TIME: Duration = Duration::from_millis(2100);
+/// How many times its budget the tasks of a step may wait on hosts that are being emptied: those that
+/// are stopped, and those that are next.
+const EMPTYING_FACTOR: u32 = 2;
 /// The part of a wave's time in which it is planned to be complete. The rest is for failures: an
 /// election and the pause between the orders of two leaders take some five seconds.
 const PLANNED_PART: f64 = 0.6;
@@ -44,10 +47,49 @@
     all: usize,
 }
 
-impl EmptyingCost {
-    /// About how long it takes until the host is back from its maintenance.
+/// The long-running tasks of a step on the hosts of a wave. The budget of the step lets only so many
+/// be away at once, so they are stopped one after the other.
+#[derive(Clone, Copy, Debug, Default)]
+struct StopChain {
+    tasks: u32,
+    /// Those of them on hosts that are being emptied.
+    emptying: u32,
+    budget: u32,
+}
+
+impl StopChain {
+    /// About how long it takes to stop all of them.
     fn duration(self) -> Duration {
-        MAINTENANCE_TIME + RESTART_TIME * self.most_per_step
+        RESTART_TIME * self.tasks.div_ceil(self.budget)
+    }
+
+    /// Whether further hosts with tasks of the step would only wait, without getting new work.
+    fn is_supplied(self) -> bool {
+        self.emptying >= self.budget * EMPTYING_FACTOR
+    }
+}
+
+/// A host of a wave that isn't being emptied yet.
+struct Candidate {
+    host: HostId,
+    cost: EmptyingCost,
+    /// The chains that it is part of, and the number of its tasks in each.
+    steps: Map<StepId, u32>,
+}
+
+impl Candidate {
+    /// About how long it takes until the last host of its longest chain is back from its
+    /// maintenance.
+    fn duration(&self, chains: &Map<StepId, StopChain>) -> Duration {
+        let chains = self.steps.keys().filter_map(|step| chains.get(step));
+        let longest = chains.map(|chain| chain.duration()).max();
+        MAINTENANCE_TIME + longest.unwrap_or_default()
+    }
+
+    /// Whether it would only wait for the budget of a step if it were being emptied.
+    fn would_wait(&self, chains: &Map<StepId, StopChain>) -> bool {
+        let mut chains = self.steps.keys().filter_map(|step| chains.get(step));
+        chains.any(|chain| chain.is_supplied())
     }
 }
 
@@ -57,6 +99,14 @@
     (needed / (left.as_secs_f64() * PLANNED_PART).max(0.001)).ceil() as usize
 }
 
+/// How many tasks of a long-running step may be away at once. A step without a budget is treated like
+/// one with the smallest budget.
+fn disruption_budget(ledger: &Ledger, step: StepId) -> u32 {
+    let job = ledger.job(step.job);
+    let spec = job.and_then(|job| job.spec.steps.get(usize::from(step.step)));
+    spec.map_or(1, |spec| spec.disruption_budget.max(1))
+}
+
 impl Scheduler {
     /// Empties hosts of a wave and lets them be maintained.
     pub(super) fn advance_wave(
@@ -74,7 +124,7 @@
         let time = *time.or_insert(WaveTimes { since: now, due });
         let left = time.due.saturating_sub(now);
         let open = cap.saturating_sub(self.hosts_away(now, wave));
-        self.empty_wave_hosts(now, wave, open, time.since, left);
+        self.empty_wave_hosts(now, ledger, wave, open, time.since, left);
         let turns = wave.remaining.len().div_ceil(cap.max(1));
         let needed = MAINTENANCE_TIME * u32::try_from(turns).unwrap_or(u32::MAX);
         let late = needed >= left;
@@ -116,6 +166,7 @@
     fn empty_wave_hosts(
         &mut self,
         now: Now,
+        ledger: &Ledger,
         wave: &WaveRecord,
         open: usize,
         since: Now,
@@ -130,28 +181,79 @@
         let waiting = waiting.filter(|o| o.stage == Stage::Emptying && self.is_emptied(o));
         let mut idle_room = room.min(open).saturating_sub(waiting.count());
         let needed = hosts_needed(wave.remaining.len(), left);
-        let mut candidates: Vec<_> = wave
-            .remaining
-            .iter()
-            .filter(|host| !self.hosts.operations.contains_key(*host))
-            .filter(|host| !self.was_refused(now, host))
-            .filter_map(|host| Some((self.emptying_cost(host, since)?, host.clone())))
-            .collect();
-        candidates.sort_unstable();
-        for (burden, host) in candidates {
+        let mut chains = self.stop_chains(ledger, wave);
+        let mut candidates = self.wave_candidates(now, wave, since);
+        let is_pressing = |candidate: &Candidate, chains: &_| {
+            left.mul_f64(PLANNED_PART) <= candidate.duration(chains)
+        };
+        candidates.sort_by_cached_key(|candidate| {
+            let pressing = is_pressing(candidate, &chains).then(|| candidate.duration(&chains));
+            (Reverse(pressing), candidate.cost, candidate.host.clone())
+        });
+        for candidate in candidates {
             if under >= most {
                 return;
             }
-            let is_idle = burden == EmptyingCost::default();
-            let unneeded = is_idle && idle_room > 0 && self.take_surplus(&host);
+            if candidate.would_wait(&chains) {
+                continue;
+            }
+            let is_idle = candidate.cost == EmptyingCost::default();
+            let unneeded = is_idle && idle_room > 0 && self.take_surplus(&candidate.host);
             idle_room -= usize::from(unneeded);
-            let pressing = left.mul_f64(PLANNED_PART) <= burden.duration();
-            if unneeded || pressing || under < needed {
+            if unneeded || is_pressing(&candidate, &chains) || under < needed {
                 under += 1;
+                for (step, tasks) in &candidate.steps {
+                    chains.entry(*step).or_default().emptying += tasks;
+                }
                 let purpose = Purpose::Maintain(wave.wave);
-                self.begin_operation(now, &host, purpose, Priority::Maintenance);
+                self.begin_operation(now, &candidate.host, purpose, Priority::Maintenance);
+            }
+        }
+    }
+
+    /// The hosts of a wave that may be emptied and aren't yet.
+    fn wave_candidates(&self, now: Now, wave: &WaveRecord, since: Now) -> Vec<Candidate> {
+        let hosts = wave.remaining.iter();
+        let hosts = hosts.filter(|host| !self.hosts.operations.contains_key(*host));
+        let hosts = hosts.filter(|host| !self.was_refused(now, host));
+        let candidates = hosts.filter_map(|host| {
+            Some(Candidate {
+                host: host.clone(),
+                cost: self.emptying_cost(host, since)?,
+                steps: self.long_running_steps(host),
+            })
+        });
+        candidates.collect()
+    }
+
+    /// The long-running steps with tasks on hosts that a wave still has to maintain.
+    fn stop_chains(&self, ledger: &Ledger, wave: &WaveRecord) -> Map<StepId, StopChain> {
+        let mut chains: Map<StepId, StopChain> = Map::default();
+        for host in &wave.remaining {
+            let operation = self.hosts.operations.get(host);
+            let emptying = operation.is_some_and(|o| o.stage == Stage::Emptying);
+            for (step, tasks) in self.long_running_steps(host) {
+                let chain = chains.entry(step).or_default();
+                chain.tasks += tasks;
+                chain.emptying += if emptying { tasks } else { 0 };
             }
         }
+        for (step, chain) in &mut chains {
+            chain.budget = disruption_budget(ledger, *step);
+        }
+        chains
+    }
+
+    /// The number of long-running tasks on a host, by step.
+    fn long_running_steps(&self, host: &HostId) -> Map<StepId, u32> {
+        let view = self.hosts.views.get(host);
+        let agent = view.and_then(|view| self.agent_at(view));
+        let slots = agent.into_iter().flat_map(|agent| &agent.slots);
+        let mut steps = Map::default();
+        for (task, _) in slots.filter(|(_, slot)| slot.long_running) {
+            *steps.entry(task.step).or_default() += 1;
+        }
+        steps
     }
 
     /// Whether the agent of an operation runs nothing.
@@ -195,11 +297,7 @@
         if agent.record.leaving {
             return None;
         }
-        let lasting = agent.slots.iter().filter(|(_, slot)| slot.long_running);
-        let mut steps: Map<StepId, u32> = Map::default();
-        for (task, _) in lasting {
-            *steps.entry(task.step).or_default() += 1;
-        }
+        let steps = self.long_running_steps(host);
         Some(EmptyingCost {
             long_running: usize::try_from(steps.values().sum::<u32>()).unwrap_or(usize::MAX),
             most_per_step: steps.values().max().copied().unwrap_or_default(),
@@ -276,10 +374,7 @@
         let Some(job) = ledger.job(task.step.job) else {
             return true;
         };
-        let (Some(spec), Some(step)) = (
-            job.spec.steps.get(usize::from(task.step.step)),
-            job.step(task.step),
-        ) else {
+        let Some(step) = job.step(task.step) else {
             return true;
         };
         let others = (0..).zip(&step.tasks).filter(|(ix, _)| *ix != task.task);
@@ -300,8 +395,8 @@
             let slot = agent.and_then(|agent| agent.slots.get(&id));
             !slot.is_some_and(|slot| slot.phase == Phase::Running && slot.fully_running)
         });
-        // A step without a budget is treated like one with the smallest budget.
-        away.count() < usize::try_from(spec.disruption_budget.max(1)).unwrap_or(usize::MAX)
+        let budget = disruption_budget(ledger, task.step);
+        away.count() < usize::try_from(budget).unwrap_or(usize::MAX)
     }
 
     /// Stops long-running tasks at cordoned agents, as far as the budgets of their steps allow.
