Measure where a start waits between its decision and its answer

Callers saw late jobs while hosts were empty. What was logged told how long starts took to be sent, not whether they waited for their commit, their sending or their answer, nor how many were decided and not confirmed.

Adds two histograms, and to the line of a control task that falls behind the starts that are uncommitted, unsent and unanswered and the longest of each wait. The size of a round is a setting, so that tests can vary it; its value is as before.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -136,6 +136,7 @@
         if !self.check_presence(now, id, answer) {
             return;
         }
+        self.answer_delays.push(now.saturating_sub(sent));
         if matches!(answer, Answer::Silent) {
             self.record_stray(id, sent);
         }
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -398,7 +398,9 @@
         let over = job.is_none_or(Job::has_ended);
         if let Some(slot) = self.slot(&start.agent, start.task) {
             if stands && !over {
+                let delay = now.saturating_sub(slot.placed_at);
                 slot.set_phase(now, Phase::Due);
+                self.commit_delays.push(delay);
                 return;
             }
             if stands {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -133,8 +133,8 @@
 /// The most commands of a plan besides those that record ends of agents and maintenance: one that
 /// forgets jobs, and a round.
 const OTHER_COMMANDS: usize = 2;
-/// Maximum number of starts in one round; keeps a log entry far smaller than one message.
-const MAX_ROUND_STARTS: usize = 64;
+/// Maximum number of starts in one round unless set otherwise; keeps a log entry far smaller than one message.
+const ROUND_STARTS: usize = 64;
 /// Delay from an answer to the next renewal, while there is time. Ends that come within it are
 /// reported together.
 const RENEWAL_GAP: Duration = Duration::from_millis(25);
@@ -188,6 +188,8 @@
     pub start_window: Duration,
     /// How long a job that is over is kept at least.
     pub retention: Duration,
+    /// Maximum number of starts in one round.
+    pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
     /// Which protections are on; for tests.
@@ -203,6 +205,7 @@
             max_stop: Duration::from_secs(1),
             start_window: Duration::from_secs(6),
             retention: Duration::from_secs(180),
+            round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
             protections: Protections::default(),
         }
@@ -269,12 +272,34 @@
     pub agent_ages: Vec<Duration>,
     /// For each start sent since the last plan, the time from its decision to sending it.
     pub start_delays: Vec<Duration>,
+    /// For each start committed since the last plan, the time from its decision to its commit.
+    pub commit_delays: Vec<Duration>,
+    /// For each start answered since the last plan, the time from sending it to its answer.
+    pub answer_delays: Vec<Duration>,
     /// The agents whose renewals are overdue, if there are any; once a second at most.
     pub overdue: Option<OverdueRenewals>,
     /// How many agents and waiting steps were visited to make this plan.
     pub visits: usize,
 }
 
+/// Starts that are decided and not confirmed by their agents, by what they wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnconfirmedStarts {
+    /// Their commit.
+    pub uncommitted: usize,
+    /// Being sent, for the first time or again.
+    pub unsent: usize,
+    /// The answers of their agents.
+    pub unanswered: usize,
+}
+
+impl UnconfirmedStarts {
+    /// All of them.
+    pub fn total(self) -> usize {
+        self.uncommitted + self.unsent + self.unanswered
+    }
+}
+
 /// The state of one leader's scheduling decisions.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -332,6 +357,10 @@
     agent_ages: Vec<Duration>,
     /// See [`Plan::start_delays`].
     start_delays: Vec<Duration>,
+    /// See [`Plan::commit_delays`].
+    commit_delays: Vec<Duration>,
+    /// See [`Plan::answer_delays`].
+    answer_delays: Vec<Duration>,
     /// Whether an agent has seen a later leader.
     superseded: bool,
 }
@@ -410,6 +439,8 @@
             orders: Vec::new(),
             agent_ages: Vec::new(),
             start_delays: Vec::new(),
+            commit_delays: Vec::new(),
+            answer_delays: Vec::new(),
             superseded: false,
         };
         let mut tenants: Map<SocketAddr, usize> = Map::default();
@@ -550,6 +581,8 @@
             orders: std::mem::take(&mut self.orders),
             agent_ages: std::mem::take(&mut self.agent_ages),
             start_delays: std::mem::take(&mut self.start_delays),
+            commit_delays: std::mem::take(&mut self.commit_delays),
+            answer_delays: std::mem::take(&mut self.answer_delays),
             overdue,
             visits: self.agents.take_visits() + self.ready.take_visits(),
         }
@@ -590,6 +623,21 @@
         self.agents.values().map(|agent| agent.slots.len()).sum()
     }
 
+    /// How many starts are decided and not confirmed, by what they wait for. Visits all attempts.
+    pub fn unconfirmed_starts(&self) -> UnconfirmedStarts {
+        let mut counts = UnconfirmedStarts::default();
+        let slots = self.agents.values().flat_map(|agent| agent.slots.values());
+        for slot in slots {
+            match slot.phase {
+                Phase::Proposed => counts.uncommitted += 1,
+                Phase::Due => counts.unsent += 1,
+                Phase::Starting(_) => counts.unanswered += 1,
+                _ => {}
+            }
+        }
+        counts
+    }
+
     /// How many orders have no answer so far.
     pub fn under_way(&self) -> usize {
         self.pending.len()
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -20,9 +20,9 @@
 };
 
 use super::{
-    Agent, Ledger, MAX_ROUND_STARTS, MinionId, Now, Placement, PoolId, Scheduler, Slot, StepId,
-    StepSpec, TaskId, agent::RECENTLY_SEEN, place, starts::decided_attempts,
-    suspects::TaskEvidence, unit::SuspectUnit,
+    Agent, Ledger, MinionId, Now, Placement, PoolId, Scheduler, Slot, StepId, StepSpec, TaskId,
+    agent::RECENTLY_SEEN, place, starts::decided_attempts, suspects::TaskEvidence,
+    unit::SuspectUnit,
 };
 use crate::core::workload::suspicion::Evidence;
 
@@ -97,7 +97,9 @@
             let Some(spec) = ready.map(|ready| ready.spec.clone()) else {
                 continue;
             };
-            if !spec.gang && !self.suspects.is_failing(step.job) && starts.len() < MAX_ROUND_STARTS
+            if !spec.gang
+                && !self.suspects.is_failing(step.job)
+                && starts.len() < self.settings.round_starts
             {
                 self.start_suspects(now, ledger, step, &spec, starts);
             }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -10,9 +10,9 @@
 };
 
 use super::{
-    About, Agent, DEFAULT_MAX_ATTEMPTS, EndBatch, Ledger, MAX_ROUND_STARTS, MinionId, Name, Now,
-    OrderKind, Phase, Placement, PoolId, RENEWAL_GAP, Round, Scheduler, Slot, StartOrder, StepId,
-    StepSpec, TaskId, Wall,
+    About, Agent, DEFAULT_MAX_ATTEMPTS, EndBatch, Ledger, MinionId, Name, Now, OrderKind, Phase,
+    Placement, PoolId, RENEWAL_GAP, Round, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId,
+    Wall,
     place::{self, AgentRanking},
 };
 use crate::core::{
@@ -58,7 +58,7 @@
         pools.rotate_left(next);
         for pool in pools {
             self.fill_pool(now, ledger, &pool, starts);
-            if starts.len() >= MAX_ROUND_STARTS {
+            if starts.len() >= self.settings.round_starts {
                 self.last_filled = Some(pool);
                 return;
             }
@@ -104,7 +104,7 @@
         let mut widest: Option<Resources> = None;
         let mut last = None;
         let mut apart = self.sharing_limits(ledger, pool);
-        while starts.len() < MAX_ROUND_STARTS
+        while starts.len() < self.settings.round_starts
             && let Some(least) = self.ready.min_millicores(pool)
             && widest.is_none_or(|widest| least <= widest.millicores)
         {
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -324,8 +324,7 @@
         self.finish_turn();
         self.load.end_phase(Phase::Rest);
         self.load.end_turn();
-        let under_way = self.scheduler.as_ref().map_or(0, Scheduler::under_way);
-        self.load.close_window(under_way);
+        self.load.close_window(self.scheduler.as_ref());
     }
 
     pub(super) fn now(&self) -> Now {
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -13,6 +13,7 @@
 use tokio::{runtime::Handle, time::Instant};
 
 use super::metrics::{Metrics, Phase};
+use crate::core::workload::scheduler::{Plan, Scheduler, UnconfirmedStarts};
 
 /// Length of a window. Short enough to show the seconds of a burst, and long enough to bound the
 /// number of log lines.
@@ -40,6 +41,9 @@
     commands: usize,
     bytes: usize,
     looks: usize,
+    commit_wait: Duration,
+    start_wait: Duration,
+    answer_wait: Duration,
 }
 
 /// Measures the turns of the control task.
@@ -147,6 +151,15 @@
         self.totals.looks += looks;
     }
 
+    /// Records how long starts waited for their commits, for being sent, and for their answers.
+    pub(super) fn record_starts(&mut self, plan: &Plan) {
+        let longest = |waits: &[Duration]| waits.iter().copied().max().unwrap_or_default();
+        let totals = &mut self.totals;
+        totals.commit_wait = totals.commit_wait.max(longest(&plan.commit_delays));
+        totals.start_wait = totals.start_wait.max(longest(&plan.start_delays));
+        totals.answer_wait = totals.answer_wait.max(longest(&plan.answer_delays));
+    }
+
     /// Records the size of a proposal.
     pub(super) fn record_proposal(&mut self, bytes: usize) {
         self.totals.bytes += bytes;
@@ -160,8 +173,9 @@
     /// Ends the window if it is over. Logs it if an input waited too long in it or the thread was
     /// too busy.
     ///
-    /// `under_way` is the number of orders that wait for an answer.
-    pub(super) fn close_window(&mut self, under_way: usize) {
+    /// The scheduler tells which orders and starts are under way then; a node that doesn't lead has
+    /// none.
+    pub(super) fn close_window(&mut self, scheduler: Option<&Scheduler>) {
         let Some((_, share)) = self.window.read(self.phase_start, WINDOW) else {
             return;
         };
@@ -183,10 +197,20 @@
             commands,
             bytes,
             looks,
+            commit_wait,
+            start_wait,
+            answer_wait,
         } = totals;
+        let under_way = scheduler.map_or(0, Scheduler::under_way);
+        let UnconfirmedStarts {
+            uncommitted,
+            unsent,
+            unanswered,
+        } = scheduler.map_or_else(UnconfirmedStarts::default, Scheduler::unconfirmed_starts);
         log::warn!(
             busy = share, turns, inputs, batch, wait:?, turn:?, taking:?, planning:?, rest:?,
-            orders, under_way, commands, bytes, looks;
+            orders, under_way, commands, bytes, looks, uncommitted, unsent, unanswered,
+            commit_wait:?, start_wait:?, answer_wait:?;
             "the control task is falling behind"
         );
     }
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -122,6 +122,8 @@
     turn_time: Family<PhaseLabel, Histogram>,
     heartbeat_age: Histogram,
     start_delay: Histogram,
+    start_commit: Histogram,
+    start_answer: Histogram,
 }
 
 impl Default for Metrics {
@@ -155,6 +157,8 @@
             turn_time: Family::new_with_constructor(duration_histogram),
             heartbeat_age: duration_histogram(),
             start_delay: duration_histogram(),
+            start_commit: duration_histogram(),
+            start_answer: duration_histogram(),
         };
         metrics.register();
         metrics
@@ -285,6 +289,16 @@
             "How long ago a start was decided when it was sent",
             self.start_delay.clone(),
         );
+        registry.register(
+            "start_commit_seconds",
+            "How long ago a start was decided when it was committed",
+            self.start_commit.clone(),
+        );
+        registry.register(
+            "start_answer_seconds",
+            "How long ago a start was sent when its answer was handled",
+            self.start_answer.clone(),
+        );
     }
 
     /// Counts a reply and records how long it took.
@@ -341,6 +355,16 @@
         self.start_delay.observe(delay.as_secs_f64());
     }
 
+    /// Records the time from the decision to start an attempt until it was committed.
+    pub fn record_start_commit(&self, delay: Duration) {
+        self.start_commit.observe(delay.as_secs_f64());
+    }
+
+    /// Records the time from sending a start until its answer was handled.
+    pub fn record_start_answer(&self, delay: Duration) {
+        self.start_answer.observe(delay.as_secs_f64());
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -45,6 +45,13 @@
         for delay in &plan.start_delays {
             self.ports.metrics.record_start_delay(*delay);
         }
+        for delay in &plan.commit_delays {
+            self.ports.metrics.record_start_commit(*delay);
+        }
+        for delay in &plan.answer_delays {
+            self.ports.metrics.record_start_answer(*delay);
+        }
+        self.load.record_starts(&plan);
         if let Some(overdue) = &plan.overdue {
             self.relays.log_overdue(overdue);
         }
