Red: what is in time depends on the size of a round of starts

A world in which a leader has half or a quarter of its processor, commits take 30 ms or relays answer after 50 ms, and what commits an entry waits in the inbox among the answers. By reading, that is so in the control task.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -28,6 +28,7 @@
 mod restarted_agents;
 mod scarce_hosts;
 mod spec;
+mod start_window;
 mod suspicion;
 mod unsent_orders;
 mod vacating;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -179,6 +179,8 @@
 enum Input {
     Answer(u64, OrderId, Answer),
     Heartbeat(Box<AgentRecord>, AgentTime),
+    /// What commits the next command of the log.
+    Acknowledged,
 }
 
 struct Run {
@@ -249,6 +251,8 @@
 }
 
 enum Event {
+    /// What commits the next command of the log arrives at the leader.
+    Acknowledged,
     /// An order arrives at an agent, the provider or the eligibility service.
     Arrive {
         order: Order,
@@ -391,6 +395,20 @@
     pub(crate) committed: Vec<Command>,
     /// The costs of the leader's processor; without it the leader's work takes no time.
     pub(crate) processor: Option<Processor>,
+    /// The time that a commit takes.
+    pub(crate) commit_delay: Duration,
+    /// Whether the acknowledgements that commit an entry wait among the other inputs of a leader
+    /// with a [`Processor`]. Otherwise they are handled first.
+    pub(crate) commits_queue: bool,
+    /// Maximum number of starts in a round of the next leader.
+    pub(crate) round_starts: usize,
+    /// How long each start waited: from its decision to its commit, from its decision to sending
+    /// it, and from sending it to its answer.
+    pub(crate) commit_delays: Vec<Duration>,
+    pub(crate) start_delays: Vec<Duration>,
+    pub(crate) answer_delays: Vec<Duration>,
+    /// The most starts that were decided and not confirmed after a decision of the leader.
+    pub(crate) peak_unconfirmed: usize,
     inbox: VecDeque<Input>,
     /// Until when the leader is busy; and the start of the current sample with the work done since
     /// then.
@@ -533,6 +551,13 @@
             cap_excess: 0,
             committed: Vec::new(),
             processor: None,
+            commit_delay: COMMIT_DELAY,
+            commits_queue: false,
+            round_starts: Settings::default().round_starts,
+            commit_delays: Vec::new(),
+            start_delays: Vec::new(),
+            answer_delays: Vec::new(),
+            peak_unconfirmed: 0,
             inbox: VecDeque::new(),
             busy_until: Duration::ZERO,
             work_time: (Duration::ZERO, Duration::ZERO),
@@ -672,6 +697,7 @@
             handover_delay: self.handover_delay,
             max_stop: self.stop_time,
             start_window: START_WINDOW,
+            round_starts: self.round_starts,
             retention: RETENTION,
             host_orders: self.order_limits,
             protections: self.protections,
@@ -820,7 +846,11 @@
     }
 
     pub(crate) fn propose(&mut self, command: Command) {
-        self.log.push_back((self.now + COMMIT_DELAY, command));
+        let at = self.now + self.commit_delay;
+        if self.commits_queue && self.processor.is_some() {
+            self.schedule(at, Event::Acknowledged);
+        }
+        self.log.push_back((at, command));
     }
 
     pub(crate) fn start_wave(
@@ -1161,6 +1191,12 @@
             plan.commands.len() <= room.now,
             "no more is planned than is accepted"
         );
+        let scheduler = self.scheduler.as_ref();
+        let unconfirmed = scheduler.map_or(0, |scheduler| scheduler.unconfirmed_starts().total());
+        self.peak_unconfirmed = self.peak_unconfirmed.max(unconfirmed);
+        self.commit_delays.extend(&plan.commit_delays);
+        self.start_delays.extend(&plan.start_delays);
+        self.answer_delays.extend(&plan.answer_delays);
         let (visits, orders) = (plan.visits, plan.orders.len());
         self.visits += visits;
         self.plans += 1;
@@ -1186,7 +1222,7 @@
         self.busy_until = self.busy_until.max(self.now.saturating_sub(TICK));
         while self.busy_until < self.now {
             let mut inputs = 0;
-            while inputs < MAX_INPUT_BATCH && (self.commit() || self.take_input()) {
+            while inputs < MAX_INPUT_BATCH && (self.commit_first() || self.take_input()) {
                 inputs += 1;
             }
             let (visits, orders) = self.decide();
@@ -1216,6 +1252,12 @@
         }
     }
 
+    /// Applies the next command that is committed, unless its acknowledgement waits among the
+    /// inputs.
+    fn commit_first(&mut self) -> bool {
+        !self.commits_queue && self.commit()
+    }
+
     fn take_input(&mut self) -> bool {
         let Some(input) = self.inbox.pop_front() else {
             return false;
@@ -1223,6 +1265,9 @@
         match input {
             Input::Answer(term, order, answer) => self.deliver_answer(term, order, answer),
             Input::Heartbeat(record, clock) => self.handle_heartbeat(&record, clock),
+            Input::Acknowledged => {
+                self.commit();
+            }
         }
         true
     }
@@ -1387,6 +1432,7 @@
                 self.boot(&host);
             }
             Event::Heartbeat { record, clock } => self.receive_heartbeat(&record, clock),
+            Event::Acknowledged => self.inbox.push_back(Input::Acknowledged),
         }
     }
 
