--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -187,6 +187,7 @@
     }
 
     fn heartbeat(&mut self, reply_to: ReplyTo, heartbeat: &Heartbeat) {
+        self.load.record_heartbeats();
         if let Some(why) = self.pool_mismatch(&heartbeat.agent) {
             log::info!(agent:% = heartbeat.agent.id, why; "refused a heartbeat");
             return self.reply(reply_to, Reply::Invalid(why));
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -30,6 +30,7 @@
 struct Totals {
     turns: usize,
     inputs: usize,
+    heartbeats: usize,
     batch: usize,
     wait: Duration,
     turn: Duration,
@@ -111,6 +112,12 @@
         self.metrics.record_batch(inputs);
     }
 
+    /// Records a message with heartbeats of agents.
+    pub(super) fn record_heartbeats(&mut self) {
+        self.totals.heartbeats += 1;
+        self.metrics.heartbeat_messages.inc();
+    }
+
     /// Records how long an input of this turn has waited since its arrival.
     pub(super) fn record_wait(&mut self, arrived_at: Instant) {
         let wait = self.phase_start.saturating_duration_since(arrived_at);
@@ -173,6 +180,7 @@
         let Totals {
             turns,
             inputs,
+            heartbeats,
             batch,
             wait,
             turn,
@@ -185,7 +193,7 @@
             looks,
         } = totals;
         log::warn!(
-            busy = share, turns, inputs, batch, wait:?, turn:?, taking:?, planning:?, rest:?,
+            busy = share, turns, inputs, heartbeats, batch, wait:?, turn:?, taking:?, planning:?, rest:?,
             orders, under_way, commands, bytes, looks;
             "the control task is falling behind"
         );
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -115,6 +115,10 @@
     pub joined: Gauge,
     /// Links refused or dropped because the peer belongs to another cluster.
     pub links_refused: Counter,
+    /// Messages with heartbeats of agents that this node took in as the leader.
+    pub heartbeat_messages: Counter,
+    /// Pages of the provider's list of hosts that this node decoded.
+    pub list_pages: Counter,
     /// Share of the last second in which the thread that runs the tasks was busy.
     pub busy_ratio: Gauge<f64, AtomicU64>,
     input_wait: Histogram,
@@ -149,6 +153,8 @@
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
+            heartbeat_messages: Counter::default(),
+            list_pages: Counter::default(),
             busy_ratio: Gauge::default(),
             input_wait: duration_histogram(),
             batch: Histogram::new(exponential_buckets(1.0, 2.0, 9)),
@@ -250,6 +256,16 @@
             "Links refused or dropped, as the peer is of another cluster",
             self.links_refused.clone(),
         );
+        registry.register(
+            "heartbeat_messages",
+            "Messages with heartbeats of agents that this node took in as the leader",
+            self.heartbeat_messages.clone(),
+        );
+        registry.register(
+            "list_pages",
+            "Pages of the provider's list of hosts that this node decoded",
+            self.list_pages.clone(),
+        );
         registry.register(
             "busy_ratio",
             "The part of the last second that the thread of the tasks was busy",
