--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -22,6 +22,7 @@
 mod poison_queues;
 mod poison_tasks;
 mod pools_in_turn;
+mod refusals;
 mod relays;
 mod renewals;
 mod repeated_orders;
