Log the starts and the backlog of each pool, and each refused job

Now one line a second and pool: starts, the leader's busy part, the waiting batch work in time and late (steps, cores); and one line for each refused job with its queue and the time to return.

--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -142,6 +142,8 @@
         }
         self.hosts.logged_at = now;
         self.log_operations(now);
+        let starts = std::mem::take(&mut self.hosts.starts);
+        let busy = self.pressure.busy();
         let mut empties = HostCounts::new();
         for (_, view, _) in self.empty_hosts(now) {
             *empties.entry(view.pool.clone()).or_default() += 1;
@@ -157,6 +159,11 @@
             );
             let Need { now: need, keep } = *need;
             log::info!(pool:%, need, keep, have, empty, placed, demand, trend; "hosts and cores of a pool");
+            let starts = starts.get(pool).copied().unwrap_or_default();
+            let (in_time, late) = self.ready.backlogs(pool);
+            let (in_time_cores, late_cores) = (in_time.millicores / 1000, late.millicores / 1000);
+            let (in_time_steps, late_steps) = (in_time.steps, late.steps);
+            log::info!(pool:%, starts, busy, in_time_steps, in_time_cores, late_steps, late_cores; "starts and backlog of a pool");
         }
     }
 
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -61,6 +61,8 @@
     checked_at: Now,
     /// When the needs of the pools were last logged.
     pub(super) logged_at: Now,
+    /// How many tasks of each pool were placed since then.
+    pub(super) starts: BTreeMap<PoolId, usize>,
 }
 
 impl Hosts {
--- a/src/core/workload/scheduler/pressure.rs
+++ b/src/core/workload/scheduler/pressure.rs
@@ -37,6 +37,11 @@
 }
 
 impl Pressure {
+    /// The busy part of the processor, averaged.
+    pub(super) fn busy(self) -> f64 {
+        self.busy
+    }
+
     /// From 0, idle enough, to 1, fully loaded.
     pub(super) fn level(self) -> f64 {
         self.position_in(PAUSE_RANGE)
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -127,6 +127,9 @@
     /// The number of steps by how many hosts each needs, including steps without free tasks.
     spreads: BTreeMap<usize, usize>,
     waiting: WaitingLoad,
+    /// Batch tasks whose jobs can still be in time, and those whose jobs can't.
+    in_time: Backlog,
+    late: Backlog,
     /// The part of `waiting` that belongs to each workspace.
     by_workspace: BTreeMap<WorkspaceId, WaitingLoad>,
 }
@@ -143,6 +146,15 @@
     pub(super) spread: usize,
 }
 
+/// Batch tasks that wait to be started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Backlog {
+    /// The number of their steps.
+    pub(super) steps: usize,
+    /// Thousandths of a core that they wait for.
+    pub(super) millicores: u64,
+}
+
 impl WaitingLoad {
     fn add(&mut self, ready: &ReadyStep) {
         self.all += ready.millicores();
@@ -160,6 +172,15 @@
 }
 
 impl PoolQueue {
+    /// The backlog that a class of steps belongs to; long-running steps belong to none.
+    fn backlog(&mut self, class: Class) -> Option<&mut Backlog> {
+        match class {
+            Class::LongRunning => None,
+            Class::InTime => Some(&mut self.in_time),
+            Class::Late => Some(&mut self.late),
+        }
+    }
+
     fn waiting(&self) -> WaitingLoad {
         let spread = self.spreads.keys().next_back().copied();
         WaitingLoad {
@@ -261,6 +282,12 @@
         self.pools.iter().map(|(pool, line)| (pool, line.waiting()))
     }
 
+    /// The batch tasks that wait in a pool: those whose jobs can still be in time, and the others.
+    pub(super) fn backlogs(&self, pool: &PoolId) -> (Backlog, Backlog) {
+        let line = self.pools.get(pool);
+        line.map_or_else(Default::default, |line| (line.in_time, line.late))
+    }
+
     /// What the steps of each workspace wait for in a pool.
     pub(super) fn held(&self, pool: &PoolId) -> impl Iterator<Item = (&WorkspaceId, WaitingLoad)> {
         let held = self.pools.get(pool).into_iter();
@@ -337,6 +364,10 @@
             .entry(ready.spec.reservation().millicores)
             .or_default() += 1;
         line.waiting.add(ready);
+        if let Some(backlog) = line.backlog(rank.class) {
+            backlog.steps += 1;
+            backlog.millicores += ready.millicores();
+        }
         if let Some(workspace) = &ready.workspace {
             line.by_workspace
                 .entry(workspace.clone())
@@ -356,6 +387,10 @@
         }
         decrement(&mut line.task_sizes, ready.spec.reservation().millicores);
         line.waiting.take(ready);
+        if let Some(backlog) = line.backlog(rank.class) {
+            backlog.steps -= 1;
+            backlog.millicores -= ready.millicores();
+        }
         let Some(workspace) = &ready.workspace else {
             return;
         };
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -57,7 +57,9 @@
         let next = pools.partition_point(|pool| Some(pool) <= self.last_filled.as_ref());
         pools.rotate_left(next);
         for pool in pools {
+            let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
+            *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
             if starts.len() >= MAX_ROUND_STARTS {
                 self.last_filled = Some(pool);
                 return;
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -150,6 +150,7 @@
             accepted_at: wall(),
         };
         if let Some(wait) = self.retry_after(&submission) {
+            log::info!(job:% = format_args!("{job:016x}"), queue:% = queue.name, retry_after:? = wait; "a job is refused");
             return self.reply(reply_to, Reply::Refused(Refused::Storm(wait)));
         }
         let waiting = Vec::new();
