Test what an inherited start that was never sent counts for (red)

Hypothesis: a new leader takes over each placed attempt as started unless the log says that no report of it came (Task::not_started). The log says so only once a start or a renewal has gone unanswered, so an attempt that was committed and not sent yet counts as one that ran.

New in the simulated cluster: a leader is removed when its starts are committed and not sent; the delay of commits can be set.

--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -12,6 +12,7 @@
 mod host_orders;
 mod hosts;
 mod incarnations;
+mod inherited_starts;
 mod intents;
 mod leaving;
 mod ledger;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -23,7 +23,7 @@
         types::{HostId, MinionId, Name, Now, Resources, WaveId, WorkspaceId},
         workload::{
             catalog::{Catalog, Eligibility, PoolSpec, QueueSpec},
-            command::{AgentRecord, Command, Ending, Submission, WaveRecord},
+            command::{AgentRecord, Command, Ending, Placement, Submission, WaveRecord},
             job::{JobState, Run as Occurrence, StepId, TaskId},
             ledger::Ledger,
             scheduler::{
@@ -60,7 +60,7 @@
 const FULL_VISIT_INTERVAL: usize = 7;
 /// The step of logical time.
 const TICK: Duration = Duration::from_millis(5);
-/// The time from a proposal to its commit.
+/// The time from a proposal to its commit, unless a test sets [`World::commit_delay`].
 const COMMIT_DELAY: Duration = Duration::from_millis(8);
 /// The time that a message takes from the leader to an agent or back.
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
@@ -297,6 +297,8 @@
     /// The number of runs that were interrupted by orders about their hosts.
     pub(crate) interrupted_runs: usize,
     pub(crate) stop_time: Duration,
+    /// The time from a proposal to its commit.
+    pub(crate) commit_delay: Duration,
     /// The probability that an agent is started under its host's name, which a later incarnation
     /// can share. Otherwise the agent gets a name of its own.
     pub(crate) id_reuse: f64,
@@ -480,6 +482,7 @@
             unlisted: BTreeSet::new(),
             interrupted_runs: 0,
             stop_time: STOP_TIME,
+            commit_delay: COMMIT_DELAY,
             id_reuse: 0.0,
             defer_heartbeats: false,
             answer_delay: ONE_WAY_DELAY,
@@ -705,6 +708,41 @@
         }
     }
 
+    /// Removes the leader as soon as it has proposed starts. All its proposals are committed, and none of these
+    /// starts is sent. Returns the starts; there are none, and the leader stays, if it proposes none in time.
+    pub(crate) fn depose_before_starts(&mut self, limit: Duration) -> Vec<Placement> {
+        let starts = self.await_starts(limit);
+        if starts.is_empty() {
+            return starts;
+        }
+        self.scheduler = None;
+        while let Some((_, command)) = self.log.pop_front() {
+            self.index += 1;
+            self.ledger.apply(self.index, &command);
+            self.record_cancel(&command);
+            self.committed.push(command);
+        }
+        starts
+    }
+
+    /// Lets time pass until the leader has proposed starts, and returns them; none after the limit.
+    pub(crate) fn await_starts(&mut self, limit: Duration) -> Vec<Placement> {
+        let end = self.now + limit;
+        while self.pending_starts().is_empty() && self.now < end {
+            self.tick();
+        }
+        self.pending_starts()
+    }
+
+    /// The starts that were proposed and aren't committed yet.
+    fn pending_starts(&self) -> Vec<Placement> {
+        let rounds = self.log.iter().filter_map(|(_, command)| match command {
+            Command::Round(round) => Some(round),
+            _ => None,
+        });
+        rounds.flat_map(|round| round.starts.clone()).collect()
+    }
+
     fn record_cancel(&mut self, command: &Command) {
         if let Command::Cancel(job) = command
             && self.state(*job) == Some(JobState::Cancelled)
@@ -820,7 +858,7 @@
     }
 
     pub(crate) fn propose(&mut self, command: Command) {
-        self.log.push_back((self.now + COMMIT_DELAY, command));
+        self.log.push_back((self.now + self.commit_delay, command));
     }
 
     pub(crate) fn start_wave(
