--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -124,7 +124,7 @@
         let time = *time.or_insert(WaveTimes { since: now, due });
         let left = time.due.saturating_sub(now);
         let open = cap.saturating_sub(self.hosts_away(now, wave));
-        self.empty_wave_hosts(now, ledger, wave, open, time.since, left);
+        self.empty_wave_hosts(now, ledger, wave, open, time);
         let turns = wave.remaining.len().div_ceil(cap.max(1));
         let needed = MAINTENANCE_TIME * u32::try_from(turns).unwrap_or(u32::MAX);
         let late = needed >= left;
@@ -169,9 +169,9 @@
         ledger: &Ledger,
         wave: &WaveRecord,
         open: usize,
-        since: Now,
-        left: Duration,
+        time: WaveTimes,
     ) {
+        let left = time.due.saturating_sub(now);
         let mine = |operation: &&Operation| operation.purpose == Purpose::Maintain(wave.wave);
         let mut under = self.hosts.operations.values().filter(mine).count();
         let most = usize::try_from(wave.max_concurrent).unwrap_or(usize::MAX);
@@ -182,7 +182,7 @@
         let mut idle_room = room.min(open).saturating_sub(waiting.count());
         let needed = hosts_needed(wave.remaining.len(), left);
         let mut chains = self.stop_chains(ledger, wave);
-        let mut candidates = self.wave_candidates(now, wave, since);
+        let mut candidates = self.wave_candidates(now, wave, time.since);
         let is_pressing = |candidate: &Candidate, chains: &_| {
             left.mul_f64(PLANNED_PART) <= candidate.duration(chains)
         };
--- a/tests/workload/start_window.rs
+++ b/tests/workload/start_window.rs
@@ -94,15 +94,13 @@
         });
     }
     let longest = |waits: &[Duration]| waits.iter().copied().max().unwrap_or_default();
-    let result = SurgeResult {
+    SurgeResult {
         timely: timely * u64::from(TASKS) / SECONDS,
         start_delay: longest(&world.start_delays),
         answer_delay: longest(&world.answer_delays),
         unconfirmed: world.peak_unconfirmed,
         rate: world.start_delays.len() / SECONDS as usize,
-    };
-    println!("{slow:?} {round} {jobs}: {result:?}");
-    result
+    }
 }
 
 const SLOW_COMMIT: Slowness = Slowness {
@@ -129,6 +127,8 @@
 fn check_waits(slow: Slowness) {
     let result = surge(slow, ROUNDS[3], overload(slow));
     assert!(result.start_delay <= MAX_START_DELAY, "{result:?}");
+    let answered = MAX_START_DELAY + 2 * slow.answer;
+    assert!(result.answer_delay <= answered, "{result:?}");
     // By Little's law: as many as are started in the time that a start may take to be confirmed.
     let allowed = MAX_START_DELAY + slow.commit + 2 * slow.answer;
     let most = result.rate as f64 * allowed.as_secs_f64();
--- a/tests/workload/waves.rs
+++ b/tests/workload/waves.rs
@@ -38,7 +38,7 @@
 }
 
 fn start_wave(world: &mut World) {
-    let hosts: Vec<_> = world.hosts.keys().map(|host| host.to_string()).collect();
+    let hosts: Vec<_> = world.hosts.keys().map(ToString::to_string).collect();
     let hosts: Vec<_> = hosts.iter().map(String::as_str).collect();
     world.start_wave(1, &hosts, 10, WAVE_TIME);
 }
