Measure what a start, a renewal and an end cost a leader

What a unit costs on the leader's thread was known from profiles of whole plays only, in which messages, disks and other load take part. The bench `egretpin-bench leader` plays a leader that can't keep up on logical time: 1,000 agents of one pool, 2,000 steps of 13 tasks that wait, a full round each 16 ms, 0.8 s a task, so that half of the agents stay empty. It prints the microseconds of the scheduler and the ledger for each unit, the visits for each start and a digest of all decisions. Visits and digest are the same in each run, so that a change of the cost can be told from one of decisions.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod fleet;
 pub mod front;
+pub mod leader;
 mod memory;
 pub mod placement;
 pub mod report;
--- a/src/bin/egretpin-bench.rs
+++ b/src/bin/egretpin-bench.rs
@@ -1,7 +1,9 @@
 //! Measures egretpin's decisions and prints JSON.
 
 use argh::FromArgs;
-use egretpin::bench::{admission, capacity, control, fleet, front, placement, report, routing};
+use egretpin::bench::{
+    admission, capacity, control, fleet, front, leader, placement, report, routing,
+};
 
 /// Measure egretpin's decisions and print JSON.
 #[derive(FromArgs)]
@@ -18,6 +20,7 @@
     Control(Control),
     Fleet(Fleet),
     Front(Front),
+    Leader(Leader),
     Placement(Placement),
     Routing(Routing),
 }
@@ -80,6 +83,18 @@
     seconds: u64,
 }
 
+/// What a start, a renewal and an end cost a leader that can't keep up.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "leader")]
+struct Leader {
+    /// agents of the fleet (default 1000)
+    #[argh(option, default = "1_000")]
+    agents: usize,
+    /// measurements, one after the other (default 1)
+    #[argh(option, default = "1")]
+    runs: u32,
+}
+
 /// Cost of placement against fleet size, urgent starts, spread, moves and a lost data centre,
 /// beside naive first fit.
 #[derive(FromArgs)]
@@ -119,6 +134,7 @@
         Bench::Front(options) => {
             report::print(&front::report(options.callers, options.seconds));
         }
+        Bench::Leader(options) => report::print(&leader::report(options.agents, options.runs)),
         Bench::Placement(options) => {
             report::print(&placement::report(options.seed, options.hosts));
         }
