Trial: walk the fleet once for the needs of the pools, not three times

Hypothesis: a part of what a plan costs are the walks over all agents and hosts, ten times a second.

Change: one walk sums up agents, sizes and loads, pool by pool, so that no agent looks its pool up; an agent without long-running tasks isn't summed up task by task; a host's agent is found without a comparison where only one incarnation is known; whether a host may be moved, four look-ups, is asked last and only of empty ones; idle hosts aren't listed while no order has room.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -402,6 +402,15 @@
         self.long_running
     }
 
+    /// Thousandths of a core of its batch tasks.
+    pub(super) fn batch_millicores(&self) -> u64 {
+        if self.long_running == 0 {
+            return self.used.millicores;
+        }
+        let batch = self.slots.values().filter(|slot| !slot.long_running);
+        batch.map(|slot| slot.room.millicores).sum()
+    }
+
     /// Whether it answers and isn't about to leave.
     pub(super) fn is_healthy(&self) -> bool {
         !self.record.leaving && self.failing_since.is_none()
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -194,6 +194,10 @@
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
     /// replaced and has answered is preferred, then the one that became known last.
     pub(super) fn current(&self, name: &Name) -> Option<&Agent> {
+        // Nearly all agents have one known incarnation.
+        if let [only] = self.by_name.get(name)?.as_slice() {
+            return self.get(only);
+        }
         let same = self.incarnations(name);
         same.max_by_key(|agent| (!agent.replaced, !agent.unconfirmed, agent.known_since))
     }
@@ -262,6 +266,14 @@
         agents.inspect(|_| self.count_visit())
     }
 
+    /// All pools, each with its agents.
+    pub(super) fn pools(&self) -> impl Iterator<Item = (&PoolId, impl Iterator<Item = &Agent>)> {
+        self.pools.iter().map(|(pool, agents)| {
+            let agents = agents.iter().filter_map(|(_, id)| self.get(id));
+            (pool, agents.inspect(|_| self.count_visit()))
+        })
+    }
+
     /// The number of agents of a pool.
     pub(super) fn pool_size(&self, pool: &PoolId) -> usize {
         self.pools.get(pool).map_or(0, BTreeSet::len)
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -220,16 +220,16 @@
     /// Hosts that are up and run nothing, and since when.
     pub(super) fn empty_hosts(&self, now: Now) -> impl Iterator<Item = (&HostId, &HostView, Now)> {
         self.hosts.views.iter().filter_map(move |(host, view)| {
-            if !self.is_movable(now, view) {
-                return None;
-            }
             if view.agent.is_none() {
                 // A spare is switched off and has no agent.
-                return Some((host, view, Now::ZERO));
+                let movable = self.is_movable(now, view);
+                return movable.then_some((host, view, Now::ZERO));
             }
             let agent = self.agent_at(view)?;
-            let kept = self.probes.contains(&agent.record.id);
-            let free = agent.slots.is_empty() && agent.is_healthy() && !kept;
+            let free = agent.slots.is_empty()
+                && agent.is_healthy()
+                && !self.probes.contains(&agent.record.id)
+                && self.is_movable(now, view);
             free.then_some((host, view, agent.idle_since))
         })
     }
@@ -241,13 +241,16 @@
         have: &mut HostCounts,
         spare: &PoolId,
     ) {
+        let mut room = self.hosts.orders.room(now, Priority::Idle);
+        if room == 0 {
+            return;
+        }
         let idle = self.empty_hosts(now).filter(|(_, view, since)| {
             view.pool != *spare && view.agent.is_some() && now >= *since + PARK_DELAY
         });
         let idle: Vec<_> = idle
             .map(|(host, view, _)| (host.clone(), view.pool.clone()))
             .collect();
-        let mut room = self.hosts.orders.room(now, Priority::Idle);
         for (host, pool) in idle {
             if room == 0 {
                 return;
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Ledger, Now, PoolId, Scheduler, Slot};
+use super::{Ledger, Now, PoolId, Scheduler};
 
 /// The time over which arriving work is averaged: long enough to show a trend in a few jobs, and
 /// short compared with the seconds that demand lasts.
@@ -67,6 +67,16 @@
     open: f64,
 }
 
+/// The agents and what they have to do.
+struct Fleet {
+    /// Thousandths of a core of the largest agent.
+    size: u64,
+    /// The number of agents that run something.
+    busy: usize,
+    /// What the tasks of each pool take or wait for.
+    loads: BTreeMap<PoolId, Load>,
+}
+
 impl Default for Load {
     fn default() -> Self {
         Self {
@@ -92,12 +102,7 @@
         span: Duration,
         ledger: &Ledger,
     ) -> BTreeMap<PoolId, Need> {
-        let loads = self.loads(ledger);
-        let (mut size, mut busy) = (1, 0);
-        for agent in self.agents.values() {
-            size = size.max(agent.record.capacity.millicores);
-            busy += usize::from(!agent.slots.is_empty());
-        }
+        let Fleet { size, busy, loads } = self.fleet(ledger);
         let size = size as f64;
         self.losses.add_busy_time(now, busy);
         let pools = self.catalog.pools.iter().filter(|p| !p.spare);
@@ -130,15 +135,19 @@
         needs
     }
 
-    /// What the tasks of each pool take or wait for. Tasks that wait for a cap don't count, as they
+    /// Sums up the agents and the waiting tasks. Tasks that wait for a cap don't count, as they
     /// can't use a host.
-    fn loads(&self, ledger: &Ledger) -> BTreeMap<PoolId, Load> {
+    fn fleet(&self, ledger: &Ledger) -> Fleet {
+        let (mut size, mut busy) = (1, 0);
         let mut loads: BTreeMap<PoolId, Load> = BTreeMap::new();
-        for agent in self.agents.values() {
-            let load = loads.entry(agent.record.pool.clone()).or_default();
-            load.all += agent.used.millicores;
-            let short = agent.slots.values().filter(|slot| !slot.long_running);
-            load.batch += short.map(|slot: &Slot| slot.room.millicores).sum::<u64>();
+        for (pool, agents) in self.agents.pools() {
+            let load = loads.entry(pool.clone()).or_default();
+            for agent in agents {
+                size = size.max(agent.record.capacity.millicores);
+                busy += usize::from(!agent.slots.is_empty());
+                load.all += agent.used.millicores;
+                load.batch += agent.batch_millicores();
+            }
         }
         for (pool, waiting) in self.ready.waiting() {
             let startable = self.startable(ledger, pool, waiting);
@@ -151,7 +160,7 @@
             load.batch += waiting.batch;
             load.spread = waiting.spread;
         }
-        loads
+        Fleet { size, busy, loads }
     }
 }
 
