Take inherited starts of the last rounds for not known to have begun

Callers saw a harmless job fail as one that crashes its hosts, after a change of leaders in a crowd of crashes.

Cause: a successor took each attempt in the log for one that had been started, though its leader may have ended before it sent the start.

By reading: a leader sends the starts of a round at the latest in the plan that proposes the second round after it, and that plan proposes before it sends. So only the starts of the last three rounds in the log may never have been sent. Two rounds, as first decided, aren't enough where the process is suspended, or its lease expires, between the two.

Change: the ledger keeps the starts of the last three rounds, from rounds as they are. A successor takes such an attempt for not begun until its agent reports it, and commits that with its first round, as its own rounds replace the ones that showed it.

--- a/src/core/workload/ledger/attempts.rs
+++ b/src/core/workload/ledger/attempts.rs
@@ -53,6 +53,7 @@
         for start in &round.starts {
             self.apply_start(start, round.at, changes);
         }
+        self.recent_starts.record(round);
         if let Some(intent) = &round.intent {
             self.intents.apply(intent);
         }
--- a/src/core/workload/ledger/mod.rs
+++ b/src/core/workload/ledger/mod.rs
@@ -47,6 +47,7 @@
     intents::OrderIntents,
     job::{Job, JobState, Task, TaskId},
     poison_rate::PoisonRate,
+    recent_starts::RecentStarts,
     suspicion::FailureRate,
     terminated::TerminatedAgents,
 };
@@ -81,6 +82,13 @@
     /// The identity of the cluster. Absent in snapshots of earlier releases.
     #[serde(default)]
     cluster: Option<Cluster>,
+    /// The starts that the leader may not have sent so far. Absent in snapshots of earlier releases.
+    #[serde(
+        rename = "recent",
+        default,
+        skip_serializing_if = "RecentStarts::is_empty"
+    )]
+    recent_starts: RecentStarts,
     /// Derived: the number of queued jobs of each queue, those without any task placed so far.
     #[serde(skip)]
     pending: BTreeMap<Name, u64>,
@@ -184,6 +192,11 @@
         &self.intents
     }
 
+    /// The starts of the last rounds in the log, which the leader may not have sent so far.
+    pub fn recent_starts(&self) -> &RecentStarts {
+        &self.recent_starts
+    }
+
     /// How often hosts crash by themselves, as of the last crash.
     pub fn failure_rate(&self) -> FailureRate {
         self.failure_rate
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -50,16 +50,20 @@
             // The last order of the earlier leader may still be in transit.
             slot.unanswered = Some(now);
             slot.inherited = true;
-            slot.started = !placed.not_started;
+            let unsent = ledger.recent_starts().contains(task, attempt);
+            slot.started = !placed.not_started && !unsent;
             slot.share = UNKNOWN_SHARE;
+            let placed = Placement {
+                task,
+                attempt,
+                agent: id.clone(),
+            };
             if self.settings.protections.inherit {
                 agent.add(task, slot);
+                // This leader's rounds will replace those that show it to the next one.
+                self.not_started.extend(unsent.then_some(placed));
             } else {
-                self.abandoned.push(Placement {
-                    task,
-                    attempt,
-                    agent: id.clone(),
-                });
+                self.abandoned.push(placed);
             }
         }
         if agent.has_best_effort() {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -120,6 +120,7 @@
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
     job::{Job, JobState, Run, StepId, Task, TaskId},
     ledger::{Change, Ledger},
+    recent_starts::MAX_OPEN_ROUNDS,
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
 use crate::core::{
@@ -127,9 +128,6 @@
     types::{HostId, Map, MinionId, Name, Now, PoolId, Wall, WaveId},
 };
 
-/// Rounds that may be in the log at once without being applied: one is synced to disk while the
-/// next is decided.
-const MAX_OPEN_ROUNDS: usize = 2;
 /// The most commands of a plan besides those that record ends of agents and maintenance: one that
 /// forgets jobs, and a round.
 const OTHER_COMMANDS: usize = 2;
@@ -322,7 +320,8 @@
     ends: BTreeMap<MinionId, EndBatch>,
     /// Attempts that certainly don't run, to be committed as such.
     abandoned: Vec<Placement>,
-    /// Attempts that may never have started, which a successor has to know.
+    /// Attempts that may never have started, which a successor has to know: the log shows only
+    /// those of the last rounds.
     not_started: Vec<Placement>,
     /// Incarnations that have terminated, to be committed as such.
     terminated: BTreeSet<MinionId>,
