--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -120,6 +120,7 @@
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
     job::{Job, JobState, Run, StepId, Task, TaskId},
     ledger::{Change, Ledger},
+    recent_starts::MAX_OPEN_ROUNDS,
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
 };
 use crate::core::{
@@ -127,9 +128,6 @@
     types::{HostId, Map, MinionId, Name, Now, PoolId, Wall, WaveId},
 };
 
-/// Rounds that may be in the log at once without being applied: one is synced to disk while the
-/// next is decided.
-const MAX_OPEN_ROUNDS: usize = 2;
 /// The most commands of a plan besides those that record ends of agents and maintenance: one that
 /// forgets jobs, and a round.
 const OTHER_COMMANDS: usize = 2;
@@ -322,10 +320,13 @@
     ends: BTreeMap<MinionId, EndBatch>,
     /// Attempts that certainly don't run, to be committed as such.
     abandoned: Vec<Placement>,
-    /// Attempts that may never have started, which a successor has to know.
+    /// Attempts that may never have started, which a successor has to know: the log shows only
+    /// those of the last rounds.
     not_started: Vec<Placement>,
     /// Incarnations that have terminated, to be committed as such.
     terminated: BTreeSet<MinionId>,
+    /// Incarnations whose end is being committed.
+    ending: BTreeSet<MinionId>,
     /// Incarnations that a later one of the same agent has replaced and that aren't yet removed.
     replaced: BTreeSet<MinionId>,
     /// Until when a start sent by this leader that got no answer may still be carried out, by
@@ -419,6 +420,7 @@
             abandoned: Vec::new(),
             not_started: Vec::new(),
             terminated: BTreeSet::new(),
+            ending: BTreeSet::new(),
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             open_rounds: 0,
@@ -552,7 +554,7 @@
         self.open_due_occurrences(now, wall, ledger);
         self.retire_replaced(now);
         self.terminated
-            .retain(|agent| ledger.agent(agent).is_some());
+            .retain(|agent| ledger.agent(agent).is_some() && !self.ending.contains(agent));
         let half = (room.most / 2).max(OTHER_COMMANDS);
         let has_room = self.max_commands().min(half) <= room.now;
         let mut commands = Vec::new();
@@ -599,6 +601,7 @@
         let records = room.saturating_sub(OTHER_COMMANDS);
         let gone = take_first(&mut self.terminated, records);
         let mut commands = self.loss_commands(now, wall, &gone);
+        self.ending.extend(gone.iter().cloned());
         for (wave, host) in take_first(&mut self.maintained, records - gone.len()) {
             let hosts = vec![host];
             commands.push(Command::Maintained { wave, hosts });
