--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -42,6 +42,8 @@
     unresponsive: BTreeSet<MinionId>,
     /// The agents that run long-running tasks, as of their last visit.
     renewals: Renewals,
+    /// The starts that are decided and not confirmed, at the agents that answer.
+    unconfirmed_starts: usize,
     /// The number of visits of agents.
     visits: Cell<usize>,
 }
@@ -56,6 +58,8 @@
     free: u64,
     /// The time of its entry in `renewals`, and the long-running tasks that run there.
     renewal: Option<(Now, usize)>,
+    /// Its part of the unconfirmed starts.
+    unconfirmed_starts: usize,
 }
 
 /// The agents that run long-running tasks, ordered by when they last answered a renewal.
@@ -110,6 +114,13 @@
         }
         self.free = free;
     }
+
+    /// Updates the sum of unconfirmed starts.
+    fn count_starts(&mut self, sum: &mut usize) {
+        let count = self.agent.unconfirmed_starts();
+        *sum = *sum - self.unconfirmed_starts + count;
+        self.unconfirmed_starts = count;
+    }
 }
 
 impl Agents {
@@ -137,6 +148,7 @@
             due: None,
             free,
             renewal: None,
+            unconfirmed_starts: 0,
         };
         self.dirty.push(id.clone());
         self.ids.insert(id.clone());
@@ -149,6 +161,7 @@
             due,
             free,
             renewal,
+            unconfirmed_starts,
             ..
         }) = self.entries.remove(id)
         else {
@@ -169,6 +182,7 @@
         }
         self.unresponsive.remove(id);
         self.renewals.replace(id, renewal, None);
+        self.unconfirmed_starts -= unconfirmed_starts;
     }
 
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
@@ -191,6 +205,11 @@
         known.inspect(|_| self.count_visit())
     }
 
+    /// The starts that are decided and not confirmed, as of the last [`Agents::update_indexes`].
+    pub(super) fn unconfirmed_starts(&self) -> usize {
+        self.unconfirmed_starts
+    }
+
     /// The number of agents.
     pub(super) fn len(&self) -> usize {
         self.ids.len()
@@ -249,14 +268,15 @@
         self.update_indexes();
     }
 
-    /// Updates the indexes for the dirty agents: those that don't answer, and the free room in each
-    /// pool.
+    /// Updates the indexes for the dirty agents: those that don't answer, the free room in each
+    /// pool, and the unconfirmed starts.
     pub(super) fn update_indexes(&mut self) {
         for id in &self.dirty {
             let Some(entry) = self.entries.get_mut(id) else {
                 continue;
             };
             entry.reindex(&mut self.pools);
+            entry.count_starts(&mut self.unconfirmed_starts);
             if entry.agent.failing_since.is_some() {
                 self.unresponsive.insert(id.clone());
             } else {
@@ -265,11 +285,12 @@
         }
     }
 
-    /// Updates the free room of an agent that has just got or lost a task, where the index is
+    /// Updates the free room and the unconfirmed starts of an agent that has just got or lost a task, where the index is
     /// needed at once.
     pub(super) fn reindex(&mut self, id: &MinionId) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.reindex(&mut self.pools);
+            entry.count_starts(&mut self.unconfirmed_starts);
         }
     }
 
@@ -300,6 +321,7 @@
                 continue;
             };
             entry.dirty = false;
+            entry.count_starts(&mut self.unconfirmed_starts);
             let renewal = entry.agent.oldest_renewal();
             let before = std::mem::replace(&mut entry.renewal, renewal);
             self.renewals.replace(&id, before, renewal);
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -44,6 +44,7 @@
         };
         self.ready.demote_late(now);
         self.agents.update_indexes();
+        self.start_room = self.room_for_starts();
         self.fill_pools_in_turn(now, ledger, &mut round.starts);
         round
     }
@@ -51,7 +52,10 @@
     /// Starts ready tasks of all pools while there is room in the round.
     ///
     /// A pool with a large backlog can fill one round after the other. So the pool that filled a
-    /// round is the last to be visited in the next one.
+    /// round, or used up the window of starts, is the last to be visited in the next one.
+    ///
+    /// Long-running tasks and suspected ones are few and have waited long, so they don't wait for
+    /// the window: pools are visited for them when it is used up, too.
     fn fill_pools_in_turn(&mut self, now: Now, ledger: &Ledger, starts: &mut Vec<Placement>) {
         let mut pools = self.ready.pools();
         let next = pools.partition_point(|pool| Some(pool) <= self.last_filled.as_ref());
@@ -60,11 +64,23 @@
             let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
             *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
-            if starts.len() >= self.settings.round_starts {
+            let is_full = starts.len() >= self.settings.round_starts;
+            let used_up = before < self.start_room && self.is_window_full(starts);
+            if is_full || used_up {
                 self.last_filled = Some(pool);
-                return;
+            }
+            if is_full {
+                break;
             }
         }
+        if self.is_window_full(starts) {
+            self.start_window.mark_full();
+        }
+    }
+
+    /// Whether the starts of a round use up the window.
+    fn is_window_full(&self, starts: &[Placement]) -> bool {
+        starts.len() >= self.start_room
     }
 
     /// The jobs that fail for good because of these ends.
@@ -120,6 +136,10 @@
             if widest.is_some_and(|widest| !widest.fits(&ready.spec.reservation())) {
                 continue;
             }
+            // Long-running tasks come first.
+            if !ready.spec.long_running && self.is_window_full(starts) {
+                return;
+            }
             let job = rank.step().job;
             if self.suspects.is_failing(job) {
                 continue;
@@ -162,6 +182,9 @@
                 .filter(|agent| spec.long_running || self.may_share(ledger, &apart, agent, job));
             let mut choice = AgentRanking::new(now, able, &spec, step);
             for task in tasks {
+                if !spec.long_running && self.is_window_full(starts) {
+                    break;
+                }
                 if !self.cap_allows(ledger, step, &spec, 1) {
                     break;
                 }
@@ -186,6 +209,7 @@
         }
     }
 
+    /// Starts a whole gang, even beyond the window of starts: it would never fit a small one.
     pub(super) fn place_gang(
         &mut self,
         now: Now,
