Decide starts only as fast as they are confirmed

What callers saw: a leader with a part of its processor decided starts that it sent after their jobs were late, or never. Cause: rounds of a constant size were the only limit of the flow of starts.

Change: a window of starts without an answer. It follows the time from a decision to the answer, compared with the shortest of the agent's data centre; it doubles in a new leader as long as starts go out soon after their decision.

The rest of the suite wasn't run on this commit.

--- a/src/core/workload/scheduler/start_window.rs
+++ b/src/core/workload/scheduler/start_window.rs
@@ -4,6 +4,8 @@
 //! when it can go out. The window follows the time from a decision to its confirmation, as the
 //! congestion window of a connection does: it shrinks while most starts take much longer than the
 //! shortest that was seen, and grows while they don't. It only changes while it limits the starts.
+//! A new leader's window doubles instead, as long as starts go out soon after their decision: how
+//! long their answers take then doesn't slow its growth.
 //!
 //! Agents of one data centre may always take longer to answer than those of another, so each start
 //! is compared with the shortest delay of its data centre.
@@ -14,10 +16,10 @@
 use crate::core::types::{DataCentreId, Map, Now};
 
 /// The window of a new leader, in starts.
-const FIRST_SIZE: usize = 128;
+const FIRST_SIZE: usize = 64;
 /// The smallest window, in starts.
 const MIN_SIZE: usize = 16;
-/// How far a delay may be above twice the shortest of its data centre.
+/// How far a delay may be above the shortest one, besides a part of that.
 const SLACK: Duration = Duration::from_millis(20);
 /// How long the delays are observed before the window changes.
 const SAMPLING_TIME: Duration = Duration::from_millis(20);
@@ -28,8 +30,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct StartWindow {
     size: usize,
-    /// Whether it still doubles, because it has never been too large.
-    doubles: bool,
+    /// `None` once it has been too large.
+    ramp: Option<Ramp>,
     /// Whether it has limited the starts in this period, and since the delays were last forgotten.
     full: bool,
     full_lately: bool,
@@ -40,6 +42,15 @@
     period: Period,
 }
 
+/// The growth of a window that has never been too large.
+#[derive(Clone, Copy, Debug)]
+struct Ramp {
+    /// When it last doubled.
+    since: Now,
+    /// The shortest time from a decision to sending the start.
+    least: Duration,
+}
+
 /// The starts that were decided since the window last changed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Period {
@@ -64,7 +75,7 @@
     fn default() -> Self {
         Self {
             size: FIRST_SIZE,
-            doubles: true,
+            ramp: Some(Ramp::default()),
             full: false,
             full_lately: false,
             least: Map::default(),
@@ -74,7 +85,35 @@
     }
 }
 
+impl Default for Ramp {
+    fn default() -> Self {
+        Self {
+            since: Now::ZERO,
+            least: Duration::MAX,
+        }
+    }
+}
+
 impl StartWindow {
+    /// Takes in that a start that was decided at `decided_at` is sent for the first time.
+    pub(super) fn record_sent(&mut self, now: Now, decided_at: Now) {
+        let Some(ramp) = self.ramp.as_mut() else {
+            return;
+        };
+        if decided_at < ramp.since {
+            return;
+        }
+        let delay = now.saturating_sub(decided_at);
+        ramp.least = ramp.least.min(delay);
+        if delay > ramp.least + SLACK {
+            self.ramp = None;
+        } else if self.full && now >= ramp.since + SAMPLING_TIME {
+            ramp.since = now;
+            self.size *= 2;
+            self.begin_period(now);
+        }
+    }
+
     /// Notes that it limits the starts.
     pub(super) fn mark_full(&mut self) {
         self.full = true;
@@ -107,7 +146,7 @@
             return false;
         };
         *least = delay.min(*least);
-        delay > *least * 2 + SLACK
+        delay > *least + *least / 2 + SLACK
     }
 
     /// Ends a period.
@@ -118,10 +157,8 @@
         let too_large = late * 2 > confirmed;
         if self.full && too_large {
             self.size = (self.size * 3 / 4).max(MIN_SIZE);
-            self.doubles = false;
-        } else if self.full && self.doubles {
-            self.size *= 2;
-        } else if self.full {
+            self.ramp = None;
+        } else if self.full && self.ramp.is_none() {
             self.size += self.size / 8 + 1;
         }
         self.begin_period(now);
@@ -146,8 +183,8 @@
         self.least.clear();
         if !self.full_lately {
             self.size = self.size.max(FIRST_SIZE);
-            self.doubles = true;
-        } else if !self.doubles {
+            self.ramp = Some(Ramp::default());
+        } else if self.ramp.is_none() {
             self.size = (self.size / 2).max(MIN_SIZE);
         }
         self.full_lately = false;
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -23,6 +23,8 @@
 /// A start that is sent later than this after its decision is logged. A commit and a plan take a
 /// tenth of this time.
 const LATE_START_DELAY: Duration = Duration::from_millis(500);
+/// How many starts of one step may go beyond the window of starts.
+const MAX_OVERDRAFT: usize = 64;
 
 impl Scheduler {
     /// What one round commits: ended and abandoned attempts, and starts of ready tasks.
@@ -181,8 +183,10 @@
             let able = able
                 .filter(|agent| spec.long_running || self.may_share(ledger, &apart, agent, job));
             let mut choice = AgentRanking::new(now, able, &spec, step);
+            let most = self.start_room.saturating_add(MAX_OVERDRAFT);
             for task in tasks {
-                if !spec.long_running && self.is_window_full(starts) {
+                // The tasks of a step share one visit to the agents, so a few more go out at once.
+                if !spec.long_running && starts.len() >= most {
                     break;
                 }
                 if !self.cap_allows(ledger, step, &spec, 1) {
@@ -404,6 +408,9 @@
                     log::info!(agent:% = id, task:%, attempt, order, delay:?, tries, leaving; "a start is sent late");
                 }
                 self.start_delays.push(delay);
+                if tries == 0 {
+                    self.start_window.record_sent(now, slot.placed_at);
+                }
                 slot.tries += 1;
                 slot.set_phase(now, Phase::Starting(order));
             }
