--- a/src/adapters/headers.rs
+++ b/src/adapters/headers.rs
@@ -47,6 +47,8 @@
 /// The configuration version that the decision was made under.
 pub const VERSION: &str = "egretpin-version";
 
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
+
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -107,12 +109,17 @@
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1ms"))
 }
 
-/// Sets `Retry-After` in whole seconds, rounded up and at least 1, and its finer sibling.
+/// The value of `Retry-After`: whole seconds, rounded up and at least 1, so that nobody comes back
+/// too early.
+pub fn retry_seconds(after: Duration) -> HeaderValue {
+    let whole = after.as_nanos().div_ceil(NANOS_PER_SECOND).max(1);
+    HeaderValue::from(u64::try_from(whole).unwrap_or(u64::MAX))
+}
+
+/// Sets `Retry-After` and its finer sibling.
 pub fn set_retry_after(all: &mut HeaderMap, after: Duration) {
-    let seconds = after.as_millis().div_ceil(1000).max(1);
-    let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
     let millis = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-    all.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    all.insert(header::RETRY_AFTER, retry_seconds(after));
     all.insert(RETRY_AFTER, HeaderValue::from(millis));
 }
 
--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod client;
+mod headers;
 mod minions;
 mod platform;
 #[path = "../support/proxy.rs"]
