--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -229,6 +229,12 @@
         known.inspect(|_| self.count_visit())
     }
 
+    /// All agents in no particular order, for sums that no decision depends on. Doesn't count as
+    /// visits.
+    pub(super) fn unordered(&self) -> impl Iterator<Item = &Agent> {
+        self.entries.values().map(|entry| &entry.agent)
+    }
+
     /// The starts that are decided and not confirmed, as of the last [`Agents::update_indexes`].
     pub(super) fn unconfirmed_starts(&self) -> usize {
         self.unconfirmed_starts
@@ -344,8 +350,8 @@
         }
     }
 
-    /// Updates the free room and the unconfirmed starts of an agent that has just got or lost a task, where the index is
-    /// needed at once.
+    /// Updates the free room and the unconfirmed starts of an agent that has just got or lost a
+    /// task, where the index is needed at once.
     pub(super) fn reindex(&mut self, id: &MinionId) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.reindex(&mut self.pools);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -640,7 +640,8 @@
     /// How many starts are decided and not confirmed, by what they wait for. Visits all attempts.
     pub fn unconfirmed_starts(&self) -> UnconfirmedStarts {
         let mut counts = UnconfirmedStarts::default();
-        let slots = self.agents.values().flat_map(|agent| agent.slots.values());
+        let agents = self.agents.unordered();
+        let slots = agents.flat_map(|agent| agent.slots.values());
         for slot in slots {
             match slot.phase {
                 Phase::Proposed => counts.uncommitted += 1,
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -4,7 +4,9 @@
 //! may be away at once. Hosts that no pool needs are emptied at once, the others only as fast as
 //! the time requires. A host goes down once it is empty, or, if the wave would be late otherwise,
 //! once the budgets of all its long-running steps allow their tasks to be away. Long-running tasks
-//! are stopped only within the budget of their step.
+//! are stopped only within the budget of their step. So those of one step on hosts of the wave are a
+//! *chain*: they are stopped one after the other, and the longest chain bounds the wave. Its hosts
+//! are the first to be emptied, only as many at a time as the budget lets go.
 
 use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
@@ -31,6 +33,9 @@
 /// How many times its budget the tasks of a step may wait on hosts that are being emptied: those that
 /// are stopped, and those that are next.
 const EMPTYING_FACTOR: u32 = 2;
+/// The part of the places for hosts being emptied that is kept for hosts without long-running tasks,
+/// as a divisor.
+const RESERVED_PART: usize = 4;
 /// The part of a wave's time in which it is planned to be complete. The rest is for failures: an
 /// election and the pause between the orders of two leaders take some five seconds.
 const PLANNED_PART: f64 = 0.6;
@@ -60,12 +65,12 @@
 impl StopChain {
     /// About how long it takes to stop all of them.
     fn duration(self) -> Duration {
-        RESTART_TIME * self.tasks.div_ceil(self.budget)
+        RESTART_TIME * self.tasks.div_ceil(self.budget.max(1))
     }
 
     /// Whether further hosts with tasks of the step would only wait, without getting new work.
     fn is_supplied(self) -> bool {
-        self.emptying >= self.budget * EMPTYING_FACTOR
+        self.emptying >= self.budget.saturating_mul(EMPTYING_FACTOR)
     }
 }
 
@@ -188,13 +193,22 @@
         };
         candidates.sort_by_cached_key(|candidate| {
             let pressing = is_pressing(candidate, &chains).then(|| candidate.duration(&chains));
-            (Reverse(pressing), candidate.cost, candidate.host.clone())
+            let busy = candidate.cost != EmptyingCost::default();
+            (
+                busy,
+                Reverse(pressing),
+                candidate.cost,
+                candidate.host.clone(),
+            )
         });
+        // Hosts whose tasks wait for a budget leave some places to those that can go at once.
+        let most_bound = most - most.div_ceil(RESERVED_PART);
         for candidate in candidates {
             if under >= most {
                 return;
             }
-            if candidate.would_wait(&chains) {
+            let bound = !candidate.steps.is_empty();
+            if bound && (under >= most_bound || candidate.would_wait(&chains)) {
                 continue;
             }
             let is_idle = candidate.cost == EmptyingCost::default();
