--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -397,16 +397,6 @@
         log::info!(agent:% = self.record.id, index, placed = self.slots.len(), unsent, starting, unanswered; "an agent is leaving");
     }
 
-    /// Its starts that are decided and not confirmed. An agent that doesn't answer has none, and a
-    /// start that went unanswered once isn't one, as neither shows how fast starts are confirmed.
-    pub(super) fn unconfirmed_starts(&self) -> usize {
-        if self.failing_since.is_some() {
-            return 0;
-        }
-        let slots = self.slots.values();
-        slots.filter(|slot| slot.is_unconfirmed()).count()
-    }
-
     /// The number of long-running tasks that are placed there.
     pub(super) fn long_running(&self) -> usize {
         self.long_running
@@ -535,16 +525,6 @@
         }
     }
 
-    /// Whether its first start was decided and has no answer yet.
-    fn is_unconfirmed(&self) -> bool {
-        match self.phase {
-            Phase::Proposed => true,
-            Phase::Due => self.tries == 0,
-            Phase::Starting(_) => self.tries <= 1,
-            _ => false,
-        }
-    }
-
     /// Whether it may be running at its agent: its start was sent, and its end isn't known.
     pub(super) fn may_run(&self) -> bool {
         match self.phase {
--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -43,8 +43,6 @@
     unresponsive: BTreeSet<MinionId>,
     /// The agents that run long-running tasks, as of their last visit.
     renewals: Renewals,
-    /// The starts that are decided and not confirmed, at the agents that answer.
-    unconfirmed_starts: usize,
     /// The number of visits of agents.
     visits: Cell<usize>,
 }
@@ -78,8 +76,6 @@
     free: Free,
     /// The time of its entry in `renewals`, and the long-running tasks that run there.
     renewal: Option<(Now, usize)>,
-    /// Its part of the unconfirmed starts.
-    unconfirmed_starts: usize,
 }
 
 /// The agents that run long-running tasks, ordered by when they last answered a renewal.
@@ -134,13 +130,6 @@
         }
         self.free = free;
     }
-
-    /// Updates the sum of unconfirmed starts.
-    fn count_starts(&mut self, sum: &mut usize) {
-        let count = self.agent.unconfirmed_starts();
-        *sum = *sum - self.unconfirmed_starts + count;
-        self.unconfirmed_starts = count;
-    }
 }
 
 impl Agents {
@@ -168,7 +157,6 @@
             due: None,
             free,
             renewal: None,
-            unconfirmed_starts: 0,
         };
         self.dirty.push(id.clone());
         self.ids.insert(id.clone());
@@ -181,7 +169,6 @@
             due,
             free,
             renewal,
-            unconfirmed_starts,
             ..
         }) = self.entries.remove(id)
         else {
@@ -202,7 +189,6 @@
         }
         self.unresponsive.remove(id);
         self.renewals.replace(id, renewal, None);
-        self.unconfirmed_starts -= unconfirmed_starts;
     }
 
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
@@ -235,11 +221,6 @@
         self.entries.values().map(|entry| &entry.agent)
     }
 
-    /// The starts that are decided and not confirmed, as of the last [`Agents::update_indexes`].
-    pub(super) fn unconfirmed_starts(&self) -> usize {
-        self.unconfirmed_starts
-    }
-
     /// The number of agents.
     pub(super) fn len(&self) -> usize {
         self.ids.len()
@@ -333,15 +314,14 @@
         self.update_indexes();
     }
 
-    /// Updates the indexes for the dirty agents: those that don't answer, the free room in each
-    /// pool, and the unconfirmed starts.
+    /// Updates the indexes for the dirty agents: those that don't answer, and the free room in each
+    /// pool.
     pub(super) fn update_indexes(&mut self) {
         for id in &self.dirty {
             let Some(entry) = self.entries.get_mut(id) else {
                 continue;
             };
             entry.reindex(&mut self.pools);
-            entry.count_starts(&mut self.unconfirmed_starts);
             if entry.agent.failing_since.is_some() {
                 self.unresponsive.insert(id.clone());
             } else {
@@ -350,12 +330,11 @@
         }
     }
 
-    /// Updates the free room and the unconfirmed starts of an agent that has just got or lost a
-    /// task, where the index is needed at once.
+    /// Updates the free room of an agent that has just got or lost a task, where the index is
+    /// needed at once.
     pub(super) fn reindex(&mut self, id: &MinionId) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.reindex(&mut self.pools);
-            entry.count_starts(&mut self.unconfirmed_starts);
         }
     }
 
@@ -386,7 +365,6 @@
                 continue;
             };
             entry.dirty = false;
-            entry.count_starts(&mut self.unconfirmed_starts);
             let renewal = entry.agent.oldest_renewal();
             let before = std::mem::replace(&mut entry.renewal, renewal);
             self.renewals.replace(&id, before, renewal);
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -7,10 +7,7 @@
     OrderId, OrderKind, Pending, Phase, Placement, RENEWAL_GAP, RENEWAL_RETRY_DELAY, Refusal,
     Report, ReportedEnd, Scheduler, Settings, Slot, TaskId, UNWELL_PAUSE,
 };
-use super::{
-    agent::OVERDUE_EXCLUSION, operations::Stage, start_window::Confirmation,
-    throttle::UNKNOWN_SHARE,
-};
+use super::{agent::OVERDUE_EXCLUSION, operations::Stage, throttle::UNKNOWN_SHARE};
 use crate::core::workload::command::Ending;
 
 /// The progress that a long-running task reports when it does all its work, in percent.
@@ -181,15 +178,6 @@
         if slot.phase != Phase::Starting(order) {
             return;
         }
-        let is_answered = matches!(answer, Answer::Done { .. });
-        if slot.tries == 1 && (is_answered || matches!(answer, Answer::Silent)) {
-            let confirmation = Confirmation {
-                decided_at: slot.placed_at,
-                answered: is_answered,
-            };
-            let data_centre = &agent.record.data_centre;
-            self.start_window.record(now, data_centre, confirmation);
-        }
         match answer {
             Answer::Done { .. } => {
                 slot.started = true;
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -74,7 +74,6 @@
 mod pressure;
 mod probes;
 mod ready;
-mod start_window;
 mod starts;
 mod strays;
 mod suspects;
@@ -104,7 +103,6 @@
     pressure::Pressure,
     probes::Probes,
     ready::{ReadyQueue, ReadyStep},
-    start_window::StartWindow,
     suspects::Suspects,
 };
 pub use self::{
@@ -241,8 +239,6 @@
     pub caps: bool,
     /// A start begins by its deadline or not at all.
     pub deadlines: bool,
-    /// Starts of short work are decided only as fast as they are confirmed.
-    pub bounded_starts: bool,
 }
 
 impl Default for Protections {
@@ -258,7 +254,6 @@
             suspicion: true,
             caps: true,
             deadlines: true,
-            bounded_starts: true,
         }
     }
 }
@@ -339,11 +334,7 @@
     strays: BTreeMap<MinionId, Now>,
     /// Rounds that were proposed and aren't applied yet.
     open_rounds: usize,
-    /// Limits the starts that are decided and not confirmed.
-    start_window: StartWindow,
-    /// How many starts of short work the round that is being decided may have.
-    start_room: usize,
-    /// The pool whose starts last filled a round or used up the window of starts.
+    /// The pool whose starts last filled a round.
     last_filled: Option<PoolId>,
     /// The attempts that these rounds place, summed by workspace.
     proposed: Proposed,
@@ -433,8 +424,6 @@
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             open_rounds: 0,
-            start_window: StartWindow::default(),
-            start_room: 0,
             last_filled: None,
             proposed: Proposed::default(),
             hosts: Hosts::new(settings.host_orders),
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -23,8 +23,6 @@
 /// A start that is sent later than this after its decision is logged. A commit and a plan take a
 /// tenth of this time.
 const LATE_START_DELAY: Duration = Duration::from_millis(500);
-/// How many starts of one step may go beyond the window of starts.
-const MAX_OVERDRAFT: usize = 64;
 
 impl Scheduler {
     /// What one round commits: ended and abandoned attempts, and starts of ready tasks.
@@ -46,7 +44,6 @@
         };
         self.ready.demote_late(now);
         self.agents.update_indexes();
-        self.start_room = self.room_for_starts();
         self.fill_pools_in_turn(now, ledger, &mut round.starts);
         round
     }
@@ -54,10 +51,7 @@
     /// Starts ready tasks of all pools while there is room in the round.
     ///
     /// A pool with a large backlog can fill one round after the other. So the pool that filled a
-    /// round, or used up the window of starts, is the last to be visited in the next one.
-    ///
-    /// Long-running tasks and suspected ones are few and have waited long, so they don't wait for
-    /// the window: pools are visited for them when it is used up, too.
+    /// round is the last to be visited in the next one.
     fn fill_pools_in_turn(&mut self, now: Now, ledger: &Ledger, starts: &mut Vec<Placement>) {
         let mut pools = self.ready.pools();
         let next = pools.partition_point(|pool| Some(pool) <= self.last_filled.as_ref());
@@ -66,23 +60,11 @@
             let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
             *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
-            let is_full = starts.len() >= self.settings.round_starts;
-            let used_up = before < self.start_room && self.is_window_full(starts);
-            if is_full || used_up {
+            if starts.len() >= self.settings.round_starts {
                 self.last_filled = Some(pool);
-            }
-            if is_full {
-                break;
+                return;
             }
         }
-        if self.is_window_full(starts) {
-            self.start_window.mark_full();
-        }
-    }
-
-    /// Whether the starts of a round use up the window.
-    fn is_window_full(&self, starts: &[Placement]) -> bool {
-        starts.len() >= self.start_room
     }
 
     /// The jobs that fail for good because of these ends.
@@ -138,10 +120,6 @@
             if widest.is_some_and(|widest| !widest.fits(&ready.spec.reservation())) {
                 continue;
             }
-            // Long-running tasks come first.
-            if !ready.spec.long_running && self.is_window_full(starts) {
-                return;
-            }
             let job = rank.step().job;
             if self.suspects.is_failing(job) {
                 continue;
@@ -188,12 +166,7 @@
             let mut choice = AgentRanking::new(now, busy, &spec, step);
             let idle = self.agents.idle(pool, least).filter(able);
             choice.add_idle(now, idle, &spec, step, tasks.len());
-            let most = self.start_room.saturating_add(MAX_OVERDRAFT);
             for task in tasks {
-                // The tasks of a step share one visit to the agents, so a few more go out at once.
-                if !spec.long_running && starts.len() >= most {
-                    break;
-                }
                 if !self.cap_allows(ledger, step, &spec, 1) {
                     break;
                 }
@@ -218,7 +191,6 @@
         }
     }
 
-    /// Starts a whole gang, even beyond the window of starts: it would never fit a small one.
     pub(super) fn place_gang(
         &mut self,
         now: Now,
@@ -416,9 +388,6 @@
                     log::info!(agent:% = id, task:%, attempt, order, delay:?, tries, leaving; "a start is sent late");
                 }
                 self.start_delays.push(delay);
-                if tries == 0 {
-                    self.start_window.record_sent(now, slot.placed_at);
-                }
                 slot.tries += 1;
                 slot.set_phase(now, Phase::Starting(order));
             }
