Trial: count the lag of a pool whoever is the limit

Cause: jobs are served when they can only just be in time, and the lag that makes up for unforeseen delay was scaled by the busy part of the leader, zero there. Change: the lag is counted in full.

--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -116,10 +116,8 @@
     /// The scheduler serves a job by its deadline as long as the job can still be in time. Once
     /// there is more work than can be done, jobs are served when they can only just be in time.
     /// Such a job is late by any delay that wasn't expected, and so are all jobs after it. So the
-    /// delay that steps of the pool have recently had is included, scaled by how much of the
-    /// leader's processor is in use. Where hosts are the scarce resource, work that may still be
-    /// late is better served than postponed; the difference was a hundredth of the worth on one
-    /// site, which is within noise.
+    /// delay that steps of the pool have recently had is included, whether hosts or the leader are
+    /// the scarce resource.
     ///
     /// At most half of the job's spare time is taken up by this, so that a job that is served at
     /// once never counts as late. In a test run with 300 agents and four times the work that a
@@ -127,7 +125,7 @@
     /// delay.
     fn expected_lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
         let learned = self.learned.get(pool).map(TaskTimes::lag);
-        let lag = learned.unwrap_or_default().mul_f64(self.pressure.level());
+        let lag = learned.unwrap_or_default();
         if lag.is_zero() {
             return lag;
         }
