Trial: refuse what a saturated pool can't serve in time; fails its tests

Not to be merged as it is. Change: `retry_after` refuses a job if the in-time work before it, at the pool's saturated start rate, takes longer than the job can wait and be in time; the lag is counted in full while a pool is saturated. Pending submissions are counted by pool. A job was accepted where it had to be refused in both tests of return. By reading: the look at a moment finds room that ended tasks have just freed, so that the flag flickers; it should be set where `fill_pool` finds no agent for a task, and kept until the next look. Refused jobs that return take the place of fresh ones, which `timely` counts against the pool; not understood further.

--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -125,9 +125,14 @@
     /// once never counts as late. In a test run with 300 agents and four times the work that a
     /// leader can start, nine tenths of the completed work is in time, and a fifth without this
     /// delay.
-    fn expected_lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
+    pub(super) fn expected_lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
         let learned = self.learned.get(pool).map(TaskTimes::lag);
-        let lag = learned.unwrap_or_default().mul_f64(self.pressure.level());
+        let part = if self.is_full(pool) {
+            1.0
+        } else {
+            self.pressure.level()
+        };
+        let lag = learned.unwrap_or_default().mul_f64(part);
         if lag.is_zero() {
             return lag;
         }
--- a/src/core/workload/scheduler/poison_queues.rs
+++ b/src/core/workload/scheduler/poison_queues.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{Agent, JobId, Ledger, Name, Now, PoolId, Scheduler};
-use crate::core::workload::{command::Submission, job::Job};
+use crate::core::workload::job::Job;
 
 /// The time over which the finished jobs of a queue are counted.
 const COMPLETION_WINDOW: Duration = Duration::from_secs(4);
@@ -116,23 +116,17 @@
         most.is_none_or(|most| others < most)
     }
 
-    /// When a caller should submit a job again, if the job isn't accepted: it would be of no more
-    /// use by the time the jobs of its queue that wait before it are over. `more` is how many other
-    /// jobs are about to be accepted.
-    pub fn retry_after(
+    /// When a job should be submitted again that would be of no more use by the time the jobs of
+    /// its queue that wait before it are over, if these end hosts. `more` is how many other jobs
+    /// are about to be accepted.
+    pub(super) fn poison_wait(
         &self,
         now: Now,
         ledger: &Ledger,
-        submission: &Submission,
+        job: &Job,
         more: usize,
     ) -> Option<Duration> {
-        let Submission {
-            queue,
-            pool,
-            spec,
-            accepted_at: accepted,
-            ..
-        } = submission;
+        let queue = &job.queue;
         if ledger.poison_rate(queue).is_negligible() {
             return None;
         }
@@ -142,7 +136,6 @@
         let before = u32::try_from(live.count() + more).unwrap_or(u32::MAX);
         let over = self.completions.count_ends(now, queue).max(1);
         let wait = COMPLETION_WINDOW * before / u32::try_from(over).unwrap_or(u32::MAX);
-        let job = Job::new(queue.clone(), pool.clone(), spec.clone(), *accepted);
-        wait.checked_sub(self.objective(&job) * MAX_DELAY_FACTOR)
+        wait.checked_sub(self.objective(job) * MAX_DELAY_FACTOR)
     }
 }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -59,6 +59,7 @@
         for pool in pools {
             let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
+            self.count_placed(&pool, &starts[before..]);
             *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
             if starts.len() >= self.settings.round_starts {
                 self.last_filled = Some(pool);
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -28,7 +28,7 @@
 use crate::{
     core::{
         consensus::{self, Index, Node, TransferProgress},
-        types::{DataCentreId, Map, NodeId, Now, Set, Wall, WorkspaceId},
+        types::{DataCentreId, Map, NodeId, Now, PoolId, Set, Wall, WorkspaceId},
         workload::{
             catalog::Catalog,
             command::Command,
@@ -175,6 +175,7 @@
         tenure: 0,
         proposals: PendingProposals::default(),
         submissions: Map::default(),
+        pending_jobs: Map::default(),
         members: Members::default(),
         relay_capable: Set::default(),
         relays: Relays::default(),
@@ -220,6 +221,8 @@
 pub(super) struct PendingSubmission {
     /// The workspace that the job belongs to.
     pub(super) workspace: Option<WorkspaceId>,
+    /// The pool of its queue.
+    pub(super) pool: PoolId,
     /// Requesters of the same job besides the first.
     pub(super) waiting: Vec<ReplyTo>,
 }
@@ -241,6 +244,8 @@
     pub(super) proposals: PendingProposals,
     /// Jobs whose submissions are proposed and not applied yet.
     pub(super) submissions: Map<u64, PendingSubmission>,
+    /// How many of them each pool has.
+    pub(super) pending_jobs: Map<PoolId, usize>,
     pub(super) members: Members,
     /// Control nodes that have announced that they execute orders as relays.
     pub(super) relay_capable: Set<NodeId>,
@@ -439,6 +444,7 @@
             if self.scheduler.take().is_some() {
                 log::info!(term = self.node.term(), superseded; "this node is no longer the leader");
                 self.submissions.clear();
+                self.pending_jobs.clear();
                 for reply_to in self.proposals.drain() {
                     self.reply(reply_to, Reply::Unclear);
                 }
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -153,16 +153,22 @@
             log::info!(job:% = format_args!("{job:016x}"), queue:% = queue.name, retry_after:? = wait; "a job is refused");
             return self.reply(reply_to, Reply::Refused(Refused::Storm(wait)));
         }
-        let waiting = Vec::new();
-        self.submissions
-            .insert(job, PendingSubmission { workspace, waiting });
+        let pending = PendingSubmission {
+            workspace,
+            pool: queue.pool.clone(),
+            waiting: Vec::new(),
+        };
+        self.submissions.insert(job, pending);
+        *self.pending_jobs.entry(queue.pool.clone()).or_default() += 1;
         self.propose(reply_to, Command::Submit(Box::new(submission)));
     }
 
     /// When to retry a job that the leader doesn't accept now; `None` if it is accepted.
     fn retry_after(&self, submission: &Submission) -> Option<Duration> {
         let scheduler = self.scheduler.as_ref()?;
-        scheduler.retry_after(self.now(), &self.ledger, submission, self.submissions.len())
+        let pending = self.pending_jobs.get(&submission.pool);
+        let pending = pending.copied().unwrap_or_default();
+        scheduler.retry_after(self.now(), &self.ledger, submission, pending)
     }
 
     fn cancel(&mut self, reply_to: ReplyTo, job: u64, caller: Option<&WorkspaceSpec>) {
--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -90,8 +90,13 @@
     /// Forgets a submission that is no longer pending. Returns where to reply besides to its first
     /// requester.
     fn take_waiting(&mut self, job: JobId) -> Vec<ReplyTo> {
-        let submitted = self.submissions.remove(&job);
-        submitted.map_or_else(Vec::new, |submitted| submitted.waiting)
+        let Some(submitted) = self.submissions.remove(&job) else {
+            return Vec::new();
+        };
+        if let Some(count) = self.pending_jobs.get_mut(&submitted.pool) {
+            *count = count.saturating_sub(1);
+        }
+        submitted.waiting
     }
 
     fn apply(&mut self, entry: &Entry) {
--- a/src/manager/request.rs
+++ b/src/manager/request.rs
@@ -138,8 +138,9 @@
     NoCatalog,
     /// The leader's log or its disk is full.
     Overloaded,
-    /// The queue's jobs crash the hosts that run them, and so many of them are waiting that this
-    /// job couldn't be tried in time. Holds the time until the waiting jobs are done.
+    /// So many jobs wait before this one that it couldn't be in time: hosts and the leader can't
+    /// take more, or the queue's jobs crash the hosts that run them. Holds the time until there will
+    /// be room.
     Storm(Duration),
 }
 
@@ -155,8 +156,8 @@
         }
     }
 
-    /// When to retry: after an election, after the next round of the log, or when the waiting jobs
-    /// are done.
+    /// When to retry: after an election, after the next round of the log, or when there will be
+    /// room.
     pub fn retry_after(self) -> Duration {
         match self {
             Self::NotLeader(_) | Self::NoLeader | Self::NoCatalog => Duration::from_secs(1),
--- a/tests/workload/refusals.rs
+++ b/tests/workload/refusals.rs
@@ -45,6 +45,9 @@
 const SURGE_TICKS: u64 = 80;
 const SURGE_JOBS: u64 = 72;
 
+/// The ticks of a rush that is over before the hosts arrive that it calls for.
+const RUSH_TICKS: u64 = 24;
+
 /// A fleet and the number of jobs per second and queue of which all can be in time.
 #[derive(Clone, Copy, Debug)]
 struct Fleet {
@@ -244,39 +247,50 @@
     }
 }
 
+/// The seeds of the worlds.
+const SEEDS: [u64; 3] = [5, 15, 25];
+
 /// What becomes of the jobs while so many times of what fits is asked for.
-fn overload(fleet: Fleet, factor: u64) -> [Outcome; 2] {
-    let mut load = Load::new(fleet, 5);
+fn overload(fleet: Fleet, factor: u64, seed: u64) -> [Outcome; 2] {
+    let mut load = Load::new(fleet, seed);
     load.submit_for(LOAD_TIME, fleet.fitting_rate * factor);
     load.settle();
     load.outcomes
 }
 
 fn check_level(fleet: Fleet) {
-    let levels = [1, 2, 4].map(|factor| overload(fleet, factor));
-    for (queue, (name, _)) in QUEUES.iter().enumerate() {
-        let timely = levels.map(|level| level[queue].timely);
-        let best = timely.iter().copied().max().unwrap_or_default();
-        assert!(
-            timely.iter().all(|timely| timely * 10 >= best * 9),
-            "{name}: {timely:?} jobs in time as the load doubles"
-        );
+    for seed in SEEDS {
+        let levels = [1, 2, 4].map(|factor| overload(fleet, factor, seed));
+        for (queue, (name, _)) in QUEUES.iter().enumerate() {
+            let timely = levels.map(|level| level[queue].timely);
+            let best = timely.iter().copied().max().unwrap_or_default();
+            assert!(
+                timely.iter().all(|timely| timely * 10 >= best * 9),
+                "{name}, seed {seed}: {timely:?} jobs in time as the load doubles"
+            );
+        }
     }
 }
 
 fn check_kept(fleet: Fleet) {
-    for factor in [2, 4] {
-        for (outcome, (name, _)) in overload(fleet, factor).into_iter().zip(QUEUES) {
+    for (seed, factor) in SEEDS.into_iter().flat_map(|seed| [(seed, 2), (seed, 4)]) {
+        for (outcome, (name, _)) in overload(fleet, factor, seed).into_iter().zip(QUEUES) {
             assert!(
                 outcome.refusals > 0 && outcome.kept * 10 >= outcome.accepted * 9,
-                "{name}, {factor} times what fits: {outcome:?}"
+                "{name}, {factor} times what fits, seed {seed}: {outcome:?}"
             );
         }
     }
 }
 
 fn check_return(fleet: Fleet) {
-    let mut load = Load::new(fleet, 6);
+    for seed in [6, 16, 26] {
+        check_return_with(fleet, seed);
+    }
+}
+
+fn check_return_with(fleet: Fleet, seed: u64) {
+    let mut load = Load::new(fleet, seed);
     load.submit_for(ms(3000), fleet.fitting_rate * 4);
     load.returns.clear();
     let now = load.world.now;
@@ -307,12 +321,18 @@
 
 #[test]
 fn nothing_is_refused_while_all_fits() {
-    for fleet in [LEADER_BOUND, HOST_BOUND] {
-        for (outcome, (name, _)) in overload(fleet, 1).into_iter().zip(QUEUES) {
-            assert_eq!(outcome.refusals, 0, "{name}, {fleet:?}: {outcome:?}");
+    for (seed, fleet) in SEEDS
+        .into_iter()
+        .flat_map(|seed| [(seed, LEADER_BOUND), (seed, HOST_BOUND)])
+    {
+        for (outcome, (name, _)) in overload(fleet, 1, seed).into_iter().zip(QUEUES) {
+            assert_eq!(
+                outcome.refusals, 0,
+                "{name}, {fleet:?}, seed {seed}: {outcome:?}"
+            );
             assert!(
                 outcome.kept * 100 >= outcome.submitted * 95,
-                "{name}, {fleet:?}: {outcome:?}"
+                "{name}, {fleet:?}, seed {seed}: {outcome:?}"
             );
         }
     }
@@ -348,6 +368,50 @@
     check_return(HOST_BOUND);
 }
 
+/// A rush whose hosts are on their way was to be served late rather than turned away.
+#[test]
+fn nothing_is_refused_while_hosts_are_on_their_way() {
+    for seed in SEEDS {
+        let mut load = Load::new(HOST_BOUND, seed);
+        let (before, _) = load.hosts(POOL);
+        let rate = HOST_BOUND.fitting_rate * 2;
+        for _ in 0..RUSH_TICKS {
+            for _ in 0..rate / 20 {
+                load.send(0);
+            }
+            load.pass();
+        }
+        let refusals = load.outcomes[0].refusals;
+        assert_eq!(refusals, 0, "seed {seed}, before the hosts are there");
+        load.settle();
+        let (after, _) = load.hosts(POOL);
+        assert!(
+            after > before,
+            "seed {seed}: {after} hosts, {before} before"
+        );
+    }
+}
+
+/// Long-running jobs have no time by which they are of no more use.
+#[test]
+fn a_long_running_job_is_never_refused() {
+    for seed in SEEDS {
+        let mut load = Load::new(HOST_BOUND, seed);
+        load.submit_for(ms(3000), HOST_BOUND.fitting_rate * 4);
+        let offer = Offer {
+            job: 1_000_000,
+            queue: 0,
+            sent_at: load.world.now,
+            retries: 0,
+        };
+        assert_ne!(load.retry_after(offer), None, "seed {seed}: a batch job");
+        let mut lasting = step(1, 1, 0);
+        lasting.long_running = true;
+        load.spec = JobSpec::new("x", vec![lasting]);
+        assert_eq!(load.retry_after(offer), None, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_pool_takes_in_no_more_hosts_than_its_leader_can_fill() {
     let mut load = Load::new(LEADER_BOUND, 7);
