--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -144,8 +144,8 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) long_running: bool,
-    /// Whether its agent has confirmed to this leader that it started. An earlier leader may have
-    /// committed an attempt and never sent its start.
+    /// Whether its agent has confirmed that it started. If an earlier leader placed it: as far as
+    /// that leader knew.
     pub(super) started: bool,
     /// Whether a report of its agent has listed it.
     pub(super) reported: bool,
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -50,6 +50,7 @@
             // The last order of the earlier leader may still be in transit.
             slot.unanswered = Some(now);
             slot.inherited = true;
+            slot.started = !placed.not_started;
             slot.share = UNKNOWN_SHARE;
             if self.settings.protections.inherit {
                 agent.add(task, slot);
