Judge the end of an agent once while it is being committed (not run)

Hypothesis: an end stays in the ledger until its command is committed, so a list of hosts that comes meanwhile lets the scheduler judge it again.

Change: the scheduler keeps the incarnations whose end is being committed.

--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -114,6 +114,7 @@
             Change::Agent(id) => self.update_agent(now, ledger, id),
             Change::Renamed { from, to } => {
                 self.agents.remove(from);
+                self.ending.remove(from);
                 self.ends.remove(from);
                 self.inherit_strays(from, to);
                 if let Some(record) = ledger.agent(to) {
@@ -122,6 +123,7 @@
             }
             Change::Terminated(id) => {
                 self.losses.mark_committed(id);
+                self.ending.remove(id);
                 self.agents.remove(id);
                 self.ends.remove(id);
             }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -301,6 +301,8 @@
     not_started: Vec<Placement>,
     /// Incarnations that have terminated, to be committed as such.
     terminated: BTreeSet<MinionId>,
+    /// Incarnations whose end is being committed.
+    ending: BTreeSet<MinionId>,
     /// Incarnations that a later one of the same agent has replaced and that aren't yet removed.
     replaced: BTreeSet<MinionId>,
     /// Until when a start sent by this leader that got no answer may still be carried out, by
@@ -390,6 +392,7 @@
             abandoned: Vec::new(),
             not_started: Vec::new(),
             terminated: BTreeSet::new(),
+            ending: BTreeSet::new(),
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             open_rounds: 0,
@@ -521,7 +524,7 @@
         self.open_due_occurrences(now, wall, ledger);
         self.retire_replaced(now);
         self.terminated
-            .retain(|agent| ledger.agent(agent).is_some());
+            .retain(|agent| ledger.agent(agent).is_some() && !self.ending.contains(agent));
         let half = (room.most / 2).max(OTHER_COMMANDS);
         let has_room = self.max_commands().min(half) <= room.now;
         let mut commands = Vec::new();
@@ -566,6 +569,7 @@
         let records = room.saturating_sub(OTHER_COMMANDS);
         let gone = take_first(&mut self.terminated, records);
         let mut commands = self.loss_commands(now, wall, &gone);
+        self.ending.extend(gone.iter().cloned());
         for (wave, host) in take_first(&mut self.maintained, records - gone.len()) {
             let hosts = vec![host];
             commands.push(Command::Maintained { wave, hosts });
