--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -8,6 +8,7 @@
 
 use super::{
     About, Agent, Answer, HostState, HostView, Name, Now, OrderKind, PoolId, Scheduler, Wall,
+    backlog::StartRate,
     balance::{HostCounts, POOL_CHECK_DELAY},
     demand::Demand,
     forecast::Surges,
@@ -63,6 +64,8 @@
     pub(super) logged_at: Now,
     /// How many tasks of each pool were placed since then.
     pub(super) starts: BTreeMap<PoolId, usize>,
+    /// How fast the work of each pool is started.
+    pub(super) start_rates: BTreeMap<PoolId, StartRate>,
 }
 
 impl Hosts {
@@ -108,6 +111,7 @@
         if now >= self.hosts.balanced_at + POOL_CHECK_DELAY {
             let span = now.saturating_sub(self.hosts.balanced_at);
             self.hosts.balanced_at = now;
+            self.update_start_rates(span);
             self.balance(now, span, ledger);
         }
         self.send_host_orders(now);
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -127,7 +127,7 @@
     /// delay.
     fn expected_lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
         let learned = self.learned.get(pool).map(TaskTimes::lag);
-        let lag = learned.unwrap_or_default().mul_f64(self.pressure.level());
+        let lag = learned.unwrap_or_default();
         if lag.is_zero() {
             return lag;
         }
@@ -139,7 +139,7 @@
     }
 
     /// About how long the job's longest chain of steps takes.
-    fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
+    pub(super) fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
         let remaining = job.spec.remaining(|step| self.estimate(pool, step));
         remaining.into_iter().max().unwrap_or_default()
     }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -51,6 +51,7 @@
 mod agent;
 mod agents;
 mod answers;
+mod backlog;
 mod balance;
 mod caps;
 mod changes;
--- a/src/core/workload/scheduler/poison_queues.rs
+++ b/src/core/workload/scheduler/poison_queues.rs
@@ -116,15 +116,27 @@
         most.is_none_or(|most| others < most)
     }
 
-    /// When a caller should submit a job again, if the job isn't accepted: it would be of no more
-    /// use by the time the jobs of its queue that wait before it are over. `more` is how many other
-    /// jobs are about to be accepted.
+    /// When a caller should submit a job again, if the job isn't accepted because it couldn't be in
+    /// time. `more` is how many other jobs are about to be accepted.
     pub fn retry_after(
         &self,
         now: Now,
         ledger: &Ledger,
         submission: &Submission,
         more: usize,
+    ) -> Option<Duration> {
+        let storm = self.storm_retry_after(now, ledger, submission, more);
+        storm.max(self.backlog_retry_after(now, ledger, submission, more))
+    }
+
+    /// The same for a queue whose jobs end hosts: the job would be of no more use by the time the jobs of its queue that wait before it are over. `more` is how many other
+    /// jobs are about to be accepted.
+    fn storm_retry_after(
+        &self,
+        now: Now,
+        ledger: &Ledger,
+        submission: &Submission,
+        more: usize,
     ) -> Option<Duration> {
         let Submission {
             queue,
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -60,6 +60,16 @@
             let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
             *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
+            let placed = starts[before..]
+                .iter()
+                .filter_map(|start| self.ready.get(start.task.step));
+            let batch = placed.filter(|ready| !ready.spec.long_running);
+            let placed = batch.map(|ready| ready.spec.reservation().millicores).sum();
+            self.hosts
+                .start_rates
+                .entry(pool.clone())
+                .or_default()
+                .record(placed);
             if starts.len() >= MAX_ROUND_STARTS {
                 self.last_filled = Some(pool);
                 return;
