Trial: the lag of a pool counts where hosts are the limit, too

Cause sought: jobs in time fall from 510 to 125 and 86 of a queue as twice and four times what fits is asked of a full fleet. Change: expected_lag isn't scaled by the busy part of the leader's processor.

--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -127,7 +127,7 @@
     /// delay.
     fn expected_lag(&self, pool: &PoolId, job: &Job, objective: Duration) -> Duration {
         let learned = self.learned.get(pool).map(TaskTimes::lag);
-        let lag = learned.unwrap_or_default().mul_f64(self.pressure.level());
+        let lag = learned.unwrap_or_default();
         if lag.is_zero() {
             return lag;
         }
