Trial: a window of starts under way that follows their delay

A start is decided only while there is room in a window, which grows while the time from a decision to its confirmation stays under twice the least and 20 ms, and shrinks by a quarter when it doesn't.

Gangs may be kept waiting by a full window; the least delay is never forgotten; attempts are counted by visiting all; no switch for a twin.

--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -182,6 +182,8 @@
             Answer::Done { .. } => {
                 slot.started = true;
                 slot.set_phase(now, Phase::Running);
+                let delay = now.saturating_sub(slot.placed_at);
+                self.start_window.record(now, delay);
             }
             Answer::Silent if slot.tries < MAX_START_TRIES => slot.set_phase(now, Phase::Due),
             Answer::Refused {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -74,6 +74,7 @@
 mod pressure;
 mod probes;
 mod ready;
+mod start_window;
 mod starts;
 mod strays;
 mod suspects;
@@ -103,6 +104,7 @@
     pressure::Pressure,
     probes::Probes,
     ready::{ReadyQueue, ReadyStep},
+    start_window::StartWindow,
     suspects::Suspects,
 };
 pub use self::{
@@ -333,6 +335,9 @@
     strays: BTreeMap<MinionId, Now>,
     /// Rounds that were proposed and aren't applied yet.
     open_rounds: usize,
+    start_window: StartWindow,
+    /// How many starts the round that is being decided may have.
+    round_room: usize,
     /// The pool whose starts last filled a round.
     last_filled: Option<PoolId>,
     /// The attempts that these rounds place, summed by workspace.
@@ -422,6 +427,8 @@
             replaced: BTreeSet::new(),
             strays: BTreeMap::new(),
             open_rounds: 0,
+            start_window: StartWindow::default(),
+            round_room: 0,
             last_filled: None,
             proposed: Proposed::default(),
             hosts: Hosts::new(settings.host_orders),
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -97,10 +97,7 @@
             let Some(spec) = ready.map(|ready| ready.spec.clone()) else {
                 continue;
             };
-            if !spec.gang
-                && !self.suspects.is_failing(step.job)
-                && starts.len() < self.settings.round_starts
-            {
+            if !spec.gang && !self.suspects.is_failing(step.job) && starts.len() < self.round_room {
                 self.start_suspects(now, ledger, step, &spec, starts);
             }
         }
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -31,6 +31,9 @@
         let failed = self.failed_jobs(ledger, &ends);
         let cleared = self.clear_suspects(now, ledger);
         self.release_probes(now);
+        let under_way = self.unconfirmed_starts().total();
+        let room = self.start_window.room(under_way);
+        self.round_room = room.min(self.settings.round_starts);
         let mut round = Round {
             ends,
             freed: std::mem::take(&mut self.abandoned),
@@ -58,7 +61,7 @@
         pools.rotate_left(next);
         for pool in pools {
             self.fill_pool(now, ledger, &pool, starts);
-            if starts.len() >= self.settings.round_starts {
+            if starts.len() >= self.round_room {
                 self.last_filled = Some(pool);
                 return;
             }
@@ -104,7 +107,7 @@
         let mut widest: Option<Resources> = None;
         let mut last = None;
         let mut apart = self.sharing_limits(ledger, pool);
-        while starts.len() < self.settings.round_starts
+        while starts.len() < self.round_room
             && let Some(least) = self.ready.min_millicores(pool)
             && widest.is_none_or(|widest| least <= widest.millicores)
         {
