Let the next leader know the crashes of the last minute (trial)

Hypothesis: a successor knows no crash before its term, so that the last hosts of a crowd seem to crash alone.

Change: the ledger keeps the crashes of the last minute: agent, rack, data centre, pool and tasks, with the time of the next round in the log. A successor begins with them. They don't count again towards the rate of crashes.

--- a/src/core/workload/ledger/agents.rs
+++ b/src/core/workload/ledger/agents.rs
@@ -71,6 +71,14 @@
 
     pub(super) fn apply_crash(&mut self, crash: &Crash, changes: &mut Vec<Change>) {
         self.failure_rate = crash.failure_rate;
+        if let Some(record) = self.agents.get(&crash.agent) {
+            let jobs = &self.jobs;
+            let is_batch = |id: TaskId| {
+                let job = jobs.get(&id.step.job);
+                job.is_none_or(|job| job.is_batch(id))
+            };
+            self.recent_crashes.record(crash, record, is_batch);
+        }
         let mut judged = BTreeSet::new();
         for present in &crash.tasks {
             let id = present.task;
--- a/src/core/workload/ledger/attempts.rs
+++ b/src/core/workload/ledger/attempts.rs
@@ -54,6 +54,7 @@
             self.apply_start(start, round.at, changes);
         }
         self.recent_starts.record(round);
+        self.recent_crashes.pass(round.at);
         if let Some(intent) = &round.intent {
             self.intents.apply(intent);
         }
--- a/src/core/workload/ledger/mod.rs
+++ b/src/core/workload/ledger/mod.rs
@@ -47,6 +47,7 @@
     intents::OrderIntents,
     job::{Job, JobState, Task, TaskId},
     poison_rate::PoisonRate,
+    recent_crashes::RecentCrashes,
     recent_starts::RecentStarts,
     suspicion::FailureRate,
     terminated::TerminatedAgents,
@@ -89,6 +90,13 @@
         skip_serializing_if = "RecentStarts::is_empty"
     )]
     recent_starts: RecentStarts,
+    /// The crashes of the last minute. Absent in snapshots of earlier releases.
+    #[serde(
+        rename = "crashes",
+        default,
+        skip_serializing_if = "RecentCrashes::is_empty"
+    )]
+    recent_crashes: RecentCrashes,
     /// Derived: the number of queued jobs of each queue, those without any task placed so far.
     #[serde(skip)]
     pending: BTreeMap<Name, u64>,
@@ -197,6 +205,11 @@
         &self.recent_starts
     }
 
+    /// The crashes of the last minute.
+    pub fn recent_crashes(&self) -> &RecentCrashes {
+        &self.recent_crashes
+    }
+
     /// How often hosts crash by themselves, as of the last crash.
     pub fn failure_rate(&self) -> FailureRate {
         self.failure_rate
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -15,7 +15,8 @@
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
 //! - [`terminated`] remembers incarnations of agents that have terminated, and [`intents`] which hosts a leader
-//!   is about to send orders about. [`recent_starts`] remembers the starts that a leader may not have sent.
+//!   is about to send orders about. [`recent_starts`] remembers the starts that a leader may not have sent,
+//!   and [`recent_crashes`] the crashes that the next leader has to know.
 //!
 //! This module does no I/O. Its driver commits the [`Command`](command::Command)s that the scheduler proposes
 //! and carries out its [`Order`](scheduler::Order)s.
@@ -26,6 +27,7 @@
 pub mod job;
 pub mod ledger;
 pub mod poison_rate;
+pub mod recent_crashes;
 pub mod recent_starts;
 pub mod scheduler;
 pub mod spec;
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -27,14 +27,15 @@
 };
 
 use super::{
-    Agent, MinionId, Now, PoolId, Scheduler, Slot, TaskId, agent::RECENTLY_SEEN, operations::Stage,
-    suspects::Suspects, unit::SuspectUnit,
+    Agent, Ledger, MinionId, Now, PoolId, Scheduler, Slot, TaskId, agent::RECENTLY_SEEN,
+    operations::Stage, suspects::Suspects, unit::SuspectUnit,
 };
 use crate::core::{
     types::{DataCentreId, HostId, RackId, Wall},
     workload::{
         catalog::JobId,
         command::Command,
+        recent_crashes::RecentCrash,
         suspicion::{Crash, CrashedTask, FailureRate, decibans},
     },
 };
@@ -68,6 +69,8 @@
     agent: MinionId,
     /// Whether the log holds the evidence that this end gave.
     committed: bool,
+    /// Whether an earlier leader committed it, and counted it towards its rate.
+    inherited: bool,
     host: Option<HostId>,
     rack: Option<RackId>,
     data_centre: DataCentreId,
@@ -79,6 +82,25 @@
 }
 
 impl Loss {
+    /// An end that an earlier leader committed.
+    fn inherited(now: Now, wall: Wall, ledger: &Ledger, crash: &RecentCrash) -> Self {
+        let mut jobs = crash.tasks.iter().map(|(task, _)| task.step.job);
+        let explained =
+            jobs.any(|job| ledger.job(job).is_some_and(|job| job.poison_task.is_some()));
+        Self {
+            at: now.saturating_sub(crash.age(wall)),
+            agent: crash.agent.clone(),
+            committed: true,
+            inherited: true,
+            host: None,
+            rack: crash.rack.clone(),
+            data_centre: crash.data_centre.clone(),
+            pool: crash.pool.clone(),
+            tasks: crash.tasks.clone(),
+            explained,
+        }
+    }
+
     /// The jobs whose tasks ran there. An end under no job at all has another cause.
     fn jobs(&self) -> BTreeSet<JobId> {
         self.tasks.iter().map(|(task, _)| task.step.job).collect()
@@ -120,10 +142,14 @@
 }
 
 impl Losses {
-    /// Continues from the counts of earlier leaders.
-    pub(super) fn new(now: Now, before: FailureRate) -> Self {
+    /// Continues from the counts of earlier leaders and from the ends that they committed.
+    pub(super) fn new(now: Now, wall: Wall, ledger: &Ledger) -> Self {
+        let before = ledger.failure_rate();
+        let crashes = ledger.recent_crashes().iter();
         Self {
-            recent: VecDeque::new(),
+            recent: crashes
+                .map(|crash| Loss::inherited(now, wall, ledger, crash))
+                .collect(),
             earlier_ends: before.failures,
             term_start: now,
             busy_time: before.exposure,
@@ -241,7 +267,8 @@
             .unexplained()
             .filter(|loss| now < loss.at + RATE_WINDOW);
         let others = lately.filter(|loss| !task.is_some_and(|task| loss.has(task)));
-        let ends = others.filter(|loss| !loss.is_undecided(suspects)).count();
+        let ends = others.filter(|loss| !loss.inherited && !loss.is_undecided(suspects));
+        let ends = ends.count();
         let before =
             f64::from(self.earlier_ends) * decay_factor(now.saturating_sub(self.term_start));
         FailureRate {
@@ -380,6 +407,7 @@
             at: now,
             agent: id.clone(),
             committed: false,
+            inherited: false,
             host: agent.host.clone(),
             rack: agent.record.rack().cloned(),
             data_centre: agent.record.data_centre.clone(),
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -433,7 +433,7 @@
             pressure: Pressure::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
-            losses: Losses::new(now, ledger.failure_rate()),
+            losses: Losses::new(now, wall, ledger),
             completions: Completions::default(),
             away: AwayTasks::default(),
             overdue_due: None,
