--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -131,7 +131,8 @@
 /// The most commands of a plan besides those that record ends of agents and maintenance: one that
 /// forgets jobs, and a round.
 const OTHER_COMMANDS: usize = 2;
-/// Maximum number of starts in one round unless set otherwise; keeps a log entry far smaller than one message.
+/// Maximum number of starts in one round unless set otherwise; keeps a log entry far smaller than
+/// one message.
 const ROUND_STARTS: usize = 64;
 /// Delay from an answer to the next renewal, while there is time. Ends that come within it are
 /// reported together.
