--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -14,6 +14,7 @@
 //!   renew. Each new leader rebuilds it from the ledger.
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
+//! - [`max_min`] divides what is scarce among those that ask for it.
 //! - [`terminated`] remembers incarnations of agents that have terminated, and [`intents`] which hosts a leader
 //!   is about to send orders about. [`recent_starts`] remembers the starts that a leader may not have sent.
 //!
@@ -25,6 +26,7 @@
 pub mod intents;
 pub mod job;
 pub mod ledger;
+pub mod max_min;
 pub mod poison_rate;
 pub mod recent_starts;
 pub mod scheduler;
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod ledger;
 mod lists;
+mod max_min;
 mod normal_operation;
 mod overload;
 mod poison_false_positives;
