Allocate a scarce fleet by what its work is worth

Cause: a pool's need counts late work like any other and has no bound, and hosts are taken only from pools that have more than they need. When all are short, no such pool exists, and a pool whose work can be in time gets nothing.

The balance of pools uses the targets in place of the needs if these exceed the hosts; otherwise the targets are the needs. The last targets are kept in Hosts::targets.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -63,6 +63,8 @@
     pub(super) slots: BTreeMap<TaskId, Slot>,
     /// The resources that the slots take in total.
     pub(super) used: Resources,
+    /// Thousandths of a core of the batch tasks that were late when they were placed.
+    late_millicores: u64,
     /// How many slots hold long-running tasks.
     long_running: usize,
     /// The estimated end of the batch tasks; in the past if there are none.
@@ -144,6 +146,8 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) long_running: bool,
+    /// Whether its job could no longer be in time when this leader decided it.
+    pub(super) late: bool,
     /// Whether its agent has confirmed that it started. If an earlier leader placed it: as far as
     /// that leader knew.
     pub(super) started: bool,
@@ -199,6 +203,7 @@
             clock: None,
             slots: BTreeMap::new(),
             used: Resources::default(),
+            late_millicores: 0,
             long_running: 0,
             busy_until: now,
             lease_end: now,
@@ -344,6 +349,7 @@
 
     pub(super) fn add(&mut self, task: TaskId, slot: Slot) {
         self.used = self.used.plus(&slot.room);
+        self.late_millicores += slot.late_millicores();
         if slot.long_running {
             self.long_running += 1;
         } else {
@@ -351,6 +357,7 @@
         }
         if let Some(before) = self.slots.insert(task, slot) {
             self.used = self.used.minus(&before.room);
+            self.late_millicores -= before.late_millicores();
             self.long_running -= usize::from(before.long_running);
         }
     }
@@ -358,6 +365,7 @@
     pub(super) fn remove(&mut self, now: Now, task: TaskId) {
         if let Some(slot) = self.slots.remove(&task) {
             self.used = self.used.minus(&slot.room);
+            self.late_millicores -= slot.late_millicores();
             self.long_running -= usize::from(slot.long_running);
             self.idle_since = now;
             if self.slots.len() == self.long_running {
@@ -411,6 +419,11 @@
         batch.map(|slot| slot.room.millicores).sum()
     }
 
+    /// Thousandths of a core of its batch tasks that were late when they were placed.
+    pub(super) fn late_millicores(&self) -> u64 {
+        self.late_millicores
+    }
+
     /// Whether it answers and isn't about to leave.
     pub(super) fn is_healthy(&self) -> bool {
         !self.record.leaving && self.failing_since.is_none()
@@ -487,6 +500,7 @@
             share: FULL_SHARE,
             best_effort: spec.best_effort,
             long_running: spec.long_running,
+            late: false,
             started: false,
             reported: false,
             has_evidence: false,
@@ -502,6 +516,11 @@
         }
     }
 
+    /// What it takes, in thousandths of a core, if it was late when it was placed.
+    fn late_millicores(&self) -> u64 {
+        if self.late { self.room.millicores } else { 0 }
+    }
+
     /// The time by which it has to have started; `Now::MAX` if deadlines are off.
     pub(super) fn deadline(&self, settings: &Settings) -> Now {
         if settings.protections.deadlines {
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -5,8 +5,10 @@
 //! than its own work needs. The pool that has the smallest part of its need is served first, so
 //! that two pools that lack hosts end up equally short.
 //!
-//! The needs themselves come from the demand of the pools. Idle hosts that no pool should keep are
-//! moved to the spare pool.
+//! The needs themselves come from the demand of the pools. If they exceed the hosts that there are,
+//! the allocation of a scarce fleet gives each pool a target instead, and present hosts beyond the
+//! targets go to the pools below theirs. Idle hosts that no pool should keep are moved to the spare
+//! pool.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,8 +16,12 @@
 };
 
 use super::{
-    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler, demand::Need,
-    host_orders::Priority, operations::Purpose, vacating::take_emptiest,
+    Agent, HostState, HostView, Ledger, Now, PoolId, Scheduler,
+    allocation::{Claim, Rounds, allocate},
+    demand::Need,
+    host_orders::Priority,
+    operations::Purpose,
+    vacating::take_emptiest,
 };
 use crate::core::types::HostId;
 
@@ -39,9 +45,9 @@
         let spare = spare.map(|pool| pool.name.clone());
         let needs = self.needs(now, span, ledger);
         let mut have = self.host_counts();
+        let present = self.allocate_hosts(&needs, &have);
         self.log_pools(now, &needs, &have);
-        self.check_vacating(now, &needs, &mut have);
-        let present: HostCounts = needs.iter().map(|(p, n)| (p.clone(), n.now)).collect();
+        self.check_vacating(now, &present, &mut have);
         let kept: HostCounts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         let spares = spare.as_ref();
         let mut free = self.empty_hosts_by_pool(now);
@@ -91,6 +97,36 @@
         self.keep_for_moves(&present, &have, spares);
     }
 
+    /// How many hosts each pool should have for present work: what it needs, or its part of a fleet
+    /// that is too small for all needs.
+    fn allocate_hosts(&mut self, needs: &BTreeMap<PoolId, Need>, have: &HostCounts) -> HostCounts {
+        let pools = have.iter().filter(|(pool, _)| self.catalog.has_pool(pool));
+        let hosts = pools.map(|(_, count)| count).sum();
+        let needed: usize = needs.values().map(|need| need.now).sum();
+        self.hosts.missing = needed.saturating_sub(hosts);
+        let targets = if self.hosts.missing == 0 {
+            needs.values().map(|need| need.now).collect()
+        } else {
+            let claims = needs.iter().map(|(pool, need)| Claim {
+                rounds: need.rounds,
+                held: have.get(pool).copied().unwrap_or_default(),
+                priority: self.priority(pool),
+                ..Claim::default()
+            });
+            allocate(hosts, &claims.collect::<Vec<_>>())
+        };
+        let targets: HostCounts = needs.keys().cloned().zip(targets).collect();
+        self.hosts.targets.clone_from(&targets);
+        targets
+    }
+
+    /// The highest priority of the queues of a pool, which is the lowest number.
+    fn priority(&self, pool: &PoolId) -> u32 {
+        let queues = self.catalog.queues.iter();
+        let own = queues.filter(|queue| queue.pool == *pool);
+        own.map(|queue| queue.priority).min().unwrap_or(u32::MAX)
+    }
+
     /// Takes hosts out of the surplus that will be moved to other pools once there is room for
     /// their orders. Spares count as a surplus, and are moved last.
     fn keep_for_moves(&mut self, needs: &HostCounts, have: &HostCounts, spare: Option<&PoolId>) {
@@ -154,11 +190,17 @@
             let demand = self.hosts.demands.get(pool).copied().unwrap_or_default();
             let (placed, demand, trend) = (
                 self.used_millicores(pool) / 1000,
-                demand.used as u64 / 1000,
+                demand.used.level as u64 / 1000,
                 demand.trend as u64 / 1000,
             );
-            let Need { now: need, keep } = *need;
-            log::info!(pool:%, need, keep, have, empty, placed, demand, trend; "hosts and cores of a pool");
+            let target = self.hosts.targets.get(pool).copied().unwrap_or_default();
+            let Need {
+                now: need,
+                keep,
+                rounds,
+            } = *need;
+            self.log_claim(pool, rounds, have, target);
+            log::info!(pool:%, need, target, keep, have, empty, placed, demand, trend; "hosts and cores of a pool");
             let starts = starts.get(pool).copied().unwrap_or_default();
             let (in_time, late) = self.ready.backlogs(pool);
             let (in_time_cores, late_cores) = (in_time.millicores / 1000, late.millicores / 1000);
@@ -167,6 +209,21 @@
         }
     }
 
+    /// Logs what a pool asks for of a scarce fleet.
+    fn log_claim(&self, pool: &PoolId, claim: Rounds, have: usize, target: usize) {
+        let missing = self.hosts.missing;
+        if missing == 0 {
+            return;
+        }
+        let Rounds {
+            lasting,
+            timely,
+            expected,
+            late,
+        } = claim;
+        log::info!(pool:%, missing, target, have, lasting, timely, expected, late; "a pool's claim on a scarce fleet");
+    }
+
     /// Thousandths of a core that the tasks of a pool have.
     fn used_millicores(&self, pool: &PoolId) -> u64 {
         let agents = self.agents.with_room(pool, 0);
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -6,11 +6,16 @@
 //! that is expected from earlier ones is prepared for. Needs of the first kind go before those of
 //! the second, whichever pool has them.
 //!
-//! This module only computes the needs; which hosts move is decided by the balance of pools.
+//! A need of the first kind is also split by the value of its work, for the case that the needs of
+//! all pools exceed the hosts. Growth is extrapolated there from work in time only: a backlog that
+//! grows because it is late is no reason to take hosts from others.
+//!
+//! This module only computes the needs; how a scarce fleet is divided is decided by the allocation,
+//! and which hosts move by the balance of pools.
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Ledger, Now, PoolId, Scheduler};
+use super::{Ledger, Now, PoolId, Scheduler, allocation::Rounds};
 
 /// The time over which arriving work is averaged: long enough to show a trend in a few jobs, and
 /// short compared with the seconds that demand lasts.
@@ -34,10 +39,10 @@
 pub(super) struct Demand {
     /// Thousandths of a core that arriving jobs will keep busy, averaged.
     pub(super) trend: f64,
-    /// Running and ready work at the last check, in thousandths of a core.
-    pub(super) used: f64,
-    /// How fast that grows, in thousandths of a core per second, averaged.
-    growth: f64,
+    /// Running and ready work.
+    pub(super) used: Growth,
+    /// The part of it that could be in time when it was last looked at.
+    timely: Growth,
     /// Work of the jobs that arrived since the last check, in thousandths of a core times
     /// milliseconds.
     arrived: f64,
@@ -45,6 +50,15 @@
     need: f64,
 }
 
+/// An amount of work that changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Growth {
+    /// The amount at the last check, in thousandths of a core.
+    pub(super) level: f64,
+    /// How fast it grows, in thousandths of a core per second, averaged.
+    rate: f64,
+}
+
 /// How many hosts a pool should have.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Need {
@@ -52,6 +66,9 @@
     pub(super) now: usize,
     /// For work that may come back or is expected as well; never less than `now`.
     pub(super) keep: usize,
+    /// What it claims if the fleet is scarce. Sums to `now`, or to the hosts that long-running
+    /// tasks run on if they are more.
+    pub(super) rounds: Rounds,
 }
 
 /// What the tasks of a pool take or wait for.
@@ -61,6 +78,10 @@
     all: u64,
     /// Thousandths of a core of batch tasks, which finish by themselves.
     batch: u64,
+    /// The part of them that can't be in time any more.
+    late: u64,
+    /// The number of hosts on which long-running tasks run.
+    occupied: usize,
     /// The number of hosts that a long-running step needs to keep its tasks apart.
     spread: usize,
     /// The part of the waiting batch tasks that no cap keeps from starting.
@@ -82,6 +103,8 @@
         Self {
             all: 0,
             batch: 0,
+            late: 0,
+            occupied: 0,
             spread: 0,
             open: 1.0,
         }
@@ -113,22 +136,18 @@
         for name in names {
             let load = loads.get(&name).copied().unwrap_or_default();
             let demand = self.hosts.demands.entry(name.clone()).or_default();
-            let short = demand.update(load.batch as f64, span, load.open);
+            let short = demand.update(&load, span);
             self.hosts
                 .surges
                 .observe(now, span, &name, short, size * MIN_SURGE_HOSTS);
             demand.need = short.max(demand.need * decline);
             let expected = expected.as_ref().filter(|(pool, _)| *pool == name);
             let kept = demand.need.max(expected.map_or(0.0, |(_, need)| *need));
-            let lasting = load.all.saturating_sub(load.batch) as f64;
-            let hosts = |cores: f64| {
-                let hosts = ((cores + lasting) * HEADROOM / size).ceil();
-                // A pool always has a host; otherwise its next job would wait for a move.
-                (hosts as usize).max(load.spread).max(1)
-            };
+            let sizes = Sizes { size, load };
             let need = Need {
-                now: hosts(short),
-                keep: hosts(kept),
+                now: sizes.hosts(short),
+                keep: sizes.hosts(kept),
+                rounds: sizes.rounds(demand, short),
             };
             needs.insert(name, need);
         }
@@ -147,6 +166,8 @@
                 busy += usize::from(!agent.slots.is_empty());
                 load.all += agent.used.millicores;
                 load.batch += agent.batch_millicores();
+                load.late += agent.late_millicores();
+                load.occupied += usize::from(agent.long_running() > 0);
             }
         }
         for (pool, waiting) in self.ready.waiting() {
@@ -155,6 +176,8 @@
             if waiting.batch > 0 {
                 load.open = startable.batch as f64 / waiting.batch as f64;
             }
+            let (_, late) = self.ready.backlogs(pool);
+            load.late += (late.millicores as f64 * load.open) as u64;
             let waiting = startable;
             load.all += waiting.all;
             load.batch += waiting.batch;
@@ -164,21 +187,84 @@
     }
 }
 
+/// Converts the work of a pool to hosts.
+struct Sizes {
+    /// Thousandths of a core of a host.
+    size: f64,
+    load: Load,
+}
+
+impl Sizes {
+    /// The hosts for an amount of batch work beside the long-running tasks, with room for gaps
+    /// between tasks.
+    fn hosts(&self, cores: f64) -> usize {
+        let hosts = ((cores + self.lasting()) * HEADROOM / self.size).ceil();
+        // A pool always has a host; otherwise its next job would wait for a move.
+        (hosts as usize).max(self.load.spread).max(1)
+    }
+
+    /// Splits the need for `short` by the value of the work, for a scarce fleet.
+    fn rounds(&self, demand: &Demand, short: f64) -> Rounds {
+        let exact = |cores: f64| ((cores + self.lasting()) / self.size).ceil() as usize;
+        let lasting = exact(0.0)
+            .max(self.load.spread)
+            .max(self.load.occupied)
+            .max(1);
+        let present = demand.timely.level.max(demand.trend);
+        let ahead = present.max(demand.timely.ahead(self.load.open));
+        let total = self.hosts(short).max(lasting);
+        let timely = exact(present).clamp(lasting, total);
+        let expected = if self.load.late > 0 {
+            self.hosts(ahead).clamp(timely, total)
+        } else {
+            total
+        };
+        Rounds {
+            lasting,
+            timely: timely - lasting,
+            expected: expected - timely,
+            late: total - expected,
+        }
+    }
+
+    /// Thousandths of a core of long-running tasks.
+    fn lasting(&self) -> f64 {
+        self.load.all.saturating_sub(self.load.batch) as f64
+    }
+}
+
 impl Demand {
     /// Takes in what the batch tasks take or wait for now, and which part of further arrivals no
     /// cap keeps from starting. Returns what they will need by the time that a move takes.
-    fn update(&mut self, used: f64, span: Duration, open: f64) -> f64 {
+    fn update(&mut self, load: &Load, span: Duration) -> f64 {
         let seconds = span.as_secs_f64().max(0.001);
         let weight = 1.0 - (-seconds / TREND_WINDOW.as_secs_f64()).exp();
-        let quick = 1.0 - (-seconds / GROWTH_WINDOW.as_secs_f64()).exp();
         let rate = self.arrived / seconds / 1000.0;
         self.arrived = 0.0;
         self.trend += (rate - self.trend) * weight;
-        let growth = (used - self.used) / seconds;
-        self.growth += (growth - self.growth) * quick;
-        self.used = used;
-        let ahead = used + open * self.growth.max(0.0) * MOVE_TIME.as_secs_f64();
-        used.max(self.trend)
-            .max(ahead.min(used * MAX_GROWTH_FACTOR))
+        self.used.update(load.batch as f64, seconds);
+        let timely = load.batch.saturating_sub(load.late);
+        self.timely.update(timely as f64, seconds);
+        self.used
+            .level
+            .max(self.trend)
+            .max(self.used.ahead(load.open))
+    }
+}
+
+impl Growth {
+    /// Takes in the amount after `seconds` since the last one.
+    fn update(&mut self, level: f64, seconds: f64) {
+        let weight = 1.0 - (-seconds / GROWTH_WINDOW.as_secs_f64()).exp();
+        let rate = (level - self.level) / seconds;
+        self.rate += (rate - self.rate) * weight;
+        self.level = level;
+    }
+
+    /// The amount by the time that a move takes. `open` is the part of further arrivals that no cap
+    /// keeps from starting.
+    fn ahead(&self, open: f64) -> f64 {
+        let ahead = self.level + open * self.rate.max(0.0) * MOVE_TIME.as_secs_f64();
+        ahead.min(self.level * MAX_GROWTH_FACTOR)
     }
 }
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -52,6 +52,11 @@
     /// When an order about each host was last refused.
     pub(super) refused_at: BTreeMap<HostId, Now>,
     pub(super) demands: BTreeMap<PoolId, Demand>,
+    /// How many hosts each pool should have now, as of the last check. They sum to no more
+    /// than the hosts that there are.
+    pub(super) targets: HostCounts,
+    /// How many hosts the pools need beyond those that there are, as of the last check.
+    pub(super) missing: usize,
     /// Hosts that each pool has beyond what it should keep, as of the last check.
     pub(super) surplus: HostCounts,
     pub(super) waves: BTreeMap<WaveId, WaveTimes>,
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -50,6 +50,7 @@
 
 mod agent;
 mod agents;
+pub mod allocation;
 mod answers;
 mod balance;
 mod caps;
@@ -617,6 +618,11 @@
         self.agents.mark_all_dirty();
     }
 
+    /// How many hosts the pools need beyond those that there are, as of the last check.
+    pub fn missing_hosts(&self) -> usize {
+        self.hosts.missing
+    }
+
     /// How many tasks wait to be started.
     pub fn waiting(&self) -> usize {
         self.ready.iter().map(|(_, ready)| ready.free.len()).sum()
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -195,6 +195,12 @@
         self.steps.get(&step).map(|entry| &entry.ready)
     }
 
+    /// Whether the job of a step can no longer be in time.
+    pub(super) fn is_late(&self, step: StepId) -> bool {
+        let entry = self.steps.get(&step);
+        entry.is_some_and(|entry| entry.rank.class == Class::Late)
+    }
+
     /// Adds a step, replacing what was known of it.
     pub(super) fn insert(&mut self, now: Now, step: StepId, ready: ReadyStep) {
         self.remove(step);
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -249,12 +249,14 @@
     ) {
         let task = placed.task;
         self.reserve(ledger, task, spec);
+        let late = self.ready.is_late(task.step);
         self.ready.take(task.step, task.task);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
             self.agent_ages.push(now.saturating_sub(agent.last_seen));
             let mut slot = Slot::new(spec, placed.attempt, Phase::Proposed, now);
             slot.has_evidence = self.suspects.get(task).is_some();
             slot.on_probe = self.probes.contains(&placed.agent);
+            slot.late = late;
             agent.add(task, slot);
             self.agents.reindex(&placed.agent);
         }
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -108,6 +108,8 @@
     /// Number of tasks that are suspected of crashing the hosts that run them. Only the leader sets
     /// it.
     pub suspected: Gauge,
+    /// Number of hosts that the pools need beyond those that there are. Only the leader sets it.
+    pub missing_hosts: Gauge,
     /// Jobs that failed because one of their tasks crashes the hosts that run it. Only the leader
     /// counts them.
     pub poison_jobs: Counter,
@@ -152,6 +154,7 @@
             under_way: Gauge::default(),
             renewal_age: Gauge::default(),
             suspected: Gauge::default(),
+            missing_hosts: Gauge::default(),
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
@@ -246,6 +249,11 @@
                 "Tasks that are suspected to end the hosts that run them",
                 &self.suspected,
             ),
+            (
+                "hosts_missing",
+                "Hosts that the pools need beyond those that there are",
+                &self.missing_hosts,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -217,6 +217,9 @@
         metrics
             .suspected
             .set(size(scheduler.map_or(0, Scheduler::suspected)));
+        metrics
+            .missing_hosts
+            .set(size(scheduler.map_or(0, Scheduler::missing_hosts)));
     }
 
     fn dial(&self, node: NodeId) {
