Test the allocation of a scarce fleet, and expect only work in time to grow

Cause: arriving work and growth counted as work in time that is present, so that the trend of a queue that had just stopped asking held its hosts for a second. The extrapolated growth of a few jobs varies from check to check, which moved hosts between it and the late work of others. The division by max-min fairness gave what rounding leaves to the last claim, not to the first as documented.

Change: only running and waiting work is in the round of work in time; arrivals and growth follow, and what is expected decays instead of falling. The division hands out the remainder in the documented order.

--- a/src/core/workload/max_min.rs
+++ b/src/core/workload/max_min.rs
@@ -48,12 +48,23 @@
     let mut granted = vec![0; claims.len()];
     let mut left = total;
     let mut weight: f64 = claims.iter().map(Claim::weight).sum();
-    for ix in order {
-        let claim = &claims[ix];
-        let share = (left as f64 * claim.weight() / weight).floor() as u64;
-        granted[ix] = claim.amount.min(share.min(left));
-        left -= granted[ix];
+    let mut unmet = order.as_slice();
+    while let [ix, rest @ ..] = unmet {
+        let claim = &claims[*ix];
+        if claim.level() > left as f64 / weight || claim.amount > left {
+            break;
+        }
+        granted[*ix] = claim.amount;
+        left -= claim.amount;
         weight -= claim.weight();
+        unmet = rest;
+    }
+    // None of the others can have all that it asks for.
+    let level = left as f64 / weight;
+    for ix in unmet {
+        let share = (level * claims[*ix].weight()).floor() as u64;
+        granted[*ix] = share.min(claims[*ix].amount).min(left);
+        left -= granted[*ix];
     }
     hand_out(left, claims, &mut granted);
     granted
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -146,7 +146,8 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) long_running: bool,
-    /// Whether its job could no longer be in time when this leader decided it.
+    /// Whether its job could no longer be in time when this leader decided it. Unknown, and so not
+    /// set, for one that an earlier leader decided.
     pub(super) late: bool,
     /// Whether its agent has confirmed that it started. If an earlier leader placed it: as far as
     /// that leader knew.
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -48,6 +48,8 @@
     arrived: f64,
     /// The highest recent need, decaying with time, in thousandths of a core.
     need: f64,
+    /// The highest recent need of work in time, decaying with time, in thousandths of a core.
+    expected: f64,
 }
 
 /// An amount of work that changes.
@@ -137,6 +139,10 @@
             let load = loads.get(&name).copied().unwrap_or_default();
             let demand = self.hosts.demands.entry(name.clone()).or_default();
             let short = demand.update(&load, span);
+            let ahead = demand.expected_timely(load.open);
+            // The growth of a few jobs varies from check to check. Without this, hosts would move
+            // back and forth between it and the late work of others.
+            demand.expected = ahead.max(demand.expected * decline);
             self.hosts
                 .surges
                 .observe(now, span, &name, short, size * MIN_SURGE_HOSTS);
@@ -210,12 +216,10 @@
             .max(self.load.spread)
             .max(self.load.occupied)
             .max(1);
-        let present = demand.timely.level.max(demand.trend);
-        let ahead = present.max(demand.timely.ahead(self.load.open));
         let total = self.hosts(short).max(lasting);
-        let timely = exact(present).clamp(lasting, total);
+        let timely = exact(demand.timely.level).clamp(lasting, total);
         let expected = if self.load.late > 0 {
-            self.hosts(ahead).clamp(timely, total)
+            self.hosts(demand.expected).clamp(timely, total)
         } else {
             total
         };
@@ -250,6 +254,12 @@
             .max(self.trend)
             .max(self.used.ahead(load.open))
     }
+
+    /// What work in time will need by the time that a move takes.
+    fn expected_timely(&self, open: f64) -> f64 {
+        let ahead = self.timely.ahead(open).max(self.trend);
+        self.timely.level.max(ahead)
+    }
 }
 
 impl Growth {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs, their ledger and the leader's scheduler, in logical time.
 
+mod allocation;
 mod budgets;
 mod cancelled;
 mod caps;
@@ -29,6 +30,7 @@
 mod renewals;
 mod repeated_orders;
 mod restarted_agents;
+mod scarce_fleet;
 mod scarce_hosts;
 mod spec;
 mod start_window;
