Keep an idle pool's last host, but take none for it, and document the allocation

Cause: a pool without hosts and without work claimed a host in the first round, which it got from the work of a small fleet.

Change: such a pool claims nothing; one that has a host claims its last one.

--- a/src/core/workload/scheduler/allocation.rs
+++ b/src/core/workload/scheduler/allocation.rs
@@ -1,8 +1,8 @@
 //! Allocates the hosts of a fleet to its pools when there are too few for all of them.
 //!
 //! Each pool makes a *claim*: the hosts that it needs, by the value of what they would run. Hosts
-//! are allocated in four rounds. The first is for what must run: one host per pool and the hosts of
-//! long-running tasks. Then come work that can still be in time, growth that is extrapolated from
+//! are allocated in four rounds. The first is for what must run: the hosts of long-running tasks,
+//! and one host for each pool that has work or that has a host already. Then come work that can still be in time, growth that is extrapolated from
 //! it, and late work, of which each job is worth a small part of one in time. Within a round, hosts
 //! are divided by weighted max-min fairness, so that a pool with a large claim takes nothing from
 //! one within its share.
@@ -49,7 +49,7 @@
 /// The hosts that a pool needs, in the order in which they are allocated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rounds {
-    /// For long-running tasks, and at least one.
+    /// For long-running tasks, and at least one if there is any work.
     pub lasting: usize,
     /// In addition, for batch work that can be in time: running, waiting and arriving.
     pub timely: usize,
@@ -72,7 +72,7 @@
 
 impl Rounds {
     /// The whole need.
-    pub fn total(self) -> usize {
+    fn total(self) -> usize {
         self.each().into_iter().sum()
     }
 
@@ -90,7 +90,7 @@
 
 /// Whether the claims exceed the hosts that there are.
 pub fn is_scarce(hosts: usize, claims: &[Claim]) -> bool {
-    let needs = claims.iter().map(|claim| claim.rounds.total());
+    let needs = claims.iter().map(|claim| claim.need().total());
     needs.sum::<usize>() > hosts
 }
 
@@ -98,7 +98,7 @@
 /// enough hosts for all.
 pub fn allocate(hosts: usize, claims: &[Claim]) -> Vec<usize> {
     if !is_scarce(hosts, claims) {
-        return claims.iter().map(|claim| claim.rounds.total()).collect();
+        return claims.iter().map(|claim| claim.need().total()).collect();
     }
     let shares = shares(hosts, claims);
     let targets = (0..claims.len()).map(|ix| damp(claims, &shares, ix));
@@ -126,7 +126,7 @@
     for round in 0..Rounds::default().each().len() {
         let asked = order.iter().map(|ix| max_min::Claim {
             weight: claims[*ix].weight,
-            amount: to_amount(claims[*ix].rounds.each()[round]),
+            amount: to_amount(claims[*ix].need().each()[round]),
         });
         let asked: Vec<_> = asked.collect();
         for (ix, granted) in order.iter().zip(divide(to_amount(left), &asked)) {
@@ -175,6 +175,21 @@
 }
 
 impl Claim {
+    /// What it needs, including its last host if it has no work. Otherwise its next job would wait
+    /// for a move.
+    fn need(&self) -> Rounds {
+        let Rounds { lasting, .. } = self.rounds;
+        let last = self.held.min(1);
+        Rounds {
+            lasting: if self.rounds.total() == 0 {
+                last
+            } else {
+                lasting
+            },
+            ..self.rounds
+        }
+    }
+
     /// Whether it has hosts for late work beyond all that it needs for work in time.
     fn spends_on_late(&self, share: &Share) -> bool {
         let Rounds {
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -68,8 +68,8 @@
     pub(super) now: usize,
     /// For work that may come back or is expected as well; never less than `now`.
     pub(super) keep: usize,
-    /// What it claims if the fleet is scarce. Sums to `now`, or to the hosts that long-running
-    /// tasks run on if they are more.
+    /// What it claims if the fleet is scarce. Sums to `now`, to the hosts that long-running tasks
+    /// run on if they are more, or to less if it has no work.
     pub(super) rounds: Rounds,
 }
 
@@ -212,11 +212,14 @@
     /// Splits the need for `short` by the value of the work, for a scarce fleet.
     fn rounds(&self, demand: &Demand, short: f64) -> Rounds {
         let exact = |cores: f64| ((cores + self.lasting()) / self.size).ceil() as usize;
-        let lasting = exact(0.0)
-            .max(self.load.spread)
-            .max(self.load.occupied)
-            .max(1);
-        let total = self.hosts(short).max(lasting);
+        let lasting = exact(0.0).max(self.load.spread).max(self.load.occupied);
+        let (lasting, total) = if self.load.all == 0 && self.load.spread == 0 {
+            // Without work it keeps its last host, but takes none from others.
+            (lasting, exact(short * HEADROOM))
+        } else {
+            let lasting = lasting.max(1);
+            (lasting, self.hosts(short).max(lasting))
+        };
         let timely = exact(demand.timely.level).clamp(lasting, total);
         let expected = if self.load.late > 0 {
             self.hosts(demand.expected).clamp(timely, total)
--- a/tests/workload/allocation.rs
+++ b/tests/workload/allocation.rs
@@ -20,6 +20,17 @@
     }
 }
 
+/// The whole need of a pool.
+fn total(claim: &Claim) -> usize {
+    let Rounds {
+        lasting,
+        timely,
+        expected,
+        late,
+    } = claim.rounds;
+    lasting + timely + expected + late
+}
+
 fn claims() -> impl Strategy<Value = Vec<Claim>> {
     let parts = (
         1..20_usize,
@@ -61,7 +72,7 @@
     /// Guards against decisions that change where there are enough hosts for all.
     #[test]
     fn claims_that_fit_are_the_targets(claims in claims()) {
-        let needs: Vec<_> = claims.iter().map(|claim| claim.rounds.total()).collect();
+        let needs: Vec<_> = claims.iter().map(|claim| total(claim)).collect();
         prop_assert_eq!(allocate(needs.iter().sum(), &claims), needs);
     }
 
@@ -72,7 +83,7 @@
         let targets = shares(hosts, &claims);
         prop_assert_eq!(targets.iter().sum::<usize>(), hosts);
         for (claim, target) in claims.iter().zip(targets) {
-            prop_assert!(target <= claim.rounds.total());
+            prop_assert!(target <= total(claim));
         }
     }
 
@@ -174,6 +185,15 @@
     assert_eq!(shares(203, &claims), [81, 41, 81]);
 }
 
+/// Guards against a pool without work that takes a host from another's work, and one that loses its
+/// last host to late work.
+#[test]
+fn a_pool_without_work_keeps_its_last_host_and_takes_none() {
+    let busy = claim(1, 5, 0, 9, 3);
+    assert_eq!(allocate(3, &[claim(0, 0, 0, 0, 0), busy]), [0, 3]);
+    assert_eq!(allocate(4, &[claim(0, 0, 0, 0, 1), busy]), [1, 3]);
+}
+
 /// Guards against ties that are broken by the order in which pools are listed.
 #[test]
 fn the_priority_breaks_ties() {
