Keep the outstanding work of accepted jobs

Admission control and the shares of workspaces need to know what accepted jobs still have to do. The scheduler knew only the free tasks of opened steps, so later steps and placed tasks were missing.

A tracker sums the batch work that isn't done by pool and by workspace. It is updated as jobs are accepted, tasks are done and jobs end, and a new leader fills it from its ledger. No decision depends on it yet.

Tests: 2 new ones in the workload binary (the totals against the jobs that they sum up, and a change of the leader), both pass.

--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -14,6 +14,7 @@
 //!   renew. Each new leader rebuilds it from the ledger.
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
+//! - [`admission`] decides which jobs are accepted, given the work that is outstanding.
 //! - [`max_min`] divides what is scarce among those that ask for it.
 //! - [`terminated`] remembers incarnations of agents that have terminated, and [`intents`] which hosts a leader
 //!   is about to send orders about. [`recent_starts`] remembers the starts that a leader may not have sent.
@@ -21,6 +22,7 @@
 //! This module does no I/O. Its driver commits the [`Command`](command::Command)s that the scheduler proposes
 //! and carries out its [`Order`](scheduler::Order)s.
 
+pub mod admission;
 pub mod catalog;
 pub mod command;
 pub mod intents;
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -377,6 +377,8 @@
     /// An abandoned attempt may turn out to have done it, so its latest attempt needn't be placed.
     fn complete_task(&mut self, task: TaskId, late: bool) {
         self.ready.take(task.step, task.task);
+        self.outstanding
+            .finish_task(task.step.job, usize::from(task.step.step));
         let held = self.suspects.clear(task);
         if let Some(held) = held.filter(|_| late) {
             let hosts = held.evidence.own.hosts;
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -45,6 +45,7 @@
         occurrence: Occurrence,
         job: &Job,
     ) {
+        self.track_work(id, occurrence, job);
         for step in 0..job.spec.steps.len() {
             let step = StepId {
                 job: id,
@@ -164,6 +165,7 @@
     /// Stops the attempts of a job that is over and drops its tasks.
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
+        self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
         let accepted = self.accepted_at.remove(&id);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -48,6 +48,7 @@
 //! agent to stop has then ended when the longest time that a stop takes has passed, so what the
 //! agent reports as running after that time had not been told to stop.
 
+mod admission;
 mod agent;
 mod agents;
 mod answers;
@@ -116,6 +117,7 @@
     overdue::OverdueRenewals,
 };
 use super::{
+    admission::outstanding::Outstanding,
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
     job::{Job, JobState, Run, StepId, Task, TaskId},
@@ -349,6 +351,8 @@
     probes: Probes,
     losses: Losses,
     completions: Completions,
+    /// The batch work of accepted jobs that isn't done.
+    outstanding: Outstanding,
     away: AwayTasks,
     /// When overdue renewals may be reported again; `None` if at once.
     overdue_due: Option<Now>,
@@ -436,6 +440,7 @@
             probes: Probes::default(),
             losses: Losses::new(now, ledger.failure_rate()),
             completions: Completions::default(),
+            outstanding: Outstanding::default(),
             away: AwayTasks::default(),
             overdue_due: None,
             maintained: BTreeSet::new(),
@@ -481,6 +486,7 @@
                 self.open_step(now, step, job);
             }
         }
+        self.reassign_work(ledger);
     }
 
     /// Whether an agent has seen a later leader, so that this one must stop.
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs, their ledger and the leader's scheduler, in logical time.
 
+mod admission;
 mod budgets;
 mod cancelled;
 mod caps;
