Refuse jobs that can't be done in their time

Under overload the leader accepted all jobs and served them by deadline until all of them were late.

The wait follows from the hosts that the pool has, those on their way and those that the balance of pools would give it, or from the leader's rate of starts while its processor is the limit. Refused callers are told when to return; some hold reservations. The reply is a 429 with `Retry-After`, and a refused job counts as demand once. With the switch off decisions are as before.

`check_return` asked about the second queue 1.2 s after the load had stopped, on an idle pool, and still expected a refusal there. It now asks in a world of its own for each queue, with the same checks.

--- a/src/core/workload/admission/outstanding.rs
+++ b/src/core/workload/admission/outstanding.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether a job is known.
+    pub fn contains(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
     /// What a pool still has to do.
     pub fn total(&self, pool: &PoolId) -> Total {
         let pool = self.pools.get(pool);
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -411,6 +411,12 @@
         batch.map(|slot| slot.room.millicores).sum()
     }
 
+    /// Thousandths of a core that its batch tasks may take.
+    pub(super) fn batch_capacity(&self) -> u64 {
+        let lasting = self.used.millicores - self.batch_millicores().min(self.used.millicores);
+        self.record.capacity.millicores.saturating_sub(lasting)
+    }
+
     /// Whether it answers and isn't about to leave.
     pub(super) fn is_healthy(&self) -> bool {
         !self.record.leaving && self.failing_since.is_none()
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -89,6 +89,7 @@
         };
         self.hosts.surplus = kept.into_iter().map(surplus).collect();
         self.keep_for_moves(&present, &have, spares);
+        self.update_admission(now, span);
     }
 
     /// Takes hosts out of the surplus that will be moved to other pools once there is room for
@@ -164,6 +165,7 @@
             let (in_time_cores, late_cores) = (in_time.millicores / 1000, late.millicores / 1000);
             let (in_time_steps, late_steps) = (in_time.steps, late.steps);
             log::info!(pool:%, starts, busy, in_time_steps, in_time_cores, late_steps, late_cores; "starts and backlog of a pool");
+            self.log_admission(now, pool);
         }
     }
 
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -80,9 +80,14 @@
         match change {
             Change::Accepted(id) => {
                 if let Some(job) = ledger.job(*id) {
-                    self.accepted_at.insert(*id, now);
-                    let work = self.batch_work(job) * self.allowed_part(ledger, job);
-                    self.add_demand(&self.pool(job), work);
+                    let pending = self.admission.take_pending(now, *id);
+                    // A reserved job is served in the order of its first submission.
+                    let since = pending.and_then(|pending| pending.reserved_since);
+                    self.accepted_at.insert(*id, since.unwrap_or(now));
+                    if !pending.is_some_and(|pending| pending.was_counted) {
+                        let work = self.batch_work(job) * self.allowed_part(ledger, job);
+                        self.add_demand(&self.pool(job), work);
+                    }
                     self.open_job(now, wall, *id, job);
                 }
             }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -140,7 +140,7 @@
     }
 
     /// About how long the job's longest chain of steps takes.
-    fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
+    pub(super) fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
         let remaining = job.spec.remaining(|step| self.estimate(pool, step));
         remaining.into_iter().max().unwrap_or_default()
     }
--- a/src/core/workload/scheduler/learned.rs
+++ b/src/core/workload/scheduler/learned.rs
@@ -80,6 +80,11 @@
         Duration::from_secs_f64((self.lag + self.jitter * JITTER_FACTOR).max(0.0))
     }
 
+    /// How much longer than estimated a task occupies its host on average.
+    pub(super) fn overhead(&self) -> Duration {
+        Duration::from_secs_f64(self.lag.max(0.0))
+    }
+
     /// Whether estimates are reliable, as far as is known.
     pub(super) fn is_reliable(&self) -> bool {
         self.count < MIN_TASKS || self.deviation <= MAX_DEVIATION
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -90,7 +90,19 @@
     time::Duration,
 };
 
+pub use self::{
+    admission::JobRefusal,
+    delayed::{Candidates, DelayReason, DelayedTask},
+    eligible::MAX_OPEN_QUESTIONS,
+    host_orders::OrderLimits,
+    order::{
+        AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
+        Running, StartOrder, Target,
+    },
+    overdue::OverdueRenewals,
+};
 use self::{
+    admission::StartRate,
     agent::{Agent, Phase, Slot},
     agents::Agents,
     caps::Proposed,
@@ -106,18 +118,8 @@
     ready::{ReadyQueue, ReadyStep},
     suspects::Suspects,
 };
-pub use self::{
-    delayed::{Candidates, DelayReason, DelayedTask},
-    eligible::MAX_OPEN_QUESTIONS,
-    host_orders::OrderLimits,
-    order::{
-        AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
-        Running, StartOrder, Target,
-    },
-    overdue::OverdueRenewals,
-};
 use super::{
-    admission::outstanding::Outstanding,
+    admission::{Admission, outstanding::Outstanding},
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
     job::{Job, JobState, Run, StepId, Task, TaskId},
@@ -193,6 +195,10 @@
     pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
+    /// Whether jobs that can't be done in their time are refused.
+    pub admission: bool,
+    /// The unit to which the times are rounded up that refused callers are told; zero if they aren't.
+    pub return_unit: Duration,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -208,6 +214,8 @@
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
+            admission: false,
+            return_unit: Duration::from_secs(1),
             protections: Protections::default(),
         }
     }
@@ -353,6 +361,9 @@
     completions: Completions,
     /// The batch work of accepted jobs that isn't done.
     outstanding: Outstanding,
+    admission: Admission,
+    /// How many tasks the leader starts.
+    starts: StartRate,
     away: AwayTasks,
     /// When overdue renewals may be reported again; `None` if at once.
     overdue_due: Option<Now>,
@@ -441,6 +452,8 @@
             losses: Losses::new(now, ledger.failure_rate()),
             completions: Completions::default(),
             outstanding: Outstanding::default(),
+            admission: Admission::new(settings.return_unit),
+            starts: StartRate::default(),
             away: AwayTasks::default(),
             overdue_due: None,
             maintained: BTreeSet::new(),
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -59,7 +59,9 @@
         for pool in pools {
             let before = starts.len();
             self.fill_pool(now, ledger, &pool, starts);
-            *self.hosts.starts.entry(pool.clone()).or_default() += starts.len() - before;
+            let count = starts.len() - before;
+            *self.hosts.starts.entry(pool.clone()).or_default() += count;
+            self.starts.count += count;
             if starts.len() >= self.settings.round_starts {
                 self.last_filled = Some(pool);
                 return;
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -1,8 +1,6 @@
 //! Handles the requests to a control node. The leader answers them; other nodes reply with who
 //! leads.
 
-use std::time::Duration;
-
 use super::{
     control::{ControlTask, PendingSubmission},
     proposals::ReplyTo,
@@ -15,6 +13,7 @@
             catalog::{PathTarget, QueueSpec},
             command::{AgentRecord, Command, Document, Submission},
             job::Job,
+            scheduler::JobRefusal,
             spec::JobSpec,
             workspace::WorkspaceSpec,
         },
@@ -149,9 +148,10 @@
             spec,
             accepted_at: wall(),
         };
-        if let Some(wait) = self.retry_after(&submission) {
-            log::info!(job:% = format_args!("{job:016x}"), queue:% = queue.name, retry_after:? = wait; "a job is refused");
-            return self.reply(reply_to, Reply::Refused(Refused::Storm(wait)));
+        if let Err(reason) = self.admit(&submission) {
+            let wait = reason.retry_after();
+            log::info!(job:% = format_args!("{job:016x}"), queue:% = queue.name, reason = reason.label(), retry_after:? = wait; "a job is refused");
+            return self.reply(reply_to, Reply::Refused(reason));
         }
         let waiting = Vec::new();
         self.submissions
@@ -159,10 +159,20 @@
         self.propose(reply_to, Command::Submit(Box::new(submission)));
     }
 
-    /// When to retry a job that the leader doesn't accept now; `None` if it is accepted.
-    fn retry_after(&self, submission: &Submission) -> Option<Duration> {
-        let scheduler = self.scheduler.as_ref()?;
-        scheduler.retry_after(self.now(), &self.ledger, submission, self.submissions.len())
+    /// Decides whether the leader accepts a job.
+    fn admit(&mut self, submission: &Submission) -> Result<(), Refused> {
+        let (now, pending) = (self.now(), self.submissions.len());
+        let Some(scheduler) = &mut self.scheduler else {
+            return Ok(());
+        };
+        let verdict = scheduler.admit(now, &self.ledger, submission, pending);
+        verdict.map_err(|refusal| match refusal {
+            JobRefusal::PoisonQueue(wait) => Refused::Storm(wait),
+            JobRefusal::Overload { after, .. } => {
+                self.ports.metrics.refused_jobs.inc();
+                Refused::Capacity(after)
+            }
+        })
     }
 
     fn cancel(&mut self, reply_to: ReplyTo, job: u64, caller: Option<&WorkspaceSpec>) {
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -108,6 +108,10 @@
     /// Number of tasks that are suspected of crashing the hosts that run them. Only the leader sets
     /// it.
     pub suspected: Gauge,
+    /// Number of reservations of refused jobs. Only the leader sets it.
+    pub reservations: Gauge,
+    /// Refusals of jobs that couldn't be done in their time. Only the leader counts them.
+    pub refused_jobs: Counter,
     /// Jobs that failed because one of their tasks crashes the hosts that run it. Only the leader
     /// counts them.
     pub poison_jobs: Counter,
@@ -152,6 +156,8 @@
             under_way: Gauge::default(),
             renewal_age: Gauge::default(),
             suspected: Gauge::default(),
+            reservations: Gauge::default(),
+            refused_jobs: Counter::default(),
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
@@ -246,10 +252,20 @@
                 "Tasks that are suspected to end the hosts that run them",
                 &self.suspected,
             ),
+            (
+                "jobs_reserved",
+                "Refused jobs that hold reservations",
+                &self.reservations,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "jobs_refused",
+            "Refusals of jobs that couldn't be done in their time",
+            self.refused_jobs.clone(),
+        );
         registry.register(
             "jobs_convicted",
             "Jobs that have failed since a task of theirs ends the hosts that run it",
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -217,6 +217,9 @@
         metrics
             .suspected
             .set(size(scheduler.map_or(0, Scheduler::suspected)));
+        metrics
+            .reservations
+            .set(size(scheduler.map_or(0, Scheduler::reservations)));
     }
 
     fn dial(&self, node: NodeId) {
--- a/src/manager/request.rs
+++ b/src/manager/request.rs
@@ -141,6 +141,8 @@
     /// The queue's jobs crash the hosts that run them, and so many of them are waiting that this
     /// job couldn't be tried in time. Holds the time until the waiting jobs are done.
     Storm(Duration),
+    /// The job can't be done in its time. Holds the time after which its caller should return.
+    Capacity(Duration),
 }
 
 impl Refused {
@@ -152,16 +154,17 @@
             Self::NoCatalog => "no_catalog",
             Self::Overloaded => "overloaded",
             Self::Storm(_) => "storm",
+            Self::Capacity(_) => "capacity",
         }
     }
 
-    /// When to retry: after an election, after the next round of the log, or when the waiting jobs
-    /// are done.
+    /// When to retry: after an election, after the next round of the log, when the waiting jobs are
+    /// done, or at the job's turn.
     pub fn retry_after(self) -> Duration {
         match self {
             Self::NotLeader(_) | Self::NoLeader | Self::NoCatalog => Duration::from_secs(1),
             Self::Overloaded => Duration::from_millis(500),
-            Self::Storm(wait) => wait,
+            Self::Storm(wait) | Self::Capacity(wait) => wait,
         }
     }
 }
--- a/tests/workload/refusals.rs
+++ b/tests/workload/refusals.rs
@@ -12,7 +12,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use egretpin::core::workload::{catalog::JobId, command::Submission, job::JobState, spec::JobSpec};
+use egretpin::core::workload::{
+    catalog::JobId, command::Submission, job::JobState, scheduler::JobRefusal, spec::JobSpec,
+};
 
 use crate::world::{OTHER_POOL, OTHER_QUEUE, POOL, Processor, QUEUE, World, ms, step};
 
@@ -108,6 +110,8 @@
 impl Load {
     fn new(fleet: Fleet, seed: u64) -> Self {
         let mut world = World::new(fleet.hosts, seed);
+        world.admission = true;
+        world.lead();
         for host in 0..fleet.hosts {
             let host = format!("h{}", fleet.hosts + host);
             world.add_host(&host, OTHER_POOL);
@@ -179,7 +183,7 @@
     }
 
     /// When a job should return; `None` if it is accepted.
-    fn retry_after(&self, offer: Offer) -> Option<Duration> {
+    fn retry_after(&mut self, offer: Offer) -> Option<Duration> {
         let (queue, pool) = QUEUES[offer.queue];
         let submission = Submission {
             job: offer.job,
@@ -191,13 +195,17 @@
         };
         let newest = self.open.keys().rev();
         let pending = newest.take_while(|job| self.world.state(**job).is_none());
-        let scheduler = self.world.scheduler.as_ref()?;
-        scheduler.retry_after(
-            self.world.now,
-            &self.world.ledger,
-            &submission,
-            pending.count(),
-        )
+        let pending = pending.count();
+        let World {
+            now,
+            ledger,
+            scheduler,
+            ..
+        } = &mut self.world;
+        let verdict = scheduler
+            .as_mut()?
+            .admit(*now, ledger, &submission, pending);
+        verdict.err().map(JobRefusal::retry_after)
     }
 
     /// Lets a tick pass, and submits the jobs again that are to return by then.
@@ -276,11 +284,11 @@
 }
 
 fn check_return(fleet: Fleet) {
-    let mut load = Load::new(fleet, 6);
-    load.submit_for(ms(3000), fleet.fitting_rate * 4);
-    load.returns.clear();
-    let now = load.world.now;
     for (queue, (name, _)) in QUEUES.iter().enumerate() {
+        let mut load = Load::new(fleet, 6);
+        load.submit_for(ms(3000), fleet.fitting_rate * 4);
+        load.returns.clear();
+        let now = load.world.now;
         let mut offer = Offer {
             job: 1_000_000 + u64::try_from(queue).unwrap(),
             queue,
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -339,6 +339,8 @@
     pub(crate) provider: Option<ProviderLink>,
     /// How many orders about hosts the next leader may give.
     pub(crate) order_limits: OrderLimits,
+    /// Whether the next leader refuses jobs that can't be in time.
+    pub(crate) admission: bool,
     provider_queue: ProviderQueue,
     /// Hosts about which orders are lost: they aren't carried out and get no answer.
     pub(crate) unreachable_hosts: BTreeSet<HostId>,
@@ -516,6 +518,7 @@
             moves: 0,
             provider: None,
             order_limits: OrderLimits::default(),
+            admission: false,
             provider_queue: ProviderQueue::default(),
             unreachable_hosts: BTreeSet::new(),
             order_waits: Vec::new(),
@@ -700,6 +703,8 @@
             round_starts: self.round_starts,
             retention: RETENTION,
             host_orders: self.order_limits,
+            admission: self.admission,
+            return_unit: Duration::ZERO,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
