--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -110,6 +110,10 @@
     pub suspected: Gauge,
     /// Number of hosts that the pools need beyond those that there are. Only the leader sets it.
     pub missing_hosts: Gauge,
+    /// Number of reservations of refused jobs. Only the leader sets it.
+    pub reservations: Gauge,
+    /// Refusals of jobs that couldn't be done in their time. Only the leader counts them.
+    pub refused_jobs: Counter,
     /// Jobs that failed because one of their tasks crashes the hosts that run it. Only the leader
     /// counts them.
     pub poison_jobs: Counter,
@@ -155,6 +159,8 @@
             renewal_age: Gauge::default(),
             suspected: Gauge::default(),
             missing_hosts: Gauge::default(),
+            reservations: Gauge::default(),
+            refused_jobs: Counter::default(),
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
@@ -254,10 +260,20 @@
                 "Hosts that the pools need beyond those that there are",
                 &self.missing_hosts,
             ),
+            (
+                "jobs_reserved",
+                "Refused jobs that hold reservations",
+                &self.reservations,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "jobs_refused",
+            "Refusals of jobs that couldn't be done in their time",
+            self.refused_jobs.clone(),
+        );
         registry.register(
             "jobs_convicted",
             "Jobs that have failed since a task of theirs ends the hosts that run it",
