Add a module that divides a pool between workspaces by weight

Workspaces that ask for more than a pool can do had no defined share of it: the weight was read from the catalog and nothing followed from it. The new module gives each workspace what its weight entitles it to, as far as it asks for it, and divides the rest by weighted max-min fairness. What is expected by recent offers counts as asked for. Nothing uses it yet.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -374,6 +374,16 @@
         found.map_or_else(Cap::default, |ix| self.workspaces[*ix].cap)
     }
 
+    /// The weight of a workspace. It is 1 for jobs without a workspace, for a workspace that isn't declared any
+    /// more, and if the declared weight isn't positive and finite.
+    pub fn weight(&self, workspace: Option<&WorkspaceId>) -> f64 {
+        let found = workspace.and_then(|workspace| self.by_workspace.get(workspace));
+        let weight = found.map(|ix| self.workspaces[*ix].weight);
+        weight
+            .filter(|weight| weight.is_finite() && *weight > 0.0)
+            .unwrap_or(1.0)
+    }
+
     /// The queue with the longest prefix of a path, and what the rest of the path refers to.
     pub fn find(&self, host: &str, path: &str) -> Option<(&QueueSpec, PathTarget)> {
         let queues = self.by_host.get(host)?.iter().map(|ix| &self.queues[*ix]);
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -14,7 +14,8 @@
 //!   renew. Each new leader rebuilds it from the ledger.
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
-//! - [`max_min`] divides what is scarce among those that ask for it.
+//! - [`max_min`] divides what is scarce among those that ask for it, and [`workspace_shares`] a pool among the
+//!   workspaces that contend for it.
 //! - [`terminated`] remembers incarnations of agents that have terminated, and [`intents`] which hosts a leader
 //!   is about to send orders about. [`recent_starts`] remembers the starts that a leader may not have sent.
 //!
@@ -34,3 +35,4 @@
 pub mod suspicion;
 pub mod terminated;
 pub mod workspace;
+pub mod workspace_shares;
