Rank steps beyond the shares of their workspaces after those in time

Steps were ordered by deadlines alone, so a workspace that sends seven times its usual jobs was served in proportion to what it sent. While workspaces contend for a pool, steps beyond the share of their workspace get a class of their own.

--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -59,6 +59,7 @@
                 agent: id.clone(),
             };
             if self.settings.protections.inherit {
+                self.count_placed(ledger, task, attempt, spec);
                 agent.add(task, slot);
                 // This leader's rounds will replace those that show it to the next one.
                 self.not_started.extend(unsent.then_some(placed));
@@ -83,6 +84,8 @@
                     self.accepted_at.insert(*id, now);
                     let work = self.batch_work(job) * self.allowed_part(ledger, job);
                     self.add_demand(&self.pool(job), work);
+                    self.count_offer(now, Duration::ZERO, job);
+                    self.count_job(*id, job);
                     self.open_job(now, wall, *id, job);
                 }
             }
@@ -95,7 +98,10 @@
             Change::Done {
                 task,
                 was_abandoned: late,
-            } => self.complete_task(*task, *late),
+            } => {
+                self.count_done(ledger, *task);
+                self.complete_task(*task, *late);
+            }
             Change::Redundant(placed) => {
                 log::info!(task:% = placed.task, attempt = placed.attempt, agent:% = placed.agent; "an attempt is no longer needed");
                 self.stop(now, &placed.agent, placed.task);
@@ -367,6 +373,7 @@
                 agent.remove(now, placed.task);
             }
         }
+        self.count_unplaced(placed.task, placed.attempt);
         if again {
             self.make_ready(now, ledger, placed.task);
         }
@@ -419,6 +426,7 @@
         if let Some(agent) = self.agents.get_mut(&start.agent) {
             agent.remove(now, start.task);
         }
+        self.count_unplaced(start.task, start.attempt);
         let needed = |task: &Task| task.agent.is_none() && !task.done;
         // The tasks of a finished occurrence may have been dropped.
         let run = job.and_then(|job| job.runs.get(&start.task.step.occurrence));
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -68,12 +68,14 @@
 mod operations;
 mod order;
 mod overdue;
+mod owner_queue;
 mod place;
 mod poison_queues;
 mod presence;
 mod pressure;
 mod probes;
 mod ready;
+mod shares;
 mod starts;
 mod strays;
 mod suspects;
@@ -81,6 +83,7 @@
 mod unit;
 mod vacating;
 mod waves;
+mod workspace_usage;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -103,7 +106,9 @@
     pressure::Pressure,
     probes::Probes,
     ready::{ReadyQueue, ReadyStep},
+    shares::ShareTimes,
     suspects::Suspects,
+    workspace_usage::WorkspaceUsage,
 };
 pub use self::{
     delayed::{Candidates, DelayReason, DelayedTask},
@@ -191,6 +196,8 @@
     pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
+    /// Whether workspaces have shares of a pool that they contend for.
+    pub workspace_shares: bool,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -206,6 +213,7 @@
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
+            workspace_shares: false,
             protections: Protections::default(),
         }
     }
@@ -339,6 +347,9 @@
     last_filled: Option<PoolId>,
     /// The attempts that these rounds place, summed by workspace.
     proposed: Proposed,
+    /// What the workspaces have of the pools.
+    usage: WorkspaceUsage,
+    share_times: ShareTimes,
     hosts: Hosts,
     intents: HostIntents,
     eligible: Eligible,
@@ -411,7 +422,7 @@
             started_at: now,
             catalog,
             agents: Agents::default(),
-            ready: ReadyQueue::default(),
+            ready: ReadyQueue::with_shares(settings.workspace_shares),
             upcoming: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             accepted_at: Map::default(),
@@ -427,6 +438,8 @@
             open_rounds: 0,
             last_filled: None,
             proposed: Proposed::default(),
+            usage: WorkspaceUsage::default(),
+            share_times: ShareTimes::default(),
             hosts: Hosts::new(settings.host_orders),
             intents: HostIntents::new(now, settings.handover_delay, ledger.intents()),
             eligible: Eligible::default(),
@@ -455,14 +468,16 @@
             scheduler.inherit(now, ledger, record, shared);
         }
         for (id, job) in ledger.jobs() {
+            let age = wall.saturating_sub(job.accepted_at);
+            scheduler.count_offer(now, age, job);
             if job.has_ended() {
                 // An earlier leader may not have stopped all of the job's attempts. How long ago
                 // the job ended is unknown, as wall clocks jump, so its retention starts anew.
                 scheduler.end_job(now, ledger, id);
                 continue;
             }
-            let age = wall.saturating_sub(job.accepted_at);
             scheduler.accepted_at.insert(id, now.saturating_sub(age));
+            scheduler.count_job(id, job);
             scheduler.open_job(now, wall, id, job);
             for (task, evidence) in job.task_evidence(id) {
                 scheduler.record_evidence(job, task, evidence);
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -2,7 +2,8 @@
 //!
 //! Long-running tasks go first, because they earn as long as they run. Then come tasks that can
 //! still meet their job's objective, the most urgent first. Last come those that can't meet it any
-//! more, which mustn't make others late too.
+//! more, which mustn't make others late too. While workspaces contend for a pool, the steps of each
+//! beyond its share go between the last two.
 //!
 //! The order is maintained incrementally instead of being computed for each plan: the backlog is
 //! longest when the leader has the least time, and the cost of a plan mustn't grow with it. The
@@ -15,12 +16,14 @@
     time::Duration,
 };
 
+use super::owner_queue::OwnerQueue;
 use crate::core::{
     types::{Now, PoolId, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
         job::{StepId, TaskId},
         spec::{StepSpec, TaskIx},
+        workspace_shares::Owner,
     },
 };
 
@@ -60,6 +63,8 @@
 enum Class {
     LongRunning,
     InTime,
+    /// In time, and beyond the share of its workspace while workspaces contend for the pool.
+    BeyondShare,
     Late,
 }
 
@@ -85,8 +90,28 @@
         self.deadline.checked_sub(self.remaining_time)
     }
 
+    /// Its position among the steps of its workspace.
+    fn own_rank(&self, step: StepId) -> Rank {
+        Rank {
+            class: Class::InTime,
+            priority: self.priority,
+            deadline: self.deadline,
+            step,
+        }
+    }
+
+    /// Its position among all steps beyond the shares of their workspaces. Priorities count only
+    /// within a share.
+    fn beyond_rank(&self, step: StepId) -> Rank {
+        Rank {
+            class: Class::BeyondShare,
+            priority: 0,
+            ..self.own_rank(step)
+        }
+    }
+
     /// Thousandths of a core that its free tasks wait for.
-    fn millicores(&self) -> u64 {
+    pub(super) fn millicores(&self) -> u64 {
         let count = u64::try_from(self.free.len()).unwrap_or(u64::MAX);
         self.spec.reservation().millicores.saturating_mul(count)
     }
@@ -107,6 +132,10 @@
     millicores: BTreeMap<WorkspaceId, u64>,
     /// When steps that can still be in time no longer can.
     latest_starts: BTreeSet<(Now, StepId)>,
+    /// Whether the steps of each workspace are known, so that it can have a share.
+    has_shares: bool,
+    /// The workspaces of pools of which steps may have to be moved into their share or out of it.
+    unsettled: BTreeSet<(PoolId, Owner)>,
     /// How many steps were visited.
     visits: Cell<usize>,
 }
@@ -132,6 +161,8 @@
     late: Backlog,
     /// The part of `waiting` that belongs to each workspace.
     by_workspace: BTreeMap<WorkspaceId, WaitingLoad>,
+    /// The batch tasks of each workspace that wait in time, if workspaces have shares.
+    owners: BTreeMap<Owner, OwnerQueue>,
 }
 
 /// What the free tasks of a pool wait for.
@@ -176,11 +207,23 @@
     fn backlog(&mut self, class: Class) -> Option<&mut Backlog> {
         match class {
             Class::LongRunning => None,
-            Class::InTime => Some(&mut self.in_time),
+            Class::InTime | Class::BeyondShare => Some(&mut self.in_time),
             Class::Late => Some(&mut self.late),
         }
     }
 
+    /// The queue of a step's workspace, and whether the step is within its share; `None` if the
+    /// step is in no such queue.
+    fn owner_queue(&mut self, ready: &ReadyStep, rank: Rank) -> Option<(&mut OwnerQueue, bool)> {
+        let within = match rank.class {
+            Class::InTime => true,
+            Class::BeyondShare => false,
+            Class::LongRunning | Class::Late => return None,
+        };
+        let queue = self.owners.entry(ready.workspace.clone()).or_default();
+        Some((queue, within))
+    }
+
     fn waiting(&self) -> WaitingLoad {
         let spread = self.spreads.keys().next_back().copied();
         WaitingLoad {
@@ -191,6 +234,14 @@
 }
 
 impl ReadyQueue {
+    /// Creates a queue in which workspaces may have shares of the pools.
+    pub(super) fn with_shares(has_shares: bool) -> Self {
+        Self {
+            has_shares,
+            ..Self::default()
+        }
+    }
+
     pub(super) fn get(&self, step: StepId) -> Option<&ReadyStep> {
         self.steps.get(&step).map(|entry| &entry.ready)
     }
@@ -205,9 +256,81 @@
         let line = self.pools.entry(ready.pool.clone()).or_default();
         *line.spreads.entry(spread(&ready)).or_default() += 1;
         self.enter(&ready, rank);
+        if self.has_shares && rank.class == Class::InTime {
+            self.unsettled
+                .insert((ready.pool.clone(), ready.workspace.clone()));
+        }
         self.steps.insert(step, Entry { ready, rank });
     }
 
+    /// Sets the share of a workspace in a pool: the thousandths of a core of batch tasks that it
+    /// may have placed or waiting within its share. `None` is no limit.
+    pub(super) fn set_share(&mut self, pool: &PoolId, owner: &Owner, share: Option<u64>) {
+        let line = self.pools.entry(pool.clone()).or_default();
+        let queue = line.owners.entry(owner.clone()).or_default();
+        if std::mem::replace(&mut queue.share, share) != share {
+            self.unsettled.insert((pool.clone(), owner.clone()));
+        }
+    }
+
+    /// Counts batch tasks of a workspace that were placed in a pool.
+    pub(super) fn add_placed(&mut self, pool: &PoolId, owner: &Owner, millicores: u64) {
+        let line = self.pools.entry(pool.clone()).or_default();
+        line.owners.entry(owner.clone()).or_default().placed += millicores;
+    }
+
+    /// Counts that they aren't placed any more.
+    pub(super) fn remove_placed(&mut self, pool: &PoolId, owner: &Owner, millicores: u64) {
+        let line = self.pools.entry(pool.clone()).or_default();
+        let queue = line.owners.entry(owner.clone()).or_default();
+        queue.placed = queue.placed.saturating_sub(millicores);
+        self.unsettled.insert((pool.clone(), owner.clone()));
+    }
+
+    /// The workspaces of a pool, with the thousandths of a core of their batch tasks that are
+    /// placed and that wait in time.
+    pub(super) fn owners(&self, pool: &PoolId) -> impl Iterator<Item = (&Owner, &OwnerQueue)> {
+        let line = self.pools.get(pool).into_iter();
+        line.flat_map(|line| &line.owners)
+    }
+
+    /// Moves steps of workspaces into their shares and out of them, where that has changed since
+    /// the last call.
+    pub(super) fn settle_shares(&mut self) {
+        for (pool, owner) in std::mem::take(&mut self.unsettled) {
+            while let Some((rank, within)) = self.next_move(&pool, &owner) {
+                self.count_visit();
+                self.move_step(rank.step, within);
+            }
+        }
+    }
+
+    /// The next step of a workspace to be moved, and whether into its share.
+    fn next_move(&self, pool: &PoolId, owner: &Owner) -> Option<(Rank, bool)> {
+        let queue = self.pools.get(pool)?.owners.get(owner)?;
+        let surplus = queue.last_within().filter(|rank| {
+            let ready = self.get(rank.step);
+            ready.is_some_and(|ready| queue.is_surplus(ready.millicores()))
+        });
+        let surplus = surplus.map(|rank| (rank, false));
+        surplus.or_else(|| queue.first_due().map(|rank| (rank, true)))
+    }
+
+    /// Moves a step into the share of its workspace or out of it.
+    fn move_step(&mut self, step: StepId, within: bool) {
+        let Some(mut entry) = self.steps.remove(&step) else {
+            return;
+        };
+        self.leave(&entry.ready, entry.rank);
+        entry.rank = if within {
+            entry.ready.own_rank(step)
+        } else {
+            entry.ready.beyond_rank(step)
+        };
+        self.enter(&entry.ready, entry.rank);
+        self.steps.insert(step, entry);
+    }
+
     /// Forgets a job that is over.
     pub(super) fn forget(&mut self, job: JobId) {
         let first = StepId {
@@ -252,7 +375,10 @@
                 continue;
             };
             self.leave(&entry.ready, entry.rank);
-            entry.rank.class = Class::Late;
+            entry.rank = Rank {
+                class: Class::Late,
+                ..entry.ready.own_rank(step)
+            };
             self.enter(&entry.ready, entry.rank);
             self.steps.insert(step, entry);
         }
@@ -368,6 +494,11 @@
             backlog.steps += 1;
             backlog.millicores += ready.millicores();
         }
+        if self.has_shares
+            && let Some((queue, within)) = line.owner_queue(ready, rank)
+        {
+            queue.add(within, ready.own_rank(rank.step), ready.millicores());
+        }
         if let Some(workspace) = &ready.workspace {
             line.by_workspace
                 .entry(workspace.clone())
@@ -391,6 +522,11 @@
             backlog.steps -= 1;
             backlog.millicores -= ready.millicores();
         }
+        if self.has_shares
+            && let Some((queue, within)) = line.owner_queue(ready, rank)
+        {
+            queue.remove(within, ready.own_rank(rank.step), ready.millicores());
+        }
         let Some(workspace) = &ready.workspace else {
             return;
         };
--- /dev/null
+++ b/src/core/workload/scheduler/shares.rs
@@ -0,0 +1,149 @@
+//! Divides pools between the workspaces that contend for them.
+//!
+//! The workspaces contend for a pool while it can't do their outstanding work in the time that its
+//! jobs have. Then each gets a share of the pool's cores. The steps beyond a workspace's share are
+//! served after those of the others that can be in time, and move into the share as the
+//! workspace's tasks end. While nobody contends, the order of starts isn't changed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{Now, PoolId, Scheduler, operations::Purpose};
+use crate::core::workload::workspace_shares::{Owner, Shares, Usage};
+
+/// Delay between checks which workspaces contend for what: a small part of the time in which a
+/// surge builds up. Each check visits the agents.
+const SHARE_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Delay between log lines of who is beyond a share.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Workspaces that contend for a pool do so until their work falls below this part of what the pool
+/// can do in time, so that steps aren't moved back and forth.
+const CONTENTION_END: f64 = 0.8;
+/// The name in the log of all jobs without a workspace.
+const NO_WORKSPACE: &str = "-";
+
+/// When shares were last checked and logged.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ShareTimes {
+    checked_at: Now,
+    logged_at: Now,
+}
+
+impl Scheduler {
+    /// Updates the shares of the workspaces, and which steps are beyond them.
+    pub(super) fn update_shares(&mut self, now: Now) {
+        if !self.settings.workspace_shares {
+            return;
+        }
+        if now >= self.share_times.checked_at + SHARE_CHECK_DELAY {
+            self.share_times.checked_at = now;
+            let is_logged = now >= self.share_times.logged_at + LOG_INTERVAL;
+            if is_logged {
+                self.share_times.logged_at = now;
+            }
+            let pools: Vec<_> = self.usage.pools.keys().cloned().collect();
+            for pool in pools {
+                let shares = self.update_pool_shares(now, &pool);
+                if is_logged {
+                    log_beyond(&pool, &shares);
+                }
+            }
+        }
+        self.ready.settle_shares();
+    }
+
+    fn update_pool_shares(&mut self, now: Now, pool: &PoolId) -> Shares {
+        let capacity = self.batch_capacity(pool);
+        let contended = self.is_contended(pool, capacity);
+        if let Some(usage) = self.usage.pools.get_mut(pool) {
+            usage.contended = contended;
+        }
+        let usages = self.core_usages(now, pool);
+        let owners: Vec<_> = usages.keys().cloned().collect();
+        let shares = if contended {
+            Shares::new(capacity, usages)
+        } else {
+            Shares::default()
+        };
+        for owner in owners {
+            // With a share of at least something, one step is always within it.
+            let share = shares.is_contended().then(|| shares.share(&owner).max(1));
+            self.ready.set_share(pool, &owner, share);
+        }
+        shares
+    }
+
+    /// Whether the outstanding work of a pool is more than it can do in the time that its jobs
+    /// have. An unknown capacity isn't contended.
+    fn is_contended(&self, pool: &PoolId, capacity: u64) -> bool {
+        let Some(usage) = self.usage.pools.get(pool) else {
+            return false;
+        };
+        if self.catalog.workspaces.is_empty() || capacity == 0 {
+            return false;
+        }
+        let possible = capacity as f64 * usage.objective().as_secs_f64() * 1000.0;
+        let limit = if usage.contended {
+            possible * CONTENTION_END
+        } else {
+            possible
+        };
+        usage.work() as f64 > limit
+    }
+
+    /// What the workspaces have of a pool's cores and may ask for, in thousandths of a core.
+    fn core_usages(&self, now: Now, pool: &PoolId) -> BTreeMap<Owner, Usage> {
+        let held: BTreeMap<_, _> = self
+            .ready
+            .owners(pool)
+            .map(|(owner, queue)| (owner, queue.held()))
+            .collect();
+        let usage = self.usage.pools.get(pool).map(|usage| &usage.owners);
+        let known = usage.into_iter().flat_map(|owners| owners.keys());
+        let owners: BTreeSet<_> = known.chain(held.keys().copied()).collect();
+        let usages = owners.into_iter().map(|owner| {
+            let offers = usage.and_then(|owners| owners.get(owner));
+            let offers = offers.map(|usage| usage.offers).unwrap_or_default();
+            let weight = self.catalog.weight(owner.as_ref());
+            let usage = Usage {
+                weight,
+                held: held.get(owner).copied().unwrap_or_default(),
+                expected: offers.rate(now) as u64,
+                // Jobs per second, each with so many thousandths of a core times milliseconds.
+                entitled: (weight * offers.mean() / 1000.0) as u64,
+            };
+            (owner.clone(), usage)
+        });
+        usages.collect()
+    }
+
+    /// The thousandths of a core of a pool that batch tasks have or can have, hosts on their way
+    /// to the pool included.
+    fn batch_capacity(&self, pool: &PoolId) -> u64 {
+        let agents = self.agents.with_room(pool, 0);
+        let able = agents.filter(|agent| agent.is_healthy() && !agent.replaced && !agent.cordoned);
+        let (mut capacity, mut largest) = (0, 0);
+        for agent in able {
+            let all = agent.record.capacity.millicores;
+            let long_running = agent.used.millicores - agent.batch_millicores();
+            capacity += all.saturating_sub(long_running);
+            largest = largest.max(all);
+        }
+        let operations = self.hosts.operations.values();
+        let coming = operations.filter(|operation| match &operation.purpose {
+            Purpose::Move(to) => to == pool,
+            Purpose::Maintain(_) => false,
+        });
+        capacity + largest * coming.count() as u64
+    }
+}
+
+fn log_beyond(pool: &PoolId, shares: &Shares) {
+    for (owner, surplus) in shares.beyond() {
+        let workspace = owner.as_deref().unwrap_or(NO_WORKSPACE);
+        let (share_cores, surplus_cores) = (shares.share(owner) / 1000, surplus / 1000);
+        log::info!(pool:%, workspace, share_cores, surplus_cores; "a workspace is beyond its share");
+    }
+}
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -43,6 +43,7 @@
             at: wall,
         };
         self.ready.demote_late(now);
+        self.update_shares(now);
         self.agents.update_indexes();
         self.fill_pools_in_turn(now, ledger, &mut round.starts);
         round
@@ -249,6 +250,7 @@
     ) {
         let task = placed.task;
         self.reserve(ledger, task, spec);
+        self.count_placed(ledger, task, placed.attempt, spec);
         self.ready.take(task.step, task.task);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
             self.agent_ages.push(now.saturating_sub(agent.last_seen));
--- a/src/core/workload/workspace_shares.rs
+++ b/src/core/workload/workspace_shares.rs
@@ -162,7 +162,7 @@
 ///
 /// let second = Duration::from_secs(1);
 /// let mut offers = RecentOffers::default();
-/// (1..=20).for_each(|second| offers.record(Duration::from_secs(second), 600.0));
+/// (1..=20).for_each(|now| offers.record(second * now, Duration::ZERO, 600.0));
 /// let rate = offers.rate(second * 20);
 /// assert!((0.4..0.9).contains(&rate), "about 600 a second, and so 0.6 a millisecond: {rate}");
 /// assert!((offers.mean() - 600.0).abs() < 0.001);
@@ -177,14 +177,12 @@
 }
 
 impl RecentOffers {
-    /// Records a job that was offered at `now` or earlier.
-    pub fn record(&mut self, now: Now, work: f64) {
-        let latest = self.updated_at.max(now);
-        let part = decay(latest.saturating_sub(self.updated_at));
-        let own = decay(latest.saturating_sub(now));
-        self.jobs = self.jobs * part + own;
-        self.work = self.work * part + work * own;
-        self.updated_at = latest;
+    /// Records a job that was offered so long before `now`.
+    pub fn record(&mut self, now: Now, age: Duration, work: f64) {
+        let (before, own) = (decay(now.saturating_sub(self.updated_at)), decay(age));
+        self.jobs = self.jobs * before + own;
+        self.work = self.work * before + work * own;
+        self.updated_at = now;
     }
 
     /// The work that was offered per millisecond.
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -36,5 +36,6 @@
 mod unsent_orders;
 mod vacating;
 mod waves;
+mod workspace_shares;
 mod workspaces;
 mod world;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -386,6 +386,8 @@
     pub(crate) relaxed_checks: bool,
     /// The protections that are on for the next leader.
     pub(crate) protections: Protections,
+    /// Whether workspaces have shares with the next leader.
+    pub(crate) workspace_shares: bool,
     /// The workspace that jobs are submitted for.
     pub(crate) workspace: Option<WorkspaceId>,
     /// The caps of workspaces, and when each came into force.
@@ -547,6 +549,7 @@
             disturbed_at: Duration::ZERO,
             relaxed_checks: false,
             protections: Protections::default(),
+            workspace_shares: false,
             workspace: None,
             caps: Vec::new(),
             cap_excess: 0,
@@ -700,6 +703,7 @@
             round_starts: self.round_starts,
             retention: RETENTION,
             host_orders: self.order_limits,
+            workspace_shares: self.workspace_shares,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
@@ -819,6 +823,16 @@
         let catalog = (*self.catalog)
             .clone()
             .with_workspaces(workspaces.collect());
+        self.set_catalog(catalog);
+    }
+
+    /// The catalog in force.
+    pub(crate) fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Puts another catalog in force at once.
+    pub(crate) fn set_catalog(&mut self, catalog: Catalog) {
         self.catalog = Arc::new(catalog);
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.set_catalog(self.now, Arc::clone(&self.catalog), &self.ledger);
