Start the surplus of a workspace after the others' work in time

A workspace that sent seven times its usual jobs was served in proportion to what it sent, as steps were ordered by deadlines alone: all others were late with it. The weight of a workspace had no effect.

While the outstanding work of a pool exceeds what it can do in the mean objective of its jobs, each workspace now has a share of the pool's cores. Its steps beyond the share are in a class of their own between those in time and the late ones, without priorities, and move into the share as its tasks end. `Scheduler::work_shares` answers the same for the work that admission control may accept. Behind `Settings::workspace_shares`, off by default.

--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -85,7 +85,6 @@
                     let work = self.batch_work(job) * self.allowed_part(ledger, job);
                     self.add_demand(&self.pool(job), work);
                     self.count_offer(now, Duration::ZERO, job);
-                    self.count_job(*id, job);
                     self.open_job(now, wall, *id, job);
                 }
             }
@@ -98,10 +97,7 @@
             Change::Done {
                 task,
                 was_abandoned: late,
-            } => {
-                self.count_done(ledger, *task);
-                self.complete_task(*task, *late);
-            }
+            } => self.complete_task(*task, *late),
             Change::Redundant(placed) => {
                 log::info!(task:% = placed.task, attempt = placed.attempt, agent:% = placed.agent; "an attempt is no longer needed");
                 self.stop(now, &placed.agent, placed.task);
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -168,7 +168,6 @@
         self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
-        self.count_job_end(id);
         let accepted = self.accepted_at.remove(&id);
         self.ended_jobs.push_back((now, id));
         let Some(job) = ledger.job(id) else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -482,7 +482,6 @@
                 continue;
             }
             scheduler.accepted_at.insert(id, now.saturating_sub(age));
-            scheduler.count_job(id, job);
             scheduler.open_job(now, wall, id, job);
             for (task, evidence) in job.task_evidence(id) {
                 scheduler.record_evidence(job, task, evidence);
--- a/src/core/workload/scheduler/owner_queue.rs
+++ b/src/core/workload/scheduler/owner_queue.rs
@@ -51,11 +51,6 @@
         self.placed + self.within.millicores + self.beyond.millicores
     }
 
-    /// Thousandths of a core that wait beyond the share.
-    pub(super) fn surplus(&self) -> u64 {
-        self.beyond.millicores
-    }
-
     /// The least urgent step within the share.
     pub(super) fn last_within(&self) -> Option<Rank> {
         self.within.ranks.last().copied()
--- a/src/core/workload/scheduler/shares.rs
+++ b/src/core/workload/scheduler/shares.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{Now, PoolId, Scheduler, operations::Purpose};
-use crate::core::workload::workspace_shares::{Owner, Shares, Usage};
+use crate::core::workload::workspace_shares::{Owner, RecentOffers, Shares, Usage};
 
 /// Delay between checks which workspaces contend for what: a small part of the time in which a
 /// surge builds up. Each check visits the agents.
@@ -90,29 +90,67 @@
         } else {
             possible
         };
-        usage.work() as f64 > limit
+        self.outstanding.total(pool).work as f64 > limit
+    }
+
+    /// The shares of the workspaces in the work that a pool can do in a time, in thousandths of a
+    /// core times milliseconds; `None` if workspaces have no shares. Admission control asks whether
+    /// one more job of a workspace is within its share.
+    pub fn work_shares(
+        &self,
+        now: Now,
+        pool: &PoolId,
+        possible: u64,
+        time: Duration,
+    ) -> Option<Shares> {
+        if !self.settings.workspace_shares || self.catalog.workspaces.is_empty() {
+            return None;
+        }
+        let work = self.outstanding.workspaces(pool);
+        let work = work.map(|(owner, work)| (owner.cloned(), work));
+        let usages = self.usages(now, pool, &work.collect(), time.as_secs_f64() * 1000.0);
+        Some(Shares::new(possible, usages))
     }
 
     /// What the workspaces have of a pool's cores and may ask for, in thousandths of a core.
     fn core_usages(&self, now: Now, pool: &PoolId) -> BTreeMap<Owner, Usage> {
-        let held: BTreeMap<_, _> = self
-            .ready
-            .owners(pool)
-            .map(|(owner, queue)| (owner, queue.held()))
-            .collect();
-        let usage = self.usage.pools.get(pool).map(|usage| &usage.owners);
-        let known = usage.into_iter().flat_map(|owners| owners.keys());
-        let owners: BTreeSet<_> = known.chain(held.keys().copied()).collect();
+        let held = self.ready.owners(pool);
+        let held = held.map(|(owner, queue)| (owner.clone(), queue.held()));
+        let mut usages = self.usages(now, pool, &held.collect(), 1.0);
+        for (owner, usage) in &mut usages {
+            let cap = owner.as_ref().map(|owner| self.catalog.cap(owner));
+            let cap = cap.map_or(0, |cap| cap.0.millicores);
+            // What a cap doesn't let run is no claim.
+            if cap > 0 {
+                usage.held = usage.held.min(cap);
+                usage.expected = usage.expected.min(cap);
+            }
+        }
+        usages
+    }
+
+    /// What the workspaces have of a pool and may ask for in so many milliseconds.
+    fn usages(
+        &self,
+        now: Now,
+        pool: &PoolId,
+        held: &BTreeMap<Owner, u64>,
+        millis: f64,
+    ) -> BTreeMap<Owner, Usage> {
+        let offers = self.usage.pools.get(pool).map(|usage| &usage.offers);
+        let known = offers.into_iter().flat_map(BTreeMap::keys);
+        let owners: BTreeSet<_> = known.chain(held.keys()).collect();
         let usages = owners.into_iter().map(|owner| {
-            let offers = usage.and_then(|owners| owners.get(owner));
-            let offers = offers.map(|usage| usage.offers).unwrap_or_default();
+            let offers = offers.and_then(|offers| offers.get(owner));
+            let rate = offers.map_or(0.0, |offers| offers.rate(now));
+            let mean = offers.map_or(0.0, RecentOffers::mean);
             let weight = self.catalog.weight(owner.as_ref());
             let usage = Usage {
                 weight,
                 held: held.get(owner).copied().unwrap_or_default(),
-                expected: offers.rate(now) as u64,
-                // Jobs per second, each with so many thousandths of a core times milliseconds.
-                entitled: (weight * offers.mean() / 1000.0) as u64,
+                expected: (rate * millis) as u64,
+                // The weight is a rate of jobs per second.
+                entitled: (weight / 1000.0 * mean * millis) as u64,
             };
             (owner.clone(), usage)
         });
--- a/src/core/workload/workspace_shares.rs
+++ b/src/core/workload/workspace_shares.rs
@@ -14,7 +14,7 @@
 //! question is which work can be done in a time. Jobs without a workspace count as one workspace.
 //!
 //! ```
-//! use egretpin::core::workload::workspace_shares::{Shares, Usage};
+//! use egretpin::core::workload::workspace_shares::{Shares, Standing, Usage};
 //!
 //! let usage = |weight, held| Usage { weight, held, ..Usage::default() };
 //! let (calm, busy) = (Some("calm".into()), Some("busy".into()));
@@ -29,7 +29,8 @@
 //! assert_eq!((shares.share(&calm), shares.share(&busy)), (20, 80));
 //! assert_eq!(shares.beyond().collect::<Vec<_>>(), [(&busy, 220)]);
 //! // One more job of the calm one is within its half, and none of the busy one is.
-//! assert!(shares.allows(&calm, 30) && !shares.allows(&busy, 30));
+//! assert_eq!(shares.judge(&calm, 1.0, 30), Standing::Within);
+//! assert_eq!(shares.judge(&busy, 1.0, 30), Standing::Beyond);
 //! ```
 
 use std::{collections::BTreeMap, time::Duration};
@@ -64,6 +65,17 @@
     }
 }
 
+/// How a workspace stands to its share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// All that is asked for fits, so there are no shares.
+    Uncontended,
+    /// It has at most its share.
+    Within,
+    /// It has more than its share.
+    Beyond,
+}
+
 /// The shares of the workspaces of a pool.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Shares {
@@ -111,20 +123,28 @@
         })
     }
 
-    /// Whether a workspace with so much more would be within its share.
+    /// How a workspace would stand with so much more. `weight` counts if nothing is known of the workspace.
     ///
-    /// What one that has nothing asks for is always within its share. Otherwise a job that is larger than a small
-    /// share would never be accepted.
-    pub fn allows(&self, owner: &Owner, more: u64) -> bool {
-        let known = self.usages.get(owner).filter(|usage| usage.held > 0);
-        let Some(mut usage) = known.copied() else {
-            return true;
-        };
+    /// One that has nothing else is always within its share. Otherwise a job that is larger than a small share
+    /// would never be accepted.
+    pub fn judge(&self, owner: &Owner, weight: f64, more: u64) -> Standing {
+        let known = self.usages.get(owner).copied();
+        let mut usage = known.unwrap_or(Usage {
+            weight,
+            ..Usage::default()
+        });
+        let has_more = usage.held > 0;
         usage.held = usage.held.saturating_add(more);
         let mut usages = self.usages.clone();
         usages.insert(owner.clone(), usage);
         let shares = Self::new(self.capacity, usages);
-        usage.held <= shares.share(owner)
+        if !shares.is_contended() {
+            Standing::Uncontended
+        } else if has_more && usage.held > shares.share(owner) {
+            Standing::Beyond
+        } else {
+            Standing::Within
+        }
     }
 }
 
