Visit the agents of a pool for shares only while it has work of workspaces

The check of shares walked the agents of each pool ten times per second, also where the catalog declares no workspaces or the pool has nothing to do. It now looks at the outstanding work first.

Tests: the nine of workspace_shares pass before and after.

--- a/src/core/workload/scheduler/shares.rs
+++ b/src/core/workload/scheduler/shares.rs
@@ -55,18 +55,18 @@
     }
 
     fn update_pool_shares(&mut self, now: Now, pool: &PoolId) -> Shares {
-        let capacity = self.batch_capacity(pool);
-        let contended = self.is_contended(pool, capacity);
-        if let Some(usage) = self.usage.pools.get_mut(pool) {
-            usage.contended = contended;
+        let capacity = self.contended_capacity(pool);
+        let Some(usage) = self.usage.pools.get_mut(pool) else {
+            return Shares::default();
+        };
+        let before = std::mem::replace(&mut usage.contended, capacity.is_some());
+        if !before && capacity.is_none() {
+            return Shares::default();
         }
         let usages = self.core_usages(now, pool);
         let owners: Vec<_> = usages.keys().cloned().collect();
-        let shares = if contended {
-            Shares::new(capacity, usages)
-        } else {
-            Shares::default()
-        };
+        let shares =
+            capacity.map_or_else(Shares::default, |capacity| Shares::new(capacity, usages));
         for owner in owners {
             // With a share of at least something, one step is always within it.
             let share = shares.is_contended().then(|| shares.share(&owner).max(1));
@@ -75,22 +75,22 @@
         shares
     }
 
-    /// Whether the outstanding work of a pool is more than it can do in the time that its jobs
-    /// have. An unknown capacity isn't contended.
-    fn is_contended(&self, pool: &PoolId, capacity: u64) -> bool {
-        let Some(usage) = self.usage.pools.get(pool) else {
-            return false;
-        };
-        if self.catalog.workspaces.is_empty() || capacity == 0 {
-            return false;
+    /// The capacity of a pool if its outstanding work is more than it can do in the time that its
+    /// jobs have. An unknown capacity isn't contended.
+    fn contended_capacity(&self, pool: &PoolId) -> Option<u64> {
+        let usage = self.usage.pools.get(pool)?;
+        let work = self.outstanding.total(pool).work;
+        if self.catalog.workspaces.is_empty() || work == 0 {
+            return None;
         }
+        let capacity = self.batch_capacity(pool);
         let possible = capacity as f64 * usage.objective().as_secs_f64() * 1000.0;
         let limit = if usage.contended {
             possible * CONTENTION_END
         } else {
             possible
         };
-        self.outstanding.total(pool).work as f64 > limit
+        (capacity > 0 && work as f64 > limit).then_some(capacity)
     }
 
     /// The shares of the workspaces in the work that a pool can do in a time, in thousandths of a
