--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -39,5 +39,6 @@
 mod unsent_orders;
 mod vacating;
 mod waves;
+mod workspace_shares;
 mod workspaces;
 mod world;
