Place each batch job in one data centre where one may be lost

A job of 13 tasks was spread over all data centres, so that the loss of any of them hit nearly all jobs in flight.

Agents are looked for in the home first, and in another data centre only for the tasks that are left. Slow and suspected agents, and agents away from the data, are still the last choice. The agents with free capacity are indexed by data centre as well. Homes are soft state, which a new leader derives from placements.

Nothing new is placed in a data centre of which more than half of the agents don't answer, unless that holds for all of them. Where most of the polled agents fail, the data centre is used last.

--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -18,9 +18,9 @@
     ops::RangeBounds,
 };
 
-use super::agent::Agent;
+use super::{agent::Agent, domains::DataCentres};
 use crate::core::{
-    types::{Map, MinionId, Name, Now, PoolId},
+    types::{DataCentreId, Map, MinionId, Name, Now, PoolId},
     workload::command::AgentRecord,
 };
 
@@ -34,7 +34,12 @@
     by_name: Map<Name, Vec<MinionId>>,
     /// The agents of each pool by what they have free, as of the last
     /// [`Agents::update_indexes`].
-    pools: BTreeMap<PoolId, BTreeSet<(Free, MinionId)>>,
+    pools: BTreeMap<PoolId, Pool>,
+    /// Whether agents are indexed by data centre as well.
+    by_centre: bool,
+    /// How many agents of each data centre answer, as of the last [`Agents::update_indexes`]. Empty
+    /// unless agents are indexed by data centre.
+    centres: DataCentres,
     /// When agents have to be visited. Each agent has at most one entry.
     timers: BTreeSet<(Now, MinionId)>,
     /// The agents that may have changed since their last visit.
@@ -66,14 +71,86 @@
     }
 }
 
+/// Agents ordered by what they have free.
+type FreeIndex = BTreeSet<(Free, MinionId)>;
+
+/// The agents of a pool.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    agents: FreeIndex,
+    /// The same agents by data centre. Empty unless agents are indexed by data centre.
+    centres: BTreeMap<DataCentreId, CentrePool>,
+}
+
+/// The agents of a pool in one data centre.
+#[derive(Clone, Debug, Default)]
+struct CentrePool {
+    agents: FreeIndex,
+    /// Thousandths of a core that these agents have free for new tasks.
+    open: u64,
+}
+
+/// What the indexes hold about an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Standing {
+    free: Free,
+    /// Thousandths of a core that it has free for new tasks.
+    open: u64,
+    /// Whether it is polled, so that a failure to answer would show.
+    pub(super) polled: bool,
+    /// Whether it doesn't answer.
+    pub(super) failing: bool,
+    /// Whether it says something about its data centre: another incarnation doesn't run in its
+    /// place, and no order about its host has ended it.
+    pub(super) counted: bool,
+}
+
+impl Standing {
+    fn of(agent: &Agent) -> Self {
+        let failing = agent.failing_since.is_some();
+        let open = agent.is_healthy() && !agent.cordoned && !agent.unconfirmed;
+        Self {
+            free: Free::of(agent),
+            open: if open { agent.free().millicores } else { 0 },
+            polled: failing || !agent.slots.is_empty(),
+            failing,
+            counted: !agent.replaced && !agent.evicting && !agent.record.leaving,
+        }
+    }
+}
+
+impl Pool {
+    fn insert(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
+        self.agents.insert((standing.free, id.clone()));
+        if let Some(centre) = centre {
+            let centre = self.centres.entry(centre.clone()).or_default();
+            centre.agents.insert((standing.free, id.clone()));
+            centre.open += standing.open;
+        }
+    }
+
+    fn remove(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
+        let key = (standing.free, id.clone());
+        self.agents.remove(&key);
+        let Some((name, centre)) = centre.and_then(|c| Some((c, self.centres.get_mut(c)?))) else {
+            return;
+        };
+        centre.agents.remove(&key);
+        centre.open -= standing.open;
+        if centre.agents.is_empty() {
+            self.centres.remove(name);
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     agent: Agent,
     dirty: bool,
     /// The time of its entry in `timers`.
     due: Option<Now>,
-    /// What it has free by its entry in its pool.
-    free: Free,
+    /// What the indexes hold about it.
+    standing: Standing,
     /// The time of its entry in `renewals`, and the long-running tasks that run there.
     renewal: Option<(Now, usize)>,
 }
@@ -118,21 +195,44 @@
         }
     }
 
-    fn reindex(&mut self, pools: &mut BTreeMap<PoolId, BTreeSet<(Free, MinionId)>>) {
-        let AgentRecord { id, pool, .. } = &self.agent.record;
-        let free = Free::of(&self.agent);
-        if free == self.free {
+    fn reindex(
+        &mut self,
+        pools: &mut BTreeMap<PoolId, Pool>,
+        centres: &mut DataCentres,
+        by_centre: bool,
+    ) {
+        let AgentRecord {
+            id,
+            pool,
+            data_centre,
+            ..
+        } = &self.agent.record;
+        let standing = Standing::of(&self.agent);
+        if standing == self.standing {
             return;
         }
+        let centre = by_centre.then_some(data_centre);
         if let Some(pool) = pools.get_mut(pool) {
-            pool.remove(&(self.free, id.clone()));
-            pool.insert((free, id.clone()));
+            pool.remove(id, self.standing, centre);
+            pool.insert(id, standing, centre);
         }
-        self.free = free;
+        if let Some(centre) = centre {
+            centres.remove(centre, self.standing);
+            centres.insert(centre, standing);
+        }
+        self.standing = standing;
     }
 }
 
 impl Agents {
+    /// Creates an empty set of agents, which are indexed by data centre as well if `by_centre`.
+    pub(super) fn new(by_centre: bool) -> Self {
+        Self {
+            by_centre,
+            ..Self::default()
+        }
+    }
+
     pub(super) fn get(&self, id: &MinionId) -> Option<&Agent> {
         self.entries.get(id).map(|entry| &entry.agent)
     }
@@ -146,16 +246,20 @@
 
     pub(super) fn insert(&mut self, id: MinionId, agent: Agent) {
         self.remove(&id);
-        let free = Free::of(&agent);
+        let standing = Standing::of(&agent);
+        let centre = self.by_centre.then_some(&agent.record.data_centre);
         let pool = self.pools.entry(agent.record.pool.clone()).or_default();
-        pool.insert((free, id.clone()));
+        pool.insert(&id, standing, centre);
+        if let Some(centre) = centre {
+            self.centres.insert(centre, standing);
+        }
         let names = self.by_name.entry(agent.record.name().clone());
         names.or_default().push(id.clone());
         let entry = Entry {
             agent,
             dirty: true,
             due: None,
-            free,
+            standing,
             renewal: None,
         };
         self.dirty.push(id.clone());
@@ -167,7 +271,7 @@
         let Some(Entry {
             agent,
             due,
-            free,
+            standing,
             renewal,
             ..
         }) = self.entries.remove(id)
@@ -181,8 +285,12 @@
                 self.by_name.remove(agent.record.name());
             }
         }
+        let centre = self.by_centre.then_some(&agent.record.data_centre);
         if let Some(pool) = self.pools.get_mut(&agent.record.pool) {
-            pool.remove(&(free, id.clone()));
+            pool.remove(id, standing, centre);
+        }
+        if let Some(centre) = centre {
+            self.centres.remove(centre, standing);
         }
         if let Some(due) = due {
             self.timers.remove(&(due, id.clone()));
@@ -238,25 +346,31 @@
 
     /// The agents of a pool that have at least `least` thousandths of a core free.
     pub(super) fn with_room(&self, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
-        let idle = self.idle(pool, least).rev();
-        self.busy_with_room(pool, least).chain(idle)
+        let idle = self.idle(pool, None, least).rev();
+        self.busy_with_room(pool, None, least).chain(idle)
     }
 
     /// The agents of a pool that run something and have at least `least` thousandths of a core
-    /// free.
-    pub(super) fn busy_with_room(&self, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
+    /// free, in all data centres or in one.
+    pub(super) fn busy_with_room(
+        &self,
+        pool: &PoolId,
+        centre: Option<&DataCentreId>,
+        least: u64,
+    ) -> impl Iterator<Item = &Agent> {
         let first = (Free::Part(least), MinionId::default());
-        self.range(pool, first..first_idle())
+        self.range(pool, centre, first..first_idle())
     }
 
     /// The agents of a pool that run nothing and have at least `least` thousandths of a core, the
-    /// highest id first.
+    /// highest id first, in all data centres or in one.
     pub(super) fn idle(
         &self,
         pool: &PoolId,
+        centre: Option<&DataCentreId>,
         least: u64,
     ) -> impl DoubleEndedIterator<Item = &Agent> {
-        let idle = self.range(pool, first_idle()..);
+        let idle = self.range(pool, centre, first_idle()..);
         idle.rev()
             .filter(move |agent| agent.free().millicores >= least)
     }
@@ -264,25 +378,46 @@
     fn range(
         &self,
         pool: &PoolId,
+        centre: Option<&DataCentreId>,
         range: impl RangeBounds<(Free, MinionId)>,
     ) -> impl DoubleEndedIterator<Item = &Agent> {
         let pool = self.pools.get(pool);
-        let entries = pool.map(|pool| pool.range(range)).into_iter().flatten();
+        let index = pool.and_then(|pool| match centre {
+            None => Some(&pool.agents),
+            Some(centre) => pool.centres.get(centre).map(|centre| &centre.agents),
+        });
+        let entries = index.map(|index| index.range(range)).into_iter().flatten();
         let agents = entries.filter_map(|(_, id)| self.get(id));
         agents.inspect(|_| self.count_visit())
     }
 
+    /// The data centres in which a pool has agents, each with the thousandths of a core that it has
+    /// free for new tasks. Empty unless agents are indexed by data centre.
+    pub(super) fn open_millicores(
+        &self,
+        pool: &PoolId,
+    ) -> impl Iterator<Item = (&DataCentreId, u64)> {
+        let centres = self.pools.get(pool).map(|pool| &pool.centres);
+        let centres = centres.into_iter().flatten();
+        centres.map(|(name, centre)| (name, centre.open))
+    }
+
+    /// How many agents of each data centre answer.
+    pub(super) fn centres(&self) -> &DataCentres {
+        &self.centres
+    }
+
     /// All pools, each with its agents.
     pub(super) fn pools(&self) -> impl Iterator<Item = (&PoolId, impl Iterator<Item = &Agent>)> {
         self.pools.iter().map(|(pool, agents)| {
-            let agents = agents.iter().filter_map(|(_, id)| self.get(id));
+            let agents = agents.agents.iter().filter_map(|(_, id)| self.get(id));
             (pool, agents.inspect(|_| self.count_visit()))
         })
     }
 
     /// The number of agents of a pool.
     pub(super) fn pool_size(&self, pool: &PoolId) -> usize {
-        self.pools.get(pool).map_or(0, BTreeSet::len)
+        self.pools.get(pool).map_or(0, |pool| pool.agents.len())
     }
 
     /// The agents that don't answer.
@@ -314,27 +449,28 @@
         self.update_indexes();
     }
 
-    /// Updates the indexes for the dirty agents: those that don't answer, and the free room in each
-    /// pool.
+    /// Updates the indexes for the dirty agents: those that don't answer, the free room in each
+    /// pool, and the data centres that are cut off.
     pub(super) fn update_indexes(&mut self) {
         for id in &self.dirty {
             let Some(entry) = self.entries.get_mut(id) else {
                 continue;
             };
-            entry.reindex(&mut self.pools);
+            entry.reindex(&mut self.pools, &mut self.centres, self.by_centre);
             if entry.agent.failing_since.is_some() {
                 self.unresponsive.insert(id.clone());
             } else {
                 self.unresponsive.remove(id);
             }
         }
+        self.centres.update_cut();
     }
 
     /// Updates the free room of an agent that has just got or lost a task, where the index is
     /// needed at once.
     pub(super) fn reindex(&mut self, id: &MinionId) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.reindex(&mut self.pools);
+            entry.reindex(&mut self.pools, &mut self.centres, self.by_centre);
         }
     }
 
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -142,6 +142,7 @@
         }
         self.hosts.logged_at = now;
         self.log_operations(now);
+        self.homes.log_placed();
         let starts = std::mem::take(&mut self.hosts.starts);
         let busy = self.pressure.busy();
         let mut empties = HostCounts::new();
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -166,6 +166,7 @@
         self.ready.forget(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
+        self.homes.forget(id);
         let accepted = self.accepted_at.remove(&id);
         self.ended_jobs.push_back((now, id));
         let Some(job) = ledger.job(id) else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -56,6 +56,7 @@
 mod changes;
 mod delayed;
 mod demand;
+mod domains;
 mod eligible;
 mod forecast;
 mod host_intents;
@@ -94,6 +95,7 @@
     agents::Agents,
     caps::Proposed,
     delayed::AwayTasks,
+    domains::Homes,
     eligible::{Eligible, Question},
     host_intents::HostIntents,
     hosts::Hosts,
@@ -191,6 +193,10 @@
     pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
+    /// Whether the tasks of a batch job are placed in one data centre as far as that costs no
+    /// waiting, and nothing new in a data centre that is cut off. For deployments that may lose a
+    /// data centre.
+    pub colocate_jobs: bool,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -206,6 +212,7 @@
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
+            colocate_jobs: false,
             protections: Protections::default(),
         }
     }
@@ -308,6 +315,8 @@
     catalog: Arc<Catalog>,
     agents: Agents,
     ready: ReadyQueue,
+    /// Where batch jobs are kept; empty unless [`Settings::colocate_jobs`] is set.
+    homes: Homes,
     /// Occurrences that aren't due yet.
     upcoming: BTreeSet<(Wall, JobId, Occurrence)>,
     /// Jobs that are over and when this leader learnt of it, ordered by that time.
@@ -410,8 +419,9 @@
             term,
             started_at: now,
             catalog,
-            agents: Agents::default(),
+            agents: Agents::new(settings.colocate_jobs),
             ready: ReadyQueue::default(),
+            homes: Homes::default(),
             upcoming: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             accepted_at: Map::default(),
@@ -469,6 +479,7 @@
             }
         }
         scheduler.inherit_probes();
+        scheduler.inherit_homes(ledger);
         scheduler
     }
 
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -4,6 +4,10 @@
 //! that run long-running tasks are preferred, then agents whose tasks end no sooner than the new
 //! one, then those with the most cores in use. Best-effort and latency-sensitive tasks are kept
 //! apart where there is a choice, because the former slow the latter.
+//!
+//! Where agents are looked for in one failure domain after the other, an agent of an earlier domain
+//! is preferred to one of a later domain, unless it is slow, suspected, away from the data or
+//! disturbs others.
 
 use std::{
     cmp::Reverse,
@@ -34,6 +38,8 @@
     near_data: bool,
     /// It runs nothing that the task would slow down or be slowed down by.
     undisturbed: bool,
+    /// The position of its failure domain among those that are searched.
+    domain: Reverse<usize>,
     /// For long-running tasks: the agent already runs some.
     beside_alike: bool,
     /// By how much the task would delay the time when the agent is empty, in units of
@@ -67,7 +73,30 @@
     TaskIx::try_from(tasks.count()).unwrap_or(TaskIx::MAX)
 }
 
-fn fit(now: Now, agent: &Agent, spec: &StepSpec) -> Fit {
+impl Fit {
+    /// Whether no agent of a later failure domain can suit better.
+    fn is_settled(&self) -> bool {
+        self.on_pace && self.safe && self.near_data && self.undisturbed
+    }
+}
+
+/// The number of tasks of a step that an agent has room for, `limit` at most.
+fn seats(agent: &Agent, spec: &StepSpec, step: StepId, limit: usize) -> usize {
+    let (mut free, room) = (agent.free(), spec.reservation());
+    let left = spec
+        .per_host
+        .map(|most| most.saturating_sub(count(agent, step)));
+    let left = left.and_then(|left| usize::try_from(left).ok());
+    let limit = left.map_or(limit, |left| left.min(limit));
+    let mut seats = 0;
+    while seats < limit && free.fits(&room) {
+        free = free.minus(&room);
+        seats += 1;
+    }
+    seats
+}
+
+fn fit(now: Now, agent: &Agent, spec: &StepSpec, domain: usize) -> Fit {
     let near = spec
         .data_rack
         .as_ref()
@@ -84,6 +113,7 @@
         safe: !agent.slots.values().any(|slot| slot.has_evidence),
         near_data: near,
         undisturbed: !disturbs && !disturbed,
+        domain: Reverse(domain),
         beside_alike: spec.long_running && agent.slots.values().any(|slot| slot.long_running),
         delay: Reverse(later.as_millis() / END_RESOLUTION.as_millis()),
         busy: agent.used.millicores,
@@ -95,58 +125,85 @@
 /// All busy agents with room are visited once for a step, and not once for each of its tasks: with
 /// 300 agents, five of six visits during a surge were of that kind (counted in a test run). Only the
 /// agent that got a task suits the next one differently than before. Of the idle agents only as
-/// many are visited as the step has tasks, unless some of them suit it less than others.
+/// many are visited as the step has tasks, unless some of them suit it less than others. Agents of
+/// further failure domains are visited only for the tasks that those before have no room for.
 #[derive(Debug)]
 pub(super) struct AgentRanking {
     // Equal agents are ordered by id, so that the choice is the same in every run.
     agents: BinaryHeap<(Fit, MinionId)>,
+    /// The number of tasks that need an agent.
+    tasks: usize,
+    /// The number of tasks for which there is room at agents that no later one can outrank.
+    seats: usize,
+    /// The number of failure domains whose agents were added.
+    domains: usize,
+    /// The position of the domain of the agent that was taken out last.
+    taken: usize,
 }
 
 impl AgentRanking {
-    /// Ranks those of the agents that may run a task of the step.
-    pub(super) fn new<'a>(
-        now: Now,
-        agents: impl Iterator<Item = &'a Agent>,
-        spec: &StepSpec,
-        step: StepId,
-    ) -> Self {
-        let able = agents.filter(|agent| may_run(agent, spec, step));
-        let able = able.map(|agent| (fit(now, agent, spec), agent.record.id.clone()));
-        let agents = able.collect();
-        Self { agents }
+    /// Creates an empty ranking for so many tasks of a step.
+    pub(super) fn new(tasks: usize) -> Self {
+        Self {
+            agents: BinaryHeap::new(),
+            tasks,
+            seats: 0,
+            domains: 0,
+            taken: 0,
+        }
     }
 
-    /// Adds agents that run nothing, the highest id first, until `most` of them suit the step as
-    /// well as any of them can. The others would never be chosen for one of `most` tasks.
-    pub(super) fn add_idle<'a>(
+    /// Ranks those agents of the next failure domain that may run a task of the step, `busy` ones
+    /// that run something and `idle` ones that don't, the highest id first.
+    pub(super) fn add_domain<'a>(
         &mut self,
         now: Now,
+        busy: impl Iterator<Item = &'a Agent>,
         idle: impl Iterator<Item = &'a Agent>,
         spec: &StepSpec,
         step: StepId,
-        most: usize,
     ) {
-        let mut left = most;
+        let mut left = self.tasks.saturating_sub(self.seats);
+        for agent in busy.filter(|agent| may_run(agent, spec, step)) {
+            self.add(now, agent, spec, step);
+        }
+        // Idle agents beyond as many as there are tasks would never be chosen.
         for agent in idle.filter(|agent| may_run(agent, spec, step)) {
-            let fit = fit(now, agent, spec);
-            self.agents.push((fit, agent.record.id.clone()));
-            left -= usize::from(fit.on_pace && fit.near_data);
+            let fit = self.add(now, agent, spec, step);
+            left = left.saturating_sub(usize::from(fit.on_pace && fit.near_data));
             if left == 0 {
-                return;
+                break;
             }
         }
+        self.domains += 1;
+    }
+
+    /// Whether agents of further failure domains wouldn't be chosen for any of the tasks.
+    pub(super) fn is_settled(&self) -> bool {
+        self.seats >= self.tasks
+    }
+
+    fn add(&mut self, now: Now, agent: &Agent, spec: &StepSpec, step: StepId) -> Fit {
+        let fit = fit(now, agent, spec, self.domains);
+        if fit.is_settled() && !self.is_settled() {
+            self.seats += seats(agent, spec, step, self.tasks - self.seats);
+        }
+        self.agents.push((fit, agent.record.id.clone()));
+        fit
     }
 
     /// Takes out the best agent. It must be put back to be chosen again once it has got a task.
     pub(super) fn take(&mut self) -> Option<MinionId> {
-        self.agents.pop().map(|(_, agent)| agent)
+        let (fit, agent) = self.agents.pop()?;
+        self.taken = fit.domain.0;
+        Some(agent)
     }
 
-    /// Puts an agent back that has got a task, if it has room for another.
+    /// Puts the agent back that was taken out last and has got a task, if it has room for another.
     pub(super) fn put_back(&mut self, now: Now, agent: &Agent, spec: &StepSpec, step: StepId) {
         if may_run(agent, spec, step) {
             let id = agent.record.id.clone();
-            self.agents.push((fit(now, agent, spec), id));
+            self.agents.push((fit(now, agent, spec, self.taken), id));
         }
     }
 }
@@ -160,7 +217,9 @@
     most: usize,
 ) -> Vec<MinionId> {
     let able = agents.filter(|agent| may_run(agent, spec, step));
-    let mut able: Vec<_> = able.map(|agent| (fit(now, agent, spec), agent)).collect();
+    let mut able: Vec<_> = able
+        .map(|agent| (fit(now, agent, spec, 0), agent))
+        .collect();
     able.sort_by_key(|(fit, agent)| Reverse((*fit, &agent.record.id)));
     let best = able.into_iter().take(most);
     best.map(|(_, agent)| agent.record.id.clone()).collect()
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -162,10 +162,17 @@
                     && (spec.long_running || self.may_share(ledger, &apart, agent, job))
             };
             let least = spec.reservation().millicores;
-            let busy = self.agents.busy_with_room(pool, least).filter(able);
-            let mut choice = AgentRanking::new(now, busy, &spec, step);
-            let idle = self.agents.idle(pool, least).filter(able);
-            choice.add_idle(now, idle, &spec, step, tasks.len());
+            let order = self.search_order(pool, job, &spec);
+            let mut choice = AgentRanking::new(tasks.len());
+            for centre in &order {
+                let centre = centre.as_ref();
+                let busy = self.agents.busy_with_room(pool, centre, least).filter(able);
+                let idle = self.agents.idle(pool, centre, least).filter(able);
+                choice.add_domain(now, busy, idle, &spec, step);
+                if choice.is_settled() {
+                    break;
+                }
+            }
             for task in tasks {
                 if !self.cap_allows(ledger, step, &spec, 1) {
                     break;
@@ -183,6 +190,7 @@
                     agent: agent.clone(),
                 };
                 self.propose(now, ledger, &spec, placed, starts);
+                self.record_home(job, &order, &agent);
                 if let Some(agent) = self.agents.get(&agent) {
                     choice.put_back(now, agent, &spec, step);
                 }
@@ -301,6 +309,7 @@
             && !agent.unconfirmed
             && !agent.cordoned
             && agent.failing_since.is_none()
+            && !self.agents.centres().is_cut(&agent.record.data_centre)
             && !self.has_unsettled_predecessor(agent)
             && agent.excluded_until <= now
             && now < agent.last_seen + self.settings.max_silence
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -7,6 +7,7 @@
 mod completed_suspects;
 mod delayed;
 mod disturbed;
+mod domains;
 mod eligible;
 mod faults;
 mod host_orders;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -46,6 +46,8 @@
 pub(crate) const QUEUE: &str = "queue";
 /// The queue of [`OTHER_POOL`].
 pub(crate) const OTHER_QUEUE: &str = "second";
+/// The data centres. Hosts are in the first unless a test adds them to another.
+pub(crate) const CENTRES: [&str; 3] = ["west", "east", "north"];
 /// A queue of [`POOL`] that may use only every second host. The scheduler has to ask the
 /// eligibility service which hosts those are.
 pub(crate) const RESTRICTED_QUEUE: &str = "guided";
@@ -102,6 +104,11 @@
     Duration::from_millis(ms)
 }
 
+/// The number of a host's rack; two hosts are on one.
+fn rack_of(host: &str) -> usize {
+    host[1..].parse::<usize>().unwrap_or(0) / 2
+}
+
 /// Which faults are injected. A `f64` is a probability unless its comment says otherwise.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Faults {
@@ -402,6 +409,8 @@
     pub(crate) commits_queue: bool,
     /// Maximum number of starts in a round of the next leader.
     pub(crate) round_starts: usize,
+    /// Whether the next leader keeps each batch job in one data centre.
+    pub(crate) colocate_jobs: bool,
     /// How long each start waited: from its decision to its commit, from its decision to sending
     /// it, and from sending it to its answer.
     pub(crate) commit_delays: Vec<Duration>,
@@ -554,6 +563,7 @@
             processor: None,
             commits_queue: false,
             round_starts: Settings::default().round_starts,
+            colocate_jobs: false,
             commit_delays: Vec::new(),
             start_delays: Vec::new(),
             answer_delays: Vec::new(),
@@ -586,6 +596,19 @@
         world
     }
 
+    /// Creates a world whose hosts are in three data centres, rack by rack in turn. Its leaders
+    /// keep each batch job in one of them if `colocate_jobs` is set.
+    pub(crate) fn with_centres(hosts: usize, seed: u64, colocate_jobs: bool) -> Self {
+        let mut world = Self::new(0, seed);
+        world.colocate_jobs = colocate_jobs;
+        for host in 0..hosts {
+            let host = format!("h{host}");
+            world.add_host_in(CENTRES[rack_of(&host) % CENTRES.len()], &host, POOL);
+        }
+        world.lead();
+        world
+    }
+
     /// Creates a world of one host that runs a latency-sensitive long-running task beside a
     /// best-effort one. There is no other host on which to keep them apart.
     pub(crate) fn with_best_effort(seed: u64) -> Self {
@@ -609,11 +632,16 @@
 
     /// Adds a host that is up in a pool.
     pub(crate) fn add_host(&mut self, host: &str, pool: &str) {
+        self.add_host_in(CENTRES[0], host, pool);
+    }
+
+    /// Adds a host that is up in a pool, in a data centre.
+    pub(crate) fn add_host_in(&mut self, centre: &str, host: &str, pool: &str) {
         let view = HostView {
             host: host.into(),
             pool: pool.into(),
             state: HostState::Up,
-            data_centre: "west".into(),
+            data_centre: centre.into(),
             agent: None,
         };
         self.hosts.insert(host.into(), view);
@@ -628,7 +656,7 @@
     }
 
     fn boot_at(&mut self, host: &HostId, address: SocketAddr) {
-        let rack = host[1..].parse::<usize>().unwrap_or(0) / 2;
+        let rack = rack_of(host);
         let keeps_name = self.id_reuse > 0.0 && self.rng.random_bool(self.id_reuse);
         let Some(view) = self.hosts.get_mut(host) else {
             return;
@@ -654,7 +682,7 @@
             name,
             pool: view.pool.clone(),
             address,
-            data_centre: "west".into(),
+            data_centre: view.data_centre.clone(),
             labels: vec!["a".into(), format!("r{rack}").into()],
             capacity: Resources {
                 millicores: 8000,
@@ -700,6 +728,7 @@
             round_starts: self.round_starts,
             retention: RETENTION,
             host_orders: self.order_limits,
+            colocate_jobs: self.colocate_jobs,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
