Visit no agent again for waiting work that fits on none

Agents were indexed by their free cores only, and the largest free room was taken of each resource apart, so that each waiting step seemed to fit and visited all agents with free cores.

Agents are indexed by all that they have free, and those with the same free are passed over together. Once a task found no agent, only steps of a size that some agent has room for are visited; where hosts are suspected to be crashed by tasks, or queues are kept apart, all steps are still gone through that may fit by each resource apart, as these have effects without a start.

--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -15,12 +15,11 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
-    ops::RangeBounds,
 };
 
 use super::{agent::Agent, domains::DataCentres};
 use crate::core::{
-    types::{DataCentreId, Map, MinionId, Name, Now, PoolId},
+    types::{DataCentreId, Map, MinionId, Name, Now, PoolId, Resources},
     workload::command::AgentRecord,
 };
 
@@ -55,8 +54,8 @@
 /// What an agent has free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Free {
-    /// It runs something and has this many thousandths of a core free.
-    Part(u64),
+    /// It runs something and has this free.
+    Part(Resources),
     /// It runs nothing.
     All,
 }
@@ -66,18 +65,60 @@
         if agent.slots.is_empty() {
             Self::All
         } else {
-            Self::Part(agent.free().millicores)
+            Self::Part(agent.free())
         }
     }
 }
 
-/// Agents ordered by what they have free.
-type FreeIndex = BTreeSet<(Free, MinionId)>;
+/// Agents by what they have free. Tasks of a pool come in few sizes, so many agents have the same
+/// free, and those that lack memory are passed over together.
+#[derive(Clone, Debug, Default)]
+struct FreeIndex(BTreeMap<Free, BTreeSet<MinionId>>);
+
+impl FreeIndex {
+    fn insert(&mut self, free: Free, id: &MinionId) {
+        self.0.entry(free).or_default().insert(id.clone());
+    }
+
+    fn remove(&mut self, free: Free, id: &MinionId) {
+        if let Some(same) = self.0.get_mut(&free) {
+            same.remove(id);
+            if same.is_empty() {
+                self.0.remove(&free);
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The ids of the agents that run something and have room for `room`, by what they have free.
+    fn busy(&self, room: Resources) -> impl DoubleEndedIterator<Item = &BTreeSet<MinionId>> {
+        let least = Resources {
+            millicores: room.millicores,
+            ..Resources::default()
+        };
+        let found = self.0.range(Free::Part(least)..Free::All);
+        let found = found.filter(move |(free, _)| match free {
+            Free::Part(free) => free.fits(&room),
+            Free::All => false,
+        });
+        found.map(|(_, ids)| ids)
+    }
+
+    /// The ids of the agents that run nothing.
+    fn idle(&self) -> impl DoubleEndedIterator<Item = &MinionId> {
+        self.0.get(&Free::All).into_iter().flatten()
+    }
+}
 
 /// The agents of a pool.
 #[derive(Clone, Debug, Default)]
 struct Pool {
     agents: FreeIndex,
+    /// The number of agents.
+    size: usize,
     /// The same agents by data centre. Empty unless agents are indexed by data centre.
     centres: BTreeMap<DataCentreId, CentrePool>,
 }
@@ -121,21 +162,22 @@
 
 impl Pool {
     fn insert(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
-        self.agents.insert((standing.free, id.clone()));
+        self.agents.insert(standing.free, id);
+        self.size += 1;
         if let Some(centre) = centre {
             let centre = self.centres.entry(centre.clone()).or_default();
-            centre.agents.insert((standing.free, id.clone()));
+            centre.agents.insert(standing.free, id);
             centre.open += standing.open;
         }
     }
 
     fn remove(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
-        let key = (standing.free, id.clone());
-        self.agents.remove(&key);
+        self.agents.remove(standing.free, id);
+        self.size -= 1;
         let Some((name, centre)) = centre.and_then(|c| Some((c, self.centres.get_mut(c)?))) else {
             return;
         };
-        centre.agents.remove(&key);
+        centre.agents.remove(standing.free, id);
         centre.open -= standing.open;
         if centre.agents.is_empty() {
             self.centres.remove(name);
@@ -346,48 +388,67 @@
 
     /// The agents of a pool that have at least `least` thousandths of a core free.
     pub(super) fn with_room(&self, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
-        let idle = self.idle(pool, None, least).rev();
-        self.busy_with_room(pool, None, least).chain(idle)
+        let room = millicores(least);
+        let idle = self.idle(pool, None, room).rev();
+        self.busy_with_room(pool, None, room).chain(idle)
     }
 
-    /// The agents of a pool that run something and have at least `least` thousandths of a core
-    /// free, in all data centres or in one.
+    /// The agents of a pool that run something and have this free, in all data centres or in one.
     pub(super) fn busy_with_room(
         &self,
         pool: &PoolId,
         centre: Option<&DataCentreId>,
-        least: u64,
+        room: Resources,
     ) -> impl Iterator<Item = &Agent> {
-        let first = (Free::Part(least), MinionId::default());
-        self.range(pool, centre, first..first_idle())
+        let index = self.index(pool, centre).into_iter();
+        let ids = index.flat_map(move |index| index.busy(room)).flatten();
+        self.visited(ids)
     }
 
-    /// The agents of a pool that run nothing and have at least `least` thousandths of a core, the
-    /// highest id first, in all data centres or in one.
+    /// The agents of a pool that run nothing and have this free, the highest id first, in all data
+    /// centres or in one.
     pub(super) fn idle(
         &self,
         pool: &PoolId,
         centre: Option<&DataCentreId>,
-        least: u64,
+        room: Resources,
     ) -> impl DoubleEndedIterator<Item = &Agent> {
-        let idle = self.range(pool, centre, first_idle()..);
-        idle.rev()
-            .filter(move |agent| agent.free().millicores >= least)
+        let index = self.index(pool, centre).into_iter();
+        let ids = index.flat_map(FreeIndex::idle).rev();
+        self.visited(ids)
+            .filter(move |agent| agent.free().fits(&room))
     }
 
-    fn range(
+    /// One agent that `able` accepts for each different free amount among the agents of a pool that
+    /// have at least `least` thousandths of a core free.
+    pub(super) fn one_of_each(
         &self,
         pool: &PoolId,
-        centre: Option<&DataCentreId>,
-        range: impl RangeBounds<(Free, MinionId)>,
-    ) -> impl DoubleEndedIterator<Item = &Agent> {
-        let pool = self.pools.get(pool);
-        let index = pool.and_then(|pool| match centre {
+        least: u64,
+        able: impl Fn(&Agent) -> bool,
+    ) -> impl Iterator<Item = &Agent> {
+        let room = millicores(least);
+        let idle = self.idle(pool, None, room).filter(|agent| able(agent));
+        let idle: Vec<_> = idle.collect();
+        let index = self.index(pool, None).into_iter();
+        let groups = index.flat_map(move |index| index.busy(room));
+        let busy = groups.filter_map(move |ids| self.visited(ids.iter()).find(|agent| able(agent)));
+        busy.chain(idle)
+    }
+
+    fn index(&self, pool: &PoolId, centre: Option<&DataCentreId>) -> Option<&FreeIndex> {
+        let pool = self.pools.get(pool)?;
+        match centre {
             None => Some(&pool.agents),
             Some(centre) => pool.centres.get(centre).map(|centre| &centre.agents),
-        });
-        let entries = index.map(|index| index.range(range)).into_iter().flatten();
-        let agents = entries.filter_map(|(_, id)| self.get(id));
+        }
+    }
+
+    fn visited<'a>(
+        &'a self,
+        ids: impl DoubleEndedIterator<Item = &'a MinionId>,
+    ) -> impl DoubleEndedIterator<Item = &'a Agent> {
+        let agents = ids.filter_map(|id| self.get(id));
         agents.inspect(|_| self.count_visit())
     }
 
@@ -409,15 +470,14 @@
 
     /// All pools, each with its agents.
     pub(super) fn pools(&self) -> impl Iterator<Item = (&PoolId, impl Iterator<Item = &Agent>)> {
-        self.pools.iter().map(|(pool, agents)| {
-            let agents = agents.agents.iter().filter_map(|(_, id)| self.get(id));
-            (pool, agents.inspect(|_| self.count_visit()))
-        })
+        self.pools
+            .iter()
+            .map(|(pool, agents)| (pool, self.visited(agents.agents.0.values().flatten())))
     }
 
     /// The number of agents of a pool.
     pub(super) fn pool_size(&self, pool: &PoolId) -> usize {
-        self.pools.get(pool).map_or(0, |pool| pool.agents.len())
+        self.pools.get(pool).map_or(0, |pool| pool.size)
     }
 
     /// The agents that don't answer.
@@ -551,8 +611,9 @@
     }
 }
 
-/// The place in a pool before all agents that run nothing.
-fn first_idle() -> (Free, MinionId) {
-    // The empty id sorts before all others.
-    (Free::All, MinionId::default())
+fn millicores(millicores: u64) -> Resources {
+    Resources {
+        millicores,
+        ..Resources::default()
+    }
 }
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::core::{
-    types::{Now, PoolId, WorkspaceId},
+    types::{Now, PoolId, Resources, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
         job::{StepId, TaskId},
@@ -122,8 +122,8 @@
 #[derive(Clone, Debug, Default)]
 struct PoolQueue {
     ranks: BTreeSet<Rank>,
-    /// The number of steps by the thousandths of a core that each of their tasks takes.
-    task_sizes: BTreeMap<u64, usize>,
+    /// The same by what each of their tasks takes.
+    sizes: BTreeMap<Resources, BTreeSet<Rank>>,
     /// The number of steps by how many hosts each needs, including steps without free tasks.
     spreads: BTreeMap<usize, usize>,
     waiting: WaitingLoad,
@@ -268,7 +268,31 @@
 
     /// The fewest thousandths of a core that a free task of a pool takes.
     pub(super) fn min_millicores(&self, pool: &PoolId) -> Option<u64> {
-        self.pools.get(pool)?.task_sizes.keys().next().copied()
+        let (least, _) = self.pools.get(pool)?.sizes.first_key_value()?;
+        Some(least.millicores)
+    }
+
+    /// The different amounts that a free task of a pool takes.
+    pub(super) fn sizes(&self, pool: &PoolId) -> impl Iterator<Item = &Resources> {
+        let line = self.pools.get(pool).into_iter();
+        line.flat_map(|line| line.sizes.keys())
+    }
+
+    /// The step of a pool to be served next after another whose tasks take one of these amounts.
+    pub(super) fn next_of_sizes(
+        &self,
+        pool: &PoolId,
+        after: Option<Rank>,
+        sizes: &[Resources],
+    ) -> Option<Rank> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let line = self.pools.get(pool)?;
+        let steps = sizes.iter().filter_map(|size| line.sizes.get(size));
+        let next = steps.filter_map(|ranks| {
+            self.count_visit();
+            ranks.range((from, Bound::Unbounded)).next()
+        });
+        next.min().copied()
     }
 
     /// The pools with free tasks.
@@ -359,10 +383,8 @@
         }
         let line = self.pools.entry(ready.pool.clone()).or_default();
         line.ranks.insert(rank);
-        *line
-            .task_sizes
-            .entry(ready.spec.reservation().millicores)
-            .or_default() += 1;
+        let size = line.sizes.entry(ready.spec.reservation()).or_default();
+        size.insert(rank);
         line.waiting.add(ready);
         if let Some(backlog) = line.backlog(rank.class) {
             backlog.steps += 1;
@@ -385,7 +407,13 @@
         if !line.ranks.remove(&rank) {
             return;
         }
-        decrement(&mut line.task_sizes, ready.spec.reservation().millicores);
+        let size = ready.spec.reservation();
+        if let Some(ranks) = line.sizes.get_mut(&size) {
+            ranks.remove(&rank);
+            if ranks.is_empty() {
+                line.sizes.remove(&size);
+            }
+        }
         line.waiting.take(ready);
         if let Some(backlog) = line.backlog(rank.class) {
             backlog.steps -= 1;
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -24,6 +24,14 @@
 /// tenth of this time.
 const LATE_START_DELAY: Duration = Duration::from_millis(500);
 
+/// What waiting tasks of a pool may take to find an agent.
+struct OpenSizes {
+    sizes: Vec<Resources>,
+    /// The number of starts in the round when this was determined; `None` if something else than a
+    /// start may change it.
+    starts: Option<usize>,
+}
+
 impl Scheduler {
     /// What one round commits: ended and abandoned attempts, and starts of ready tasks.
     pub(super) fn build_round(&mut self, now: Now, wall: Wall, ledger: &Ledger) -> Round {
@@ -100,26 +108,24 @@
         starts: &mut Vec<Placement>,
     ) {
         self.start_on_probes(now, ledger, pool, starts);
-        // The largest free room among the pool's agents, set once a task found no agent. Under
-        // overload hundreds of steps wait and no agent has room. Visiting each agent for each of
-        // them took two thirds of the leader's time with 300 agents (profiled in a test run).
-        let mut widest: Option<Resources> = None;
+        // What waiting tasks may take to find an agent, set once a task found none. Under overload
+        // hundreds of steps wait and no agent has room. Visiting each agent for each of them took
+        // two thirds of the leader's time with 300 agents (profiled in a test run).
+        let mut open: Option<OpenSizes> = None;
         let mut last = None;
         let mut apart = self.sharing_limits(ledger, pool);
-        while starts.len() < self.settings.round_starts
-            && let Some(least) = self.ready.min_millicores(pool)
-            && widest.is_none_or(|widest| least <= widest.millicores)
-        {
-            let Some(rank) = self.ready.next(pool, last) else {
+        while starts.len() < self.settings.round_starts {
+            let next = match &open {
+                Some(open) => self.ready.next_of_sizes(pool, last, &open.sizes),
+                None => self.ready.next(pool, last),
+            };
+            let Some(rank) = next else {
                 return;
             };
             last = Some(rank);
             let Some(ready) = self.ready.get(rank.step()) else {
                 continue;
             };
-            if widest.is_some_and(|widest| !widest.fits(&ready.spec.reservation())) {
-                continue;
-            }
             let job = rank.step().job;
             if self.suspects.is_failing(job) {
                 continue;
@@ -161,13 +167,13 @@
                     && (!asked || self.is_eligible(now, step, agent))
                     && (spec.long_running || self.may_share(ledger, &apart, agent, job))
             };
-            let least = spec.reservation().millicores;
+            let room = spec.reservation();
             let order = self.search_order(pool, job, &spec);
             let mut choice = AgentRanking::new(tasks.len());
             for centre in &order {
                 let centre = centre.as_ref();
-                let busy = self.agents.busy_with_room(pool, centre, least).filter(able);
-                let idle = self.agents.idle(pool, centre, least).filter(able);
+                let busy = self.agents.busy_with_room(pool, centre, room).filter(able);
+                let idle = self.agents.idle(pool, centre, room).filter(able);
                 choice.add_domain(now, busy, idle, &spec, step);
                 if choice.is_settled() {
                     break;
@@ -178,7 +184,10 @@
                     break;
                 }
                 let Some(agent) = choice.take() else {
-                    widest = Some(self.largest_free(now, pool));
+                    let count = Some(starts.len());
+                    let known = open.take().filter(|open| open.starts == count);
+                    let new = || self.open_sizes(now, pool, starts.len(), apart.is_none());
+                    open = Some(known.unwrap_or_else(new));
                     if let Some(job) = found {
                         apart.record_full(job);
                     }
@@ -269,16 +278,37 @@
         starts.push(placed);
     }
 
+    /// What a task may take to find an agent, of the amounts that waiting tasks of a pool take.
+    /// Free room only shrinks while a round is filled, so other tasks fit nowhere.
+    ///
+    /// `alike` says whether all jobs may run beside each other.
+    fn open_sizes(&self, now: Now, pool: &PoolId, starts: usize, alike: bool) -> OpenSizes {
+        let widest = self.largest_free(now, pool);
+        // A step of a suspect chooses its probe, and one whose job is kept apart from others makes
+        // the rest of its queue wait, even if no agent has room.
+        let plain = alike && self.suspects.all().next().is_none();
+        let has_agent = |size: Resources| {
+            let mut busy = self.agents.busy_with_room(pool, None, size);
+            let mut idle = self.agents.idle(pool, None, size);
+            let able = |agent: &Agent| self.may_get_work(now, agent);
+            busy.any(able) || idle.any(able)
+        };
+        let sizes = self.ready.sizes(pool).copied();
+        let sizes = sizes.filter(|size| widest.fits(size) && (!plain || has_agent(*size)));
+        OpenSizes {
+            sizes: sizes.collect(),
+            starts: plain.then_some(starts),
+        }
+    }
+
     /// The largest free amount of each resource at any agent of a pool that may get new work and
-    /// has room for the task that takes the fewest cores. Free room only shrinks while a round is
-    /// filled, so a task that needs more than this fits nowhere.
+    /// has room for the task that takes the fewest cores.
     fn largest_free(&self, now: Now, pool: &PoolId) -> Resources {
         let Some(least) = self.ready.min_millicores(pool) else {
             return Resources::default();
         };
-        let able = self
-            .agents_accepting_work(now, pool, least)
-            .map(Agent::free);
+        let able = |agent: &Agent| self.may_get_work(now, agent);
+        let able = self.agents.one_of_each(pool, least, able).map(Agent::free);
         able.fold(Resources::default(), |widest, free| Resources {
             millicores: widest.millicores.max(free.millicores),
             memory: widest.memory.max(free.memory),
--- a/tests/workload/overload.rs
+++ b/tests/workload/overload.rs
@@ -194,3 +194,70 @@
         FLEETS.0
     );
 }
+
+/// What each task of a job takes: cores, and eighths of the memory of a host.
+type TaskSize = (u64, u64);
+
+/// Visits for each start of a leader of 350 hosts while jobs arrive that they can do, after so many
+/// jobs that wait. Every second job has tasks of the other size.
+fn visits_per_start_beside(backlog: u64, sizes: (TaskSize, TaskSize)) -> f64 {
+    const HOSTS: usize = 350;
+    const MILLIS: u64 = 2000;
+    let mut world = World::new(HOSTS, 5);
+    world.pass(ms(2000));
+    let job_of = |job: u64| {
+        let (cores, memory) = if job.is_multiple_of(2) {
+            sizes.0
+        } else {
+            sizes.1
+        };
+        let mut step = step(TASKS, cores, MILLIS);
+        step.need.memory = memory << 27;
+        JobSpec::new("x", vec![step])
+    };
+    let mut next = 1;
+    while next <= backlog {
+        world.submit(next, job_of(next));
+        next += 1;
+    }
+    let mut arrive = |world: &mut World, span: u64| {
+        for _ in 0..span / 20 {
+            world.submit(next, job_of(next));
+            next += 1;
+            world.pass(ms(20));
+        }
+    };
+    arrive(&mut world, 3000);
+    world.visits = 0;
+    let before = world.sent["start"];
+    arrive(&mut world, 2000);
+    world.visits as f64 / (world.sent["start"] - before) as f64
+}
+
+// Guards against plans that visit agents and steps again and again for work that fits on no agent:
+// agents with cores and no memory left, and steps of a size that no agent has room for.
+#[test]
+fn a_backlog_adds_no_visits_to_a_start() {
+    // Tasks that are limited by cores, by memory, and by both; and two sizes of which each agent
+    // runs one of each, so that one kind of agent lacks cores and another kind lacks memory.
+    let cases = [
+        ((1, 0), (1, 0)),
+        ((1, 2), (1, 2)),
+        ((1, 2), (1, 1)),
+        ((1, 3), (3, 1)),
+        ((1, 4), (4, 1)),
+    ];
+    for sizes in cases {
+        let eighths = |(cores, memory): TaskSize| cores.max(memory);
+        // Ten times what fits on the hosts at once.
+        let backlog = 56_000 / (u64::from(TASKS) * (eighths(sizes.0) + eighths(sizes.1)));
+        let (without, with) = (
+            visits_per_start_beside(0, sizes),
+            visits_per_start_beside(backlog, sizes),
+        );
+        assert!(
+            with <= without,
+            "{with:.1} visits per start with a backlog, {without:.1} without, sizes {sizes:?}"
+        );
+    }
+}
