--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -15,12 +15,11 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
-    ops::RangeBounds,
 };
 
-use super::agent::Agent;
+use super::{agent::Agent, domains::DataCentres};
 use crate::core::{
-    types::{Map, MinionId, Name, Now, PoolId},
+    types::{DataCentreId, Map, MinionId, Name, Now, PoolId, Resources},
     workload::command::AgentRecord,
 };
 
@@ -34,7 +33,12 @@
     by_name: Map<Name, Vec<MinionId>>,
     /// The agents of each pool by what they have free, as of the last
     /// [`Agents::update_indexes`].
-    pools: BTreeMap<PoolId, BTreeSet<(Free, MinionId)>>,
+    pools: BTreeMap<PoolId, Pool>,
+    /// Whether agents are indexed by data centre as well.
+    by_centre: bool,
+    /// How many agents of each data centre answer, as of the last [`Agents::update_indexes`]. Empty
+    /// unless agents are indexed by data centre.
+    centres: DataCentres,
     /// When agents have to be visited. Each agent has at most one entry.
     timers: BTreeSet<(Now, MinionId)>,
     /// The agents that may have changed since their last visit.
@@ -50,8 +54,8 @@
 /// What an agent has free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Free {
-    /// It runs something and has this many thousandths of a core free.
-    Part(u64),
+    /// It runs something and has this free.
+    Part(Resources),
     /// It runs nothing.
     All,
 }
@@ -61,7 +65,122 @@
         if agent.slots.is_empty() {
             Self::All
         } else {
-            Self::Part(agent.free().millicores)
+            Self::Part(agent.free())
+        }
+    }
+}
+
+/// Agents by what they have free. Tasks of a pool come in few sizes, so many agents have the same
+/// free, and those that lack memory are passed over together.
+#[derive(Clone, Debug, Default)]
+struct FreeIndex(BTreeMap<Free, BTreeSet<MinionId>>);
+
+impl FreeIndex {
+    fn insert(&mut self, free: Free, id: &MinionId) {
+        self.0.entry(free).or_default().insert(id.clone());
+    }
+
+    fn remove(&mut self, free: Free, id: &MinionId) {
+        if let Some(same) = self.0.get_mut(&free) {
+            same.remove(id);
+            if same.is_empty() {
+                self.0.remove(&free);
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The ids of the agents that run something and have room for `room`, by what they have free.
+    fn busy(&self, room: Resources) -> impl DoubleEndedIterator<Item = &BTreeSet<MinionId>> {
+        let least = Resources {
+            millicores: room.millicores,
+            ..Resources::default()
+        };
+        let found = self.0.range(Free::Part(least)..Free::All);
+        let found = found.filter(move |(free, _)| match free {
+            Free::Part(free) => free.fits(&room),
+            Free::All => false,
+        });
+        found.map(|(_, ids)| ids)
+    }
+
+    /// The ids of the agents that run nothing.
+    fn idle(&self) -> impl DoubleEndedIterator<Item = &MinionId> {
+        self.0.get(&Free::All).into_iter().flatten()
+    }
+}
+
+/// The agents of a pool.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    agents: FreeIndex,
+    /// The number of agents.
+    size: usize,
+    /// The same agents by data centre. Empty unless agents are indexed by data centre.
+    centres: BTreeMap<DataCentreId, CentrePool>,
+}
+
+/// The agents of a pool in one data centre.
+#[derive(Clone, Debug, Default)]
+struct CentrePool {
+    agents: FreeIndex,
+    /// Thousandths of a core that these agents have free for new tasks.
+    open: u64,
+}
+
+/// What the indexes hold about an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Standing {
+    free: Free,
+    /// Thousandths of a core that it has free for new tasks.
+    open: u64,
+    /// Whether it is polled, so that a failure to answer would show.
+    pub(super) polled: bool,
+    /// Whether it doesn't answer.
+    pub(super) failing: bool,
+    /// Whether it says something about its data centre: another incarnation doesn't run in its
+    /// place, and no order about its host has ended it.
+    pub(super) counted: bool,
+}
+
+impl Standing {
+    fn of(agent: &Agent) -> Self {
+        let failing = agent.failing_since.is_some();
+        let open = agent.is_healthy() && !agent.cordoned && !agent.unconfirmed;
+        Self {
+            free: Free::of(agent),
+            open: if open { agent.free().millicores } else { 0 },
+            polled: failing || !agent.slots.is_empty(),
+            failing,
+            counted: !agent.replaced && !agent.evicting && !agent.record.leaving,
+        }
+    }
+}
+
+impl Pool {
+    fn insert(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
+        self.agents.insert(standing.free, id);
+        self.size += 1;
+        if let Some(centre) = centre {
+            let centre = self.centres.entry(centre.clone()).or_default();
+            centre.agents.insert(standing.free, id);
+            centre.open += standing.open;
+        }
+    }
+
+    fn remove(&mut self, id: &MinionId, standing: Standing, centre: Option<&DataCentreId>) {
+        self.agents.remove(standing.free, id);
+        self.size -= 1;
+        let Some((name, centre)) = centre.and_then(|c| Some((c, self.centres.get_mut(c)?))) else {
+            return;
+        };
+        centre.agents.remove(standing.free, id);
+        centre.open -= standing.open;
+        if centre.agents.is_empty() {
+            self.centres.remove(name);
         }
     }
 }
@@ -72,8 +191,8 @@
     dirty: bool,
     /// The time of its entry in `timers`.
     due: Option<Now>,
-    /// What it has free by its entry in its pool.
-    free: Free,
+    /// What the indexes hold about it.
+    standing: Standing,
     /// The time of its entry in `renewals`, and the long-running tasks that run there.
     renewal: Option<(Now, usize)>,
 }
@@ -118,21 +237,44 @@
         }
     }
 
-    fn reindex(&mut self, pools: &mut BTreeMap<PoolId, BTreeSet<(Free, MinionId)>>) {
-        let AgentRecord { id, pool, .. } = &self.agent.record;
-        let free = Free::of(&self.agent);
-        if free == self.free {
+    fn reindex(
+        &mut self,
+        pools: &mut BTreeMap<PoolId, Pool>,
+        centres: &mut DataCentres,
+        by_centre: bool,
+    ) {
+        let AgentRecord {
+            id,
+            pool,
+            data_centre,
+            ..
+        } = &self.agent.record;
+        let standing = Standing::of(&self.agent);
+        if standing == self.standing {
             return;
         }
+        let centre = by_centre.then_some(data_centre);
         if let Some(pool) = pools.get_mut(pool) {
-            pool.remove(&(self.free, id.clone()));
-            pool.insert((free, id.clone()));
+            pool.remove(id, self.standing, centre);
+            pool.insert(id, standing, centre);
         }
-        self.free = free;
+        if let Some(centre) = centre {
+            centres.remove(centre, self.standing);
+            centres.insert(centre, standing);
+        }
+        self.standing = standing;
     }
 }
 
 impl Agents {
+    /// Creates an empty set of agents, which are indexed by data centre as well if `by_centre`.
+    pub(super) fn new(by_centre: bool) -> Self {
+        Self {
+            by_centre,
+            ..Self::default()
+        }
+    }
+
     pub(super) fn get(&self, id: &MinionId) -> Option<&Agent> {
         self.entries.get(id).map(|entry| &entry.agent)
     }
@@ -146,16 +288,20 @@
 
     pub(super) fn insert(&mut self, id: MinionId, agent: Agent) {
         self.remove(&id);
-        let free = Free::of(&agent);
+        let standing = Standing::of(&agent);
+        let centre = self.by_centre.then_some(&agent.record.data_centre);
         let pool = self.pools.entry(agent.record.pool.clone()).or_default();
-        pool.insert((free, id.clone()));
+        pool.insert(&id, standing, centre);
+        if let Some(centre) = centre {
+            self.centres.insert(centre, standing);
+        }
         let names = self.by_name.entry(agent.record.name().clone());
         names.or_default().push(id.clone());
         let entry = Entry {
             agent,
             dirty: true,
             due: None,
-            free,
+            standing,
             renewal: None,
         };
         self.dirty.push(id.clone());
@@ -167,7 +313,7 @@
         let Some(Entry {
             agent,
             due,
-            free,
+            standing,
             renewal,
             ..
         }) = self.entries.remove(id)
@@ -181,8 +327,12 @@
                 self.by_name.remove(agent.record.name());
             }
         }
+        let centre = self.by_centre.then_some(&agent.record.data_centre);
         if let Some(pool) = self.pools.get_mut(&agent.record.pool) {
-            pool.remove(&(free, id.clone()));
+            pool.remove(id, standing, centre);
+        }
+        if let Some(centre) = centre {
+            self.centres.remove(centre, standing);
         }
         if let Some(due) = due {
             self.timers.remove(&(due, id.clone()));
@@ -238,51 +388,96 @@
 
     /// The agents of a pool that have at least `least` thousandths of a core free.
     pub(super) fn with_room(&self, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
-        let idle = self.idle(pool, least).rev();
-        self.busy_with_room(pool, least).chain(idle)
+        let room = millicores(least);
+        let idle = self.idle(pool, None, room).rev();
+        self.busy_with_room(pool, None, room).chain(idle)
     }
 
-    /// The agents of a pool that run something and have at least `least` thousandths of a core
-    /// free.
-    pub(super) fn busy_with_room(&self, pool: &PoolId, least: u64) -> impl Iterator<Item = &Agent> {
-        let first = (Free::Part(least), MinionId::default());
-        self.range(pool, first..first_idle())
+    /// The agents of a pool that run something and have this free, in all data centres or in one.
+    pub(super) fn busy_with_room(
+        &self,
+        pool: &PoolId,
+        centre: Option<&DataCentreId>,
+        room: Resources,
+    ) -> impl Iterator<Item = &Agent> {
+        let index = self.index(pool, centre).into_iter();
+        let ids = index.flat_map(move |index| index.busy(room)).flatten();
+        self.visited(ids)
     }
 
-    /// The agents of a pool that run nothing and have at least `least` thousandths of a core, the
-    /// highest id first.
+    /// The agents of a pool that run nothing and have this free, the highest id first, in all data
+    /// centres or in one.
     pub(super) fn idle(
         &self,
         pool: &PoolId,
-        least: u64,
+        centre: Option<&DataCentreId>,
+        room: Resources,
     ) -> impl DoubleEndedIterator<Item = &Agent> {
-        let idle = self.range(pool, first_idle()..);
-        idle.rev()
-            .filter(move |agent| agent.free().millicores >= least)
+        let index = self.index(pool, centre).into_iter();
+        let ids = index.flat_map(FreeIndex::idle).rev();
+        self.visited(ids)
+            .filter(move |agent| agent.free().fits(&room))
     }
 
-    fn range(
+    /// One agent that `able` accepts for each different free amount among the agents of a pool that
+    /// have at least `least` thousandths of a core free.
+    pub(super) fn one_of_each(
         &self,
         pool: &PoolId,
-        range: impl RangeBounds<(Free, MinionId)>,
-    ) -> impl DoubleEndedIterator<Item = &Agent> {
-        let pool = self.pools.get(pool);
-        let entries = pool.map(|pool| pool.range(range)).into_iter().flatten();
-        let agents = entries.filter_map(|(_, id)| self.get(id));
+        least: u64,
+        able: impl Fn(&Agent) -> bool,
+    ) -> impl Iterator<Item = &Agent> {
+        let room = millicores(least);
+        let idle = self.idle(pool, None, room).filter(|agent| able(agent));
+        let idle: Vec<_> = idle.collect();
+        let index = self.index(pool, None).into_iter();
+        let groups = index.flat_map(move |index| index.busy(room));
+        let busy = groups.filter_map(move |ids| self.visited(ids.iter()).find(|agent| able(agent)));
+        busy.chain(idle)
+    }
+
+    fn index(&self, pool: &PoolId, centre: Option<&DataCentreId>) -> Option<&FreeIndex> {
+        let pool = self.pools.get(pool)?;
+        match centre {
+            None => Some(&pool.agents),
+            Some(centre) => pool.centres.get(centre).map(|centre| &centre.agents),
+        }
+    }
+
+    fn visited<'a>(
+        &'a self,
+        ids: impl DoubleEndedIterator<Item = &'a MinionId>,
+    ) -> impl DoubleEndedIterator<Item = &'a Agent> {
+        let agents = ids.filter_map(|id| self.get(id));
         agents.inspect(|_| self.count_visit())
     }
 
+    /// The data centres in which a pool has agents, each with the thousandths of a core that it has
+    /// free for new tasks. Empty unless agents are indexed by data centre.
+    pub(super) fn open_millicores(
+        &self,
+        pool: &PoolId,
+    ) -> impl Iterator<Item = (&DataCentreId, u64)> {
+        let centres = self.pools.get(pool).map(|pool| &pool.centres);
+        let centres = centres.into_iter().flatten();
+        centres.map(|(name, centre)| (name, centre.open))
+    }
+
+    /// How many agents of each data centre answer.
+    pub(super) fn centres(&self) -> &DataCentres {
+        &self.centres
+    }
+
     /// All pools, each with its agents.
     pub(super) fn pools(&self) -> impl Iterator<Item = (&PoolId, impl Iterator<Item = &Agent>)> {
-        self.pools.iter().map(|(pool, agents)| {
-            let agents = agents.iter().filter_map(|(_, id)| self.get(id));
-            (pool, agents.inspect(|_| self.count_visit()))
-        })
+        self.pools
+            .iter()
+            .map(|(pool, agents)| (pool, self.visited(agents.agents.0.values().flatten())))
     }
 
     /// The number of agents of a pool.
     pub(super) fn pool_size(&self, pool: &PoolId) -> usize {
-        self.pools.get(pool).map_or(0, BTreeSet::len)
+        self.pools.get(pool).map_or(0, |pool| pool.size)
     }
 
     /// The agents that don't answer.
@@ -314,27 +509,28 @@
         self.update_indexes();
     }
 
-    /// Updates the indexes for the dirty agents: those that don't answer, and the free room in each
-    /// pool.
+    /// Updates the indexes for the dirty agents: those that don't answer, the free room in each
+    /// pool, and the data centres that are cut off.
     pub(super) fn update_indexes(&mut self) {
         for id in &self.dirty {
             let Some(entry) = self.entries.get_mut(id) else {
                 continue;
             };
-            entry.reindex(&mut self.pools);
+            entry.reindex(&mut self.pools, &mut self.centres, self.by_centre);
             if entry.agent.failing_since.is_some() {
                 self.unresponsive.insert(id.clone());
             } else {
                 self.unresponsive.remove(id);
             }
         }
+        self.centres.update_cut();
     }
 
     /// Updates the free room of an agent that has just got or lost a task, where the index is
     /// needed at once.
     pub(super) fn reindex(&mut self, id: &MinionId) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.reindex(&mut self.pools);
+            entry.reindex(&mut self.pools, &mut self.centres, self.by_centre);
         }
     }
 
@@ -415,8 +611,9 @@
     }
 }
 
-/// The place in a pool before all agents that run nothing.
-fn first_idle() -> (Free, MinionId) {
-    // The empty id sorts before all others.
-    (Free::All, MinionId::default())
+fn millicores(millicores: u64) -> Resources {
+    Resources {
+        millicores,
+        ..Resources::default()
+    }
 }
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -58,6 +58,7 @@
 mod changes;
 mod delayed;
 mod demand;
+mod domains;
 mod eligible;
 mod forecast;
 mod host_intents;
@@ -111,6 +112,7 @@
     agents::Agents,
     caps::Proposed,
     delayed::AwayTasks,
+    domains::Homes,
     eligible::{Eligible, Question},
     host_intents::HostIntents,
     hosts::Hosts,
@@ -207,6 +209,10 @@
     pub return_unit: Duration,
     /// Whether workspaces have shares of a pool that they contend for.
     pub workspace_shares: bool,
+    /// Whether the tasks of a batch job are placed in one data centre as far as that costs no
+    /// waiting, and nothing new in a data centre that is cut off. For deployments that may lose a
+    /// data centre.
+    pub colocate_jobs: bool,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -225,6 +231,7 @@
             admission: false,
             return_unit: Duration::from_secs(1),
             workspace_shares: false,
+            colocate_jobs: false,
             protections: Protections::default(),
         }
     }
@@ -327,6 +334,8 @@
     catalog: Arc<Catalog>,
     agents: Agents,
     ready: ReadyQueue,
+    /// Where batch jobs are kept; empty unless [`Settings::colocate_jobs`] is set.
+    homes: Homes,
     /// Occurrences that aren't due yet.
     upcoming: BTreeSet<(Wall, JobId, Occurrence)>,
     /// Jobs that are over and when this leader learnt of it, ordered by that time.
@@ -437,8 +446,9 @@
             term,
             started_at: now,
             catalog,
-            agents: Agents::default(),
+            agents: Agents::new(settings.colocate_jobs),
             ready: ReadyQueue::with_shares(settings.workspace_shares),
+            homes: Homes::default(),
             upcoming: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             accepted_at: Map::default(),
@@ -502,6 +512,7 @@
             }
         }
         scheduler.inherit_probes();
+        scheduler.inherit_homes(ledger);
         scheduler
     }
 
