Test admission with callers that are told whole seconds

Callers are told when to return in whole seconds, while the tests of refusals return exactly when they are told. A place that is kept for a caller who returns too late would be lost.

The world takes the unit in which callers are told the time, and a test checks that jobs stay in time with whole seconds. The test of reservations also checks that a refused job isn't counted as demand again.

--- a/tests/workload/admission.rs
+++ b/tests/workload/admission.rs
@@ -221,6 +221,9 @@
     pool.now += held.after;
     pool.set_hosts(&[(10, ms(0))], None);
     assert_eq!(pool.submit(id, 1), Verdict::Accepted);
+    let pending = pool.admission.take_pending(pool.now, id).unwrap();
+    assert!(pending.was_counted, "counted as demand twice");
+    assert_eq!(pending.reserved_since, Some(ms(5000)));
     assert!(pool.admission.reservations() > 0);
     pool.now += ms(3000);
     assert!(!refusal(pool.submit(5000, 1)).reserved || pool.admission.reservations() == 1);
--- a/tests/workload/refusals.rs
+++ b/tests/workload/refusals.rs
@@ -109,8 +109,14 @@
 
 impl Load {
     fn new(fleet: Fleet, seed: u64) -> Self {
+        Self::with_unit(fleet, seed, Duration::ZERO)
+    }
+
+    /// Callers are told when to return in this unit, or exactly if it is zero.
+    fn with_unit(fleet: Fleet, seed: u64, return_unit: Duration) -> Self {
         let mut world = World::new(fleet.hosts, seed);
         world.admission = true;
+        world.return_unit = return_unit;
         world.lead();
         for host in 0..fleet.hosts {
             let host = format!("h{}", fleet.hosts + host);
@@ -174,6 +180,12 @@
             return;
         };
         self.outcomes[offer.queue].refusals += 1;
+        let unit = self.world.return_unit;
+        let wait = if unit.is_zero() {
+            wait
+        } else {
+            unit * u32::try_from(wait.as_nanos().div_ceil(unit.as_nanos()).max(1)).unwrap()
+        };
         let at = self.world.now + wait;
         if offer.retries < MAX_RETRIES && at <= offer.sent_at + RETRY_TIME {
             let retries = offer.retries + 1;
@@ -336,6 +348,25 @@
     check_level(HOST_BOUND);
 }
 
+/// Guards against places that are kept for callers who are told whole seconds, as on the wire, and so return
+/// too late to be in time.
+#[test]
+fn a_full_fleet_serves_as_many_jobs_in_time_where_callers_are_told_whole_seconds() {
+    let levels = [1, 2, 4].map(|factor| {
+        let mut load = Load::with_unit(HOST_BOUND, 5, ms(1000));
+        load.submit_for(LOAD_TIME, HOST_BOUND.fitting_rate * factor);
+        load.settle();
+        load.outcomes
+    });
+    let submitted = levels[0].map(|outcome| outcome.submitted);
+    for outcomes in levels {
+        for (outcome, submitted) in outcomes.iter().zip(submitted) {
+            assert!(outcome.kept * 10 >= outcome.accepted * 9, "{outcome:?}");
+            assert!(outcome.timely * 10 >= submitted * 9, "{outcome:?}");
+        }
+    }
+}
+
 #[test]
 fn what_a_full_leader_accepts_is_in_time() {
     check_kept(LEADER_BOUND);
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -341,6 +341,8 @@
     pub(crate) order_limits: OrderLimits,
     /// Whether the next leader refuses jobs that can't be in time.
     pub(crate) admission: bool,
+    /// The unit in which refused callers are told when to return; zero if they are told exactly.
+    pub(crate) return_unit: Duration,
     provider_queue: ProviderQueue,
     /// Hosts about which orders are lost: they aren't carried out and get no answer.
     pub(crate) unreachable_hosts: BTreeSet<HostId>,
@@ -519,6 +521,7 @@
             provider: None,
             order_limits: OrderLimits::default(),
             admission: false,
+            return_unit: Duration::ZERO,
             provider_queue: ProviderQueue::default(),
             unreachable_hosts: BTreeSet::new(),
             order_waits: Vec::new(),
@@ -704,7 +707,7 @@
             retention: RETENTION,
             host_orders: self.order_limits,
             admission: self.admission,
-            return_unit: Duration::ZERO,
+            return_unit: self.return_unit,
             protections: self.protections,
         };
         let catalog = Arc::clone(&self.catalog);
