--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -146,7 +146,8 @@
     pub(super) best_effort: bool,
     /// Whether it runs until it is stopped.
     pub(super) long_running: bool,
-    /// Whether its job could no longer be in time when this leader decided it.
+    /// Whether its job could no longer be in time when this leader decided it. Unknown, and so not
+    /// set, for one that an earlier leader decided.
     pub(super) late: bool,
     /// Whether its agent has confirmed that it started. If an earlier leader placed it: as far as
     /// that leader knew.
@@ -424,6 +425,12 @@
         self.late_millicores
     }
 
+    /// Thousandths of a core that its batch tasks may take.
+    pub(super) fn batch_capacity(&self) -> u64 {
+        let lasting = self.used.millicores - self.batch_millicores().min(self.used.millicores);
+        self.record.capacity.millicores.saturating_sub(lasting)
+    }
+
     /// Whether it answers and isn't about to leave.
     pub(super) fn is_healthy(&self) -> bool {
         !self.record.leaving && self.failing_since.is_none()
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -59,6 +59,7 @@
                 agent: id.clone(),
             };
             if self.settings.protections.inherit {
+                self.count_placed(ledger, task, attempt, spec);
                 agent.add(task, slot);
                 // This leader's rounds will replace those that show it to the next one.
                 self.not_started.extend(unsent.then_some(placed));
@@ -80,9 +81,15 @@
         match change {
             Change::Accepted(id) => {
                 if let Some(job) = ledger.job(*id) {
-                    self.accepted_at.insert(*id, now);
-                    let work = self.batch_work(job) * self.allowed_part(ledger, job);
-                    self.add_demand(&self.pool(job), work);
+                    let pending = self.admission.take_pending(now, *id);
+                    // A reserved job is served in the order of its first submission.
+                    let since = pending.and_then(|pending| pending.reserved_since);
+                    self.accepted_at.insert(*id, since.unwrap_or(now));
+                    if !pending.is_some_and(|pending| pending.was_counted) {
+                        let work = self.batch_work(job) * self.allowed_part(ledger, job);
+                        self.add_demand(&self.pool(job), work);
+                    }
+                    self.count_offer(now, Duration::ZERO, job);
                     self.open_job(now, wall, *id, job);
                 }
             }
@@ -367,6 +374,7 @@
                 agent.remove(now, placed.task);
             }
         }
+        self.count_unplaced(placed.task, placed.attempt);
         if again {
             self.make_ready(now, ledger, placed.task);
         }
@@ -377,6 +385,8 @@
     /// An abandoned attempt may turn out to have done it, so its latest attempt needn't be placed.
     fn complete_task(&mut self, task: TaskId, late: bool) {
         self.ready.take(task.step, task.task);
+        self.outstanding
+            .finish_task(task.step.job, usize::from(task.step.step));
         let held = self.suspects.clear(task);
         if let Some(held) = held.filter(|_| late) {
             let hosts = held.evidence.own.hosts;
@@ -419,6 +429,7 @@
         if let Some(agent) = self.agents.get_mut(&start.agent) {
             agent.remove(now, start.task);
         }
+        self.count_unplaced(start.task, start.attempt);
         let needed = |task: &Task| task.agent.is_none() && !task.done;
         // The tasks of a finished occurrence may have been dropped.
         let run = job.and_then(|job| job.runs.get(&start.task.step.occurrence));
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -45,6 +45,7 @@
         occurrence: Occurrence,
         job: &Job,
     ) {
+        self.track_work(id, occurrence, job);
         for step in 0..job.spec.steps.len() {
             let step = StepId {
                 job: id,
@@ -139,7 +140,7 @@
     }
 
     /// About how long the job's longest chain of steps takes.
-    fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
+    pub(super) fn critical_path(&self, pool: &PoolId, job: &Job) -> Duration {
         let remaining = job.spec.remaining(|step| self.estimate(pool, step));
         remaining.into_iter().max().unwrap_or_default()
     }
@@ -164,8 +165,10 @@
     /// Stops the attempts of a job that is over and drops its tasks.
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
+        self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
+        self.homes.forget(id);
         let accepted = self.accepted_at.remove(&id);
         self.ended_jobs.push_back((now, id));
         let Some(job) = ledger.job(id) else {
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -48,6 +48,7 @@
 //! agent to stop has then ended when the longest time that a stop takes has passed, so what the
 //! agent reports as running after that time had not been told to stop.
 
+mod admission;
 mod agent;
 mod agents;
 pub mod allocation;
@@ -57,6 +58,7 @@
 mod changes;
 mod delayed;
 mod demand;
+mod domains;
 mod eligible;
 mod forecast;
 mod host_intents;
@@ -69,12 +71,14 @@
 mod operations;
 mod order;
 mod overdue;
+mod owner_queue;
 mod place;
 mod poison_queues;
 mod presence;
 mod pressure;
 mod probes;
 mod ready;
+mod shares;
 mod starts;
 mod strays;
 mod suspects;
@@ -82,6 +86,7 @@
 mod unit;
 mod vacating;
 mod waves;
+mod workspace_usage;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -90,11 +95,24 @@
     time::Duration,
 };
 
+pub use self::{
+    admission::JobRefusal,
+    delayed::{Candidates, DelayReason, DelayedTask},
+    eligible::MAX_OPEN_QUESTIONS,
+    host_orders::OrderLimits,
+    order::{
+        AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
+        Running, StartOrder, Target,
+    },
+    overdue::OverdueRenewals,
+};
 use self::{
+    admission::StartRate,
     agent::{Agent, Phase, Slot},
     agents::Agents,
     caps::Proposed,
     delayed::AwayTasks,
+    domains::Homes,
     eligible::{Eligible, Question},
     host_intents::HostIntents,
     hosts::Hosts,
@@ -104,19 +122,12 @@
     pressure::Pressure,
     probes::Probes,
     ready::{ReadyQueue, ReadyStep},
+    shares::ShareTimes,
     suspects::Suspects,
-};
-pub use self::{
-    delayed::{Candidates, DelayReason, DelayedTask},
-    eligible::MAX_OPEN_QUESTIONS,
-    host_orders::OrderLimits,
-    order::{
-        AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind, Refusal, Report,
-        Running, StartOrder, Target,
-    },
-    overdue::OverdueRenewals,
+    workspace_usage::WorkspaceUsage,
 };
 use super::{
+    admission::{Admission, outstanding::Outstanding},
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
     job::{Job, JobState, Run, StepId, Task, TaskId},
@@ -192,6 +203,16 @@
     pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
+    /// Whether jobs that can't be done in their time are refused.
+    pub admission: bool,
+    /// The unit to which the times are rounded up that refused callers are told; zero if they aren't.
+    pub return_unit: Duration,
+    /// Whether workspaces have shares of a pool that they contend for.
+    pub workspace_shares: bool,
+    /// Whether the tasks of a batch job are placed in one data centre as far as that costs no
+    /// waiting, and nothing new in a data centre that is cut off. For deployments that may lose a
+    /// data centre.
+    pub colocate_jobs: bool,
     /// Which protections are on; for tests.
     pub protections: Protections,
 }
@@ -207,6 +228,10 @@
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
+            admission: false,
+            return_unit: Duration::from_secs(1),
+            workspace_shares: false,
+            colocate_jobs: false,
             protections: Protections::default(),
         }
     }
@@ -309,6 +334,8 @@
     catalog: Arc<Catalog>,
     agents: Agents,
     ready: ReadyQueue,
+    /// Where batch jobs are kept; empty unless [`Settings::colocate_jobs`] is set.
+    homes: Homes,
     /// Occurrences that aren't due yet.
     upcoming: BTreeSet<(Wall, JobId, Occurrence)>,
     /// Jobs that are over and when this leader learnt of it, ordered by that time.
@@ -340,6 +367,9 @@
     last_filled: Option<PoolId>,
     /// The attempts that these rounds place, summed by workspace.
     proposed: Proposed,
+    /// What the workspaces have of the pools.
+    usage: WorkspaceUsage,
+    share_times: ShareTimes,
     hosts: Hosts,
     intents: HostIntents,
     eligible: Eligible,
@@ -350,6 +380,11 @@
     probes: Probes,
     losses: Losses,
     completions: Completions,
+    /// The batch work of accepted jobs that isn't done.
+    outstanding: Outstanding,
+    admission: Admission,
+    /// How many tasks the leader starts.
+    starts: StartRate,
     away: AwayTasks,
     /// When overdue renewals may be reported again; `None` if at once.
     overdue_due: Option<Now>,
@@ -411,8 +446,9 @@
             term,
             started_at: now,
             catalog,
-            agents: Agents::default(),
-            ready: ReadyQueue::default(),
+            agents: Agents::new(settings.colocate_jobs),
+            ready: ReadyQueue::with_shares(settings.workspace_shares),
+            homes: Homes::default(),
             upcoming: BTreeSet::new(),
             ended_jobs: VecDeque::new(),
             accepted_at: Map::default(),
@@ -428,6 +464,8 @@
             open_rounds: 0,
             last_filled: None,
             proposed: Proposed::default(),
+            usage: WorkspaceUsage::default(),
+            share_times: ShareTimes::default(),
             hosts: Hosts::new(settings.host_orders),
             intents: HostIntents::new(now, settings.handover_delay, ledger.intents()),
             eligible: Eligible::default(),
@@ -437,6 +475,9 @@
             probes: Probes::default(),
             losses: Losses::new(now, ledger.failure_rate()),
             completions: Completions::default(),
+            outstanding: Outstanding::default(),
+            admission: Admission::new(settings.return_unit),
+            starts: StartRate::default(),
             away: AwayTasks::default(),
             overdue_due: None,
             maintained: BTreeSet::new(),
@@ -456,13 +497,14 @@
             scheduler.inherit(now, ledger, record, shared);
         }
         for (id, job) in ledger.jobs() {
+            let age = wall.saturating_sub(job.accepted_at);
+            scheduler.count_offer(now, age, job);
             if job.has_ended() {
                 // An earlier leader may not have stopped all of the job's attempts. How long ago
                 // the job ended is unknown, as wall clocks jump, so its retention starts anew.
                 scheduler.end_job(now, ledger, id);
                 continue;
             }
-            let age = wall.saturating_sub(job.accepted_at);
             scheduler.accepted_at.insert(id, now.saturating_sub(age));
             scheduler.open_job(now, wall, id, job);
             for (task, evidence) in job.task_evidence(id) {
@@ -470,6 +512,7 @@
             }
         }
         scheduler.inherit_probes();
+        scheduler.inherit_homes(ledger);
         scheduler
     }
 
@@ -482,6 +525,7 @@
                 self.open_step(now, step, job);
             }
         }
+        self.reassign_work(ledger);
     }
 
     /// Whether an agent has seen a later leader, so that this one must stop.
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -220,6 +220,9 @@
         metrics
             .missing_hosts
             .set(size(scheduler.map_or(0, Scheduler::missing_hosts)));
+        metrics
+            .reservations
+            .set(size(scheduler.map_or(0, Scheduler::reservations)));
     }
 
     fn dial(&self, node: NodeId) {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -1,5 +1,7 @@
 //! Tests of jobs, their ledger and the leader's scheduler, in logical time.
 
+mod admission;
+mod allocation;
 mod budgets;
 mod cancelled;
 mod caps;
@@ -7,6 +9,7 @@
 mod completed_suspects;
 mod delayed;
 mod disturbed;
+mod domains;
 mod eligible;
 mod faults;
 mod host_orders;
@@ -29,6 +32,7 @@
 mod renewals;
 mod repeated_orders;
 mod restarted_agents;
+mod scarce_fleet;
 mod scarce_hosts;
 mod spec;
 mod start_window;
@@ -36,5 +40,6 @@
 mod unsent_orders;
 mod vacating;
 mod waves;
+mod workspace_shares;
 mod workspaces;
 mod world;
--- a/tests/workload/refusals.rs
+++ b/tests/workload/refusals.rs
@@ -12,7 +12,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use egretpin::core::workload::{catalog::JobId, command::Submission, job::JobState, spec::JobSpec};
+use egretpin::core::workload::{
+    catalog::JobId, command::Submission, job::JobState, scheduler::JobRefusal, spec::JobSpec,
+};
 
 use crate::world::{OTHER_POOL, OTHER_QUEUE, POOL, Processor, QUEUE, World, ms, step};
 
@@ -107,7 +109,15 @@
 
 impl Load {
     fn new(fleet: Fleet, seed: u64) -> Self {
+        Self::with_unit(fleet, seed, Duration::ZERO)
+    }
+
+    /// Callers are told when to return in this unit, or exactly if it is zero.
+    fn with_unit(fleet: Fleet, seed: u64, return_unit: Duration) -> Self {
         let mut world = World::new(fleet.hosts, seed);
+        world.admission = true;
+        world.return_unit = return_unit;
+        world.lead();
         for host in 0..fleet.hosts {
             let host = format!("h{}", fleet.hosts + host);
             world.add_host(&host, OTHER_POOL);
@@ -170,6 +180,12 @@
             return;
         };
         self.outcomes[offer.queue].refusals += 1;
+        let unit = self.world.return_unit;
+        let wait = if unit.is_zero() {
+            wait
+        } else {
+            unit * u32::try_from(wait.as_nanos().div_ceil(unit.as_nanos()).max(1)).unwrap()
+        };
         let at = self.world.now + wait;
         if offer.retries < MAX_RETRIES && at <= offer.sent_at + RETRY_TIME {
             let retries = offer.retries + 1;
@@ -179,7 +195,7 @@
     }
 
     /// When a job should return; `None` if it is accepted.
-    fn retry_after(&self, offer: Offer) -> Option<Duration> {
+    fn retry_after(&mut self, offer: Offer) -> Option<Duration> {
         let (queue, pool) = QUEUES[offer.queue];
         let submission = Submission {
             job: offer.job,
@@ -191,13 +207,17 @@
         };
         let newest = self.open.keys().rev();
         let pending = newest.take_while(|job| self.world.state(**job).is_none());
-        let scheduler = self.world.scheduler.as_ref()?;
-        scheduler.retry_after(
-            self.world.now,
-            &self.world.ledger,
-            &submission,
-            pending.count(),
-        )
+        let pending = pending.count();
+        let World {
+            now,
+            ledger,
+            scheduler,
+            ..
+        } = &mut self.world;
+        let verdict = scheduler
+            .as_mut()?
+            .admit(*now, ledger, &submission, pending);
+        verdict.err().map(JobRefusal::retry_after)
     }
 
     /// Lets a tick pass, and submits the jobs again that are to return by then.
@@ -276,11 +296,11 @@
 }
 
 fn check_return(fleet: Fleet) {
-    let mut load = Load::new(fleet, 6);
-    load.submit_for(ms(3000), fleet.fitting_rate * 4);
-    load.returns.clear();
-    let now = load.world.now;
     for (queue, (name, _)) in QUEUES.iter().enumerate() {
+        let mut load = Load::new(fleet, 6);
+        load.submit_for(ms(3000), fleet.fitting_rate * 4);
+        load.returns.clear();
+        let now = load.world.now;
         let mut offer = Offer {
             job: 1_000_000 + u64::try_from(queue).unwrap(),
             queue,
@@ -328,6 +348,25 @@
     check_level(HOST_BOUND);
 }
 
+/// Guards against places that are kept for callers who are told whole seconds, as on the wire, and so return
+/// too late to be in time.
+#[test]
+fn a_full_fleet_serves_as_many_jobs_in_time_where_callers_are_told_whole_seconds() {
+    let levels = [1, 2, 4].map(|factor| {
+        let mut load = Load::with_unit(HOST_BOUND, 5, ms(1000));
+        load.submit_for(LOAD_TIME, HOST_BOUND.fitting_rate * factor);
+        load.settle();
+        load.outcomes
+    });
+    let submitted = levels[0].map(|outcome| outcome.submitted);
+    for outcomes in levels {
+        for (outcome, submitted) in outcomes.iter().zip(submitted) {
+            assert!(outcome.kept * 10 >= outcome.accepted * 9, "{outcome:?}");
+            assert!(outcome.timely * 10 >= submitted * 9, "{outcome:?}");
+        }
+    }
+}
+
 #[test]
 fn what_a_full_leader_accepts_is_in_time() {
     check_kept(LEADER_BOUND);
