--- a/tests/workload/allocation.rs
+++ b/tests/workload/allocation.rs
@@ -72,7 +72,7 @@
     /// Guards against decisions that change where there are enough hosts for all.
     #[test]
     fn claims_that_fit_are_the_targets(claims in claims()) {
-        let needs: Vec<_> = claims.iter().map(|claim| total(claim)).collect();
+        let needs: Vec<_> = claims.iter().map(total).collect();
         prop_assert_eq!(allocate(needs.iter().sum(), &claims), needs);
     }
 
