Ask the shares of workspaces on admission, and allocate hosts by a setting

Admission control didn't know the shares, so that a workspace that sends many times its usual filled the pool before the others' jobs came. Now a job within its workspace's share is accepted though others filled the pool, and one beyond it only while half of the allowed wait is free. Refused jobs count as offers.

The capacity that admission reckons with includes the hosts that the allocation would give a pool.

--- a/src/core/workload/admission/mod.rs
+++ b/src/core/workload/admission/mod.rs
@@ -20,10 +20,13 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use egretpin::core::workload::admission::{
-//!     Admission, Feed, Request, Verdict,
-//!     capacity::Capacity,
-//!     outstanding::{JobWork, Outstanding, StepWork},
+//! use egretpin::core::workload::{
+//!     admission::{
+//!         Admission, Feed, Request, Verdict,
+//!         capacity::Capacity,
+//!         outstanding::{JobWork, Outstanding, StepWork},
+//!     },
+//!     workspace_shares::Standing,
 //! };
 //!
 //! let (mut admission, mut outstanding) = (Admission::default(), Outstanding::default());
@@ -39,6 +42,7 @@
 //!     lag: Duration::ZERO,
 //!     objective: Duration::from_millis(1100),
 //!     cap: None,
+//!     standing: Standing::Uncontended,
 //! };
 //! // The first runs at once, the second after 400 ms. The third would end after 1200 ms.
 //! let mut verdicts = Vec::new();
@@ -64,12 +68,16 @@
     outstanding::{JobWork, Outstanding, Total},
     refused::{MAX_RESERVED, RETURN_WINDOW, Record, Refused, Reservation},
 };
-use crate::core::types::{JobId, Map, Now, PoolId};
+use crate::core::{
+    types::{JobId, Map, Now, PoolId},
+    workload::workspace_shares::Standing,
+};
 
 /// A job that takes this many times its objective is of no more use to its caller.
 const MAX_DELAY_FACTOR: u32 = 3;
-/// The part of the allowed wait up to which jobs that can't be in time any more are accepted.
-const LATE_PART: f64 = 0.5;
+/// The part of the allowed wait up to which spare capacity is given to jobs that can't be in time any more and to
+/// workspaces beyond their shares.
+const SPARE_PART: f64 = 0.5;
 /// The part of the allowed wait for which places may be reserved. The work for the rest has to be there, so
 /// that hosts don't wait for callers to return.
 const RESERVED_PART: f64 = 0.25;
@@ -109,6 +117,8 @@
     pub objective: Duration,
     /// Thousandths of a core that its workspace may have running, if that is bounded.
     pub cap: Option<u64>,
+    /// How its workspace would stand to its share of the pool with this job.
+    pub standing: Standing,
 }
 
 /// What becomes of a submission.
@@ -225,12 +235,19 @@
         if turn.is_some_and(|held| now >= held.turn) {
             return self.accept(now, request.job);
         }
+        if request.standing == Standing::Within {
+            return self.accept(now, request.job);
+        }
         let Some(judgement) = self.judge(now, outstanding, request, known.as_ref()) else {
             return self.accept(now, request.job);
         };
         let first = known.as_ref().map_or(now, |known| known.first);
         let reservation = match known.as_ref().and_then(|known| known.reservation.clone()) {
             None if judgement.wait <= judgement.limit => {
+                // Without a reservation, spare capacity goes to whoever asks for it first.
+                if request.standing == Standing::Beyond {
+                    return self.accept(now, request.job);
+                }
                 match self.reserve(now, first, request, judgement) {
                     None => return self.accept(now, request.job),
                     reservation => reservation,
@@ -241,6 +258,17 @@
         Verdict::Refused(self.refuse(now, request, known.as_ref(), judgement, reservation))
     }
 
+    /// The work that the pool of a job can have outstanding so that a job like it is still in time, and the time
+    /// in which it does that work; `None` if nothing is known of the pool.
+    pub fn possible_work(&self, request: &Request) -> Option<(u64, Duration)> {
+        let feed = self.feeds.get(&request.work.pool)?;
+        let chain = request.chain + request.lag + self.commit_delay;
+        let span = Load::new(request.work.total(), feed.overhead).span();
+        let time = request.objective.saturating_sub(chain) + span;
+        let work = feed.capacity.total() as f64 * time.as_secs_f64() * 1000.0;
+        Some((work as u64, time))
+    }
+
     /// Takes out what is known of a job that was accepted and is committed now.
     pub fn take_pending(&mut self, now: Now, job: JobId) -> Option<Pending> {
         let pending = self.pending.remove(&job)?;
@@ -323,8 +351,8 @@
         Some(Judgement {
             wait,
             own: slack,
-            limit: if is_late {
-                limit.min(slack.mul_f64(LATE_PART))
+            limit: if is_late || request.standing == Standing::Beyond {
+                limit.min(slack.mul_f64(SPARE_PART))
             } else {
                 limit
             },
@@ -433,7 +461,7 @@
     /// the pool serves them. A job that would be of no use by then isn't expected to return.
     fn line_up(&mut self, now: Now, request: &Request, judgement: Judgement, latest: Now) -> Now {
         let queue = self.queues.entry(request.work.pool.clone()).or_default();
-        let free = judgement.own.mul_f64(LATE_PART);
+        let free = judgement.own.mul_f64(SPARE_PART);
         let turn = queue.next.max(now + judgement.wait.saturating_sub(free));
         if turn <= latest {
             queue.next = turn + judgement.time;
--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -16,6 +16,7 @@
         outstanding::{JobWork, Outstanding, StepWork},
     },
     command::Submission,
+    workspace_shares::Standing,
 };
 
 /// The time over which the leader's starts are averaged: several rounds, and less than the time in which a
@@ -97,7 +98,8 @@
             submission.accepted_at,
         );
         job.workspace.clone_from(&submission.workspace);
-        let request = self.request(submission.job, &job);
+        let mut request = self.request(submission.job, &job);
+        request.standing = self.standing(now, &request);
         match self.admission.decide(now, &self.outstanding, &request) {
             Verdict::Accepted => {
                 self.outstanding.add(submission.job, request.work);
@@ -107,6 +109,7 @@
                 if refusal.is_first {
                     let work = self.batch_work(&job) * self.allowed_part(ledger, &job);
                     self.add_demand(&request.work.pool, work);
+                    self.count_offer(now, Duration::ZERO, &job);
                 }
                 let (after, reserved) = (refusal.after, refusal.reserved);
                 log::info!(job:% = format_args!("{:016x}", submission.job), queue:% = job.queue, pool:% = request.work.pool, after:?, reserved, wait:? = refusal.wait, slack:? = refusal.slack; "a job can't be in time");
@@ -154,9 +157,25 @@
             lag,
             objective,
             cap: cap.filter(|cap| *cap > 0),
+            standing: Standing::Uncontended,
         }
     }
 
+    /// How the workspace of a job would stand to its share of the pool if the job were accepted.
+    fn standing(&self, now: Now, request: &Request) -> Standing {
+        let JobWork {
+            pool, workspace, ..
+        } = &request.work;
+        let shares = self
+            .admission
+            .possible_work(request)
+            .and_then(|(work, time)| self.work_shares(now, pool, work, time));
+        shares.map_or(Standing::Uncontended, |shares| {
+            let weight = self.catalog.weight(workspace.as_ref());
+            shares.judge(workspace, weight, request.work.total().work)
+        })
+    }
+
     /// Tells admission control what the pools have now and will have.
     pub(super) fn update_admission(&mut self, now: Now, span: Duration) {
         self.starts.update(span);
@@ -215,7 +234,11 @@
             .iter()
             .filter(|(other, _)| *other != pool);
         let surplus: usize = surplus.map(|(_, count)| count).sum();
-        let given = (0..surplus).map(|ix| now + POOL_CHECK_DELAY + self.move_delay(ix));
+        // Where the fleet is scarce, pools above their targets give hosts up, too.
+        let target = self.hosts.targets.get(pool).copied().unwrap_or_default();
+        let missing = target.saturating_sub(have.get(pool).copied().unwrap_or_default());
+        let given =
+            (0..surplus.max(missing)).map(|ix| now + POOL_CHECK_DELAY + self.move_delay(ix));
         let later = arrivals.into_iter().chain(given).map(|at| (at, size));
         std::iter::once((now, there)).chain(later).collect()
     }
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -104,7 +104,11 @@
         let pools = have.iter().filter(|(pool, _)| self.catalog.has_pool(pool));
         let hosts = pools.map(|(_, count)| count).sum();
         let needed: usize = needs.values().map(|need| need.now).sum();
-        self.hosts.missing = needed.saturating_sub(hosts);
+        self.hosts.missing = if self.settings.allocate_hosts {
+            needed.saturating_sub(hosts)
+        } else {
+            0
+        };
         let targets = if self.hosts.missing == 0 {
             needs.values().map(|need| need.now).collect()
         } else {
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -88,8 +88,8 @@
                     if !pending.is_some_and(|pending| pending.was_counted) {
                         let work = self.batch_work(job) * self.allowed_part(ledger, job);
                         self.add_demand(&self.pool(job), work);
+                        self.count_offer(now, Duration::ZERO, job);
                     }
-                    self.count_offer(now, Duration::ZERO, job);
                     self.open_job(now, wall, *id, job);
                 }
             }
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -55,7 +55,8 @@
     /// How many hosts each pool should have now, as of the last check. They sum to no more
     /// than the hosts that there are.
     pub(super) targets: HostCounts,
-    /// How many hosts the pools need beyond those that there are, as of the last check.
+    /// How many hosts the pools need beyond those that there are, as of the last check; 0 unless a
+    /// scarce fleet is allocated.
     pub(super) missing: usize,
     /// Hosts that each pool has beyond what it should keep, as of the last check.
     pub(super) surplus: HostCounts,
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -203,6 +203,8 @@
     pub round_starts: usize,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
+    /// Whether a fleet that is too small for all pools goes first to work that can be in time.
+    pub allocate_hosts: bool,
     /// Whether jobs that can't be done in their time are refused.
     pub admission: bool,
     /// The unit to which the times are rounded up that refused callers are told; zero if they aren't.
@@ -228,6 +230,7 @@
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
             host_orders: OrderLimits::default(),
+            allocate_hosts: false,
             admission: false,
             return_unit: Duration::from_secs(1),
             workspace_shares: false,
--- a/src/core/workload/scheduler/vacating.rs
+++ b/src/core/workload/scheduler/vacating.rs
@@ -52,6 +52,7 @@
     /// Lets hosts move that have become empty. Gives up hosts that the other pool no longer needs or
     /// that don't become empty in time.
     pub(super) fn check_vacating(&mut self, now: Now, needs: &HostCounts, have: &mut HostCounts) {
+        let scarce = self.hosts.missing > 0;
         let (mut emptied, mut kept) = (Vec::new(), Vec::new());
         for (host, operation) in &mut self.hosts.operations {
             let Purpose::Move(to) = &operation.purpose else {
@@ -62,9 +63,11 @@
             }
             let agent = operation.agent.as_ref().and_then(|id| self.agents.get(id));
             let need = needs.get(to).copied().unwrap_or_default();
-            let timeout = operation.since + EMPTYING_TIMEOUT;
-            let expected = agent.and_then(Agent::empty_at).unwrap_or_default();
-            let timeout = timeout.max(expected + MAX_EMPTYING);
+            let mut timeout = operation.since + EMPTYING_TIMEOUT;
+            if scarce {
+                let expected = agent.and_then(Agent::empty_at).unwrap_or_default();
+                timeout = timeout.max(expected + MAX_EMPTYING);
+            }
             let count = have.entry(to.clone()).or_default();
             if agent.is_none_or(|agent| agent.slots.is_empty()) {
                 emptied.push(host.clone());
--- a/tests/workload/admission.rs
+++ b/tests/workload/admission.rs
@@ -13,6 +13,7 @@
     command::Submission,
     job::JobState,
     spec::{JobSpec, Recurrence},
+    workspace_shares::Standing,
 };
 use proptest::prelude::*;
 
@@ -120,6 +121,7 @@
             lag: Duration::ZERO,
             objective: ms(2000 * steps),
             cap: None,
+            standing: Standing::Uncontended,
         };
         let verdict = self.admission.decide(self.now, &self.outstanding, &request);
         if verdict == Verdict::Accepted {
--- a/tests/workload/scarce_fleet.rs
+++ b/tests/workload/scarce_fleet.rs
@@ -74,6 +74,8 @@
 impl Load {
     fn new(seed: u64) -> Self {
         let mut world = World::new(HOSTS - 1, seed);
+        world.allocate_hosts = true;
+        world.lead();
         world.add_host(&format!("h{HOSTS}"), OTHER_POOL);
         world.pass(ms(2000));
         Self {
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -346,6 +346,8 @@
     pub(crate) provider: Option<ProviderLink>,
     /// How many orders about hosts the next leader may give.
     pub(crate) order_limits: OrderLimits,
+    /// Whether a scarce fleet is allocated by the value of its work. Takes effect with the next leader.
+    pub(crate) allocate_hosts: bool,
     /// Whether the next leader refuses jobs that can't be in time.
     pub(crate) admission: bool,
     /// The unit in which refused callers are told when to return; zero if they are told exactly.
@@ -531,6 +533,7 @@
             moves: 0,
             provider: None,
             order_limits: OrderLimits::default(),
+            allocate_hosts: false,
             admission: false,
             return_unit: Duration::ZERO,
             provider_queue: ProviderQueue::default(),
@@ -737,6 +740,7 @@
             round_starts: self.round_starts,
             retention: RETENTION,
             host_orders: self.order_limits,
+            allocate_hosts: self.allocate_hosts,
             admission: self.admission,
             return_unit: self.return_unit,
             workspace_shares: self.workspace_shares,
