Refuse jobs for want of hosts only while the fleet is scarce

A pool that refuses jobs shows no growth, so it isn't given the hosts that it could have had: it had 0 empty hosts while the fleet had many. Hosts now count as a limit only while the pools together need more than there are, or did so within the last second. The rate of starts limits as before.

--- a/src/core/workload/admission/capacity.rs
+++ b/src/core/workload/admission/capacity.rs
@@ -94,6 +94,12 @@
         Self { host, parts }
     }
 
+    /// The capacity of a pool that is given all hosts that it needs.
+    pub fn unlimited(now: Now) -> Self {
+        let millicores = u64::from(u32::MAX) << 16;
+        Self::new(millicores, vec![(now, millicores)])
+    }
+
     /// Thousandths of a core of all its parts.
     pub fn total(&self) -> u64 {
         self.parts.iter().map(|(_, millicores)| millicores).sum()
--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -23,6 +23,10 @@
 /// surge builds up.
 const START_WINDOW: Duration = Duration::from_millis(500);
 
+/// How long a fleet counts as scarce after its pools last needed more hosts than there are. Their needs vary from
+/// check to check, and fall when jobs are refused.
+const SCARCITY_MEMORY: Duration = Duration::from_secs(1);
+
 /// Why a job isn't accepted, and when its caller should return.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobRefusal {
@@ -177,6 +181,9 @@
     }
 
     /// Tells admission control what the pools have now and will have.
+    ///
+    /// Hosts limit a pool only while the fleet is scarce. Until then it is given what it needs, and what waits
+    /// there is how its need is noticed. A pool that refused jobs instead would grow too late.
     pub(super) fn update_admission(&mut self, now: Now, span: Duration) {
         self.starts.update(span);
         if !self.settings.admission {
@@ -194,10 +201,16 @@
             .max();
         let size = size.unwrap_or_default();
         let have = self.host_counts();
+        let last = self.hosts.scarce_at;
+        let is_scarce = last.is_some_and(|at| now < at + SCARCITY_MEMORY);
         let feeds: BTreeMap<_, _> = pools
             .into_iter()
             .map(|pool| {
-                let capacity = Capacity::new(size, self.capacity_parts(now, &pool, size, &have));
+                let capacity = if is_scarce {
+                    Capacity::new(size, self.capacity_parts(now, &pool, size, &have))
+                } else {
+                    Capacity::unlimited(now)
+                };
                 let overhead = self.learned.get(&pool).map(TaskTimes::overhead);
                 let overhead = overhead.unwrap_or_default();
                 (pool, Feed { capacity, overhead })
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -45,7 +45,7 @@
         let spare = spare.map(|pool| pool.name.clone());
         let needs = self.needs(now, span, ledger);
         let mut have = self.host_counts();
-        let present = self.allocate_hosts(&needs, &have);
+        let present = self.allocate_hosts(now, &needs, &have);
         self.log_pools(now, &needs, &have);
         self.check_vacating(now, &present, &mut have);
         let kept: HostCounts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
@@ -100,10 +100,18 @@
 
     /// How many hosts each pool should have for present work: what it needs, or its part of a fleet
     /// that is too small for all needs.
-    fn allocate_hosts(&mut self, needs: &BTreeMap<PoolId, Need>, have: &HostCounts) -> HostCounts {
+    fn allocate_hosts(
+        &mut self,
+        now: Now,
+        needs: &BTreeMap<PoolId, Need>,
+        have: &HostCounts,
+    ) -> HostCounts {
         let pools = have.iter().filter(|(pool, _)| self.catalog.has_pool(pool));
         let hosts = pools.map(|(_, count)| count).sum();
         let needed: usize = needs.values().map(|need| need.now).sum();
+        if needed > hosts {
+            self.hosts.scarce_at = Some(now);
+        }
         self.hosts.missing = if self.settings.allocate_hosts {
             needed.saturating_sub(hosts)
         } else {
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -58,6 +58,8 @@
     /// How many hosts the pools need beyond those that there are, as of the last check; 0 unless a
     /// scarce fleet is allocated.
     pub(super) missing: usize,
+    /// When the pools last needed more hosts than there are.
+    pub(super) scarce_at: Option<Now>,
     /// Hosts that each pool has beyond what it should keep, as of the last check.
     pub(super) surplus: HostCounts,
     pub(super) waves: BTreeMap<WaveId, WaveTimes>,
