Submit the jobs of admission tests one after the other

Hosts are a limit only once the balance of pools has seen that they are too few, so 40 jobs at one instant are all accepted. They come 20 ms apart now; the checks are the same.

--- a/tests/workload/admission.rs
+++ b/tests/workload/admission.rs
@@ -19,6 +19,9 @@
 
 use crate::world::{POOL, QUEUE, SPARE_POOL, World, long_running, ms, step};
 
+/// The time from one submission to the next: several times as much work as the hosts can do.
+const ARRIVAL_INTERVAL: Duration = ms(20);
+
 fn job(pool: &str, workspace: Option<&str>, steps: &[(u64, u64)]) -> JobWork {
     let step = |&(tasks, millis): &(u64, u64)| StepWork {
         tasks,
@@ -339,6 +342,16 @@
     verdict.is_ok()
 }
 
+/// Submits one job after the other, since the balance of pools has to see that they are too many. Returns those
+/// that are accepted.
+fn admit_each(world: &mut World, ids: impl Iterator<Item = u64>, spec: &JobSpec) -> Vec<u64> {
+    let accepted = ids.filter(|id| {
+        world.pass(ARRIVAL_INTERVAL);
+        admits(world, *id, spec)
+    });
+    accepted.collect()
+}
+
 fn admitting_world(hosts: usize, seed: u64) -> World {
     let mut world = World::new(hosts, seed);
     world.admission = true;
@@ -353,9 +366,7 @@
 fn a_new_leader_keeps_what_was_accepted_and_no_reservations() {
     let mut world = admitting_world(4, 2);
     let spec = JobSpec::new("x", vec![step(8, 1, 600)]);
-    let accepted: Vec<u64> = (1..=40)
-        .filter(|id| admits(&mut world, *id, &spec))
-        .collect();
+    let accepted = admit_each(&mut world, 1..=40, &spec);
     assert!(accepted.len() < 40);
     world.pass(ms(100));
     let reserved = |world: &World| world.scheduler.as_ref().unwrap().reservations();
@@ -392,9 +403,7 @@
     for id in accepted {
         assert_eq!(world.state(id), Some(JobState::Completed), "{id}");
     }
-    let again = (101..=140)
-        .filter(|id| admits(&mut world, *id, &spec))
-        .count();
+    let again = admit_each(&mut world, 101..=140, &spec).len();
     assert!((1..40).contains(&again), "{again} of 40");
 }
 
@@ -403,10 +412,8 @@
 fn long_running_and_scheduled_jobs_are_never_refused() {
     let mut world = admitting_world(2, 3);
     let batch = JobSpec::new("x", vec![step(8, 1, 600)]);
-    let accepted = (1..=40)
-        .filter(|id| admits(&mut world, *id, &batch))
-        .count();
-    assert!(accepted < 40);
+    let accepted = admit_each(&mut world, 1..=40, &batch);
+    assert!(accepted.len() < 40);
     let mut scheduled = batch.clone();
     scheduled.recurrence = Some(Recurrence {
         first: world.now + ms(500),
