Don't keep a job that lost a host in its data centre

Change: a job with evidence against it is placed as without the rule. The general fault, that a new leader convicts a job for a crowd that its predecessor saw, stays open.

--- a/src/core/workload/scheduler/domains.rs
+++ b/src/core/workload/scheduler/domains.rs
@@ -177,7 +177,9 @@
         spec: &StepSpec,
     ) -> Vec<Option<DataCentreId>> {
         let known: Vec<_> = self.agents.open_millicores(pool).collect();
-        if known.len() < 2 || !stays_home(spec) {
+        // A job that lost a host doesn't stay: more hosts lost in the same data centre would count as
+        // evidence against the job.
+        if known.len() < 2 || !stays_home(spec) || self.suspects.has_job(job) {
             return vec![None];
         }
         let centres = self.agents.centres();
--- a/tests/workload/domains.rs
+++ b/tests/workload/domains.rs
@@ -245,6 +245,38 @@
     }
 }
 
+// Guards against a job that is convicted for hosts that a rack or a data centre takes along: the job stayed
+// there, and each further host that was lost counted as evidence against it.
+#[test]
+fn a_job_that_lost_a_host_does_not_stay_in_its_data_centre() {
+    let mut world = World::with_centres(36, 6, true);
+    world.pass(ms(2000));
+    world.submit(1, job_of_13(1500));
+    world.until("the first step runs", ms(500), |world| {
+        world.runs(1).len() == 8
+    });
+    let before = tasks_by_centre(&world, 1);
+    assert_eq!(before.len(), 1, "{before:?}");
+    let centres: BTreeMap<_, _> = CENTRES
+        .iter()
+        .flat_map(|centre| {
+            agents_in(&world, centre)
+                .into_iter()
+                .map(|id| (id, *centre))
+        })
+        .collect();
+    let (lost, _) = world.runs(1).remove(0);
+    world.crash(&lost);
+    world.until("the job completes", ms(15_000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+    let own = placements(&world).filter(|placed| placed.task.step.job == 1);
+    let used: BTreeSet<_> = own
+        .filter_map(|placed| centres.get(&placed.agent))
+        .collect();
+    assert!(used.len() > 1, "{used:?}");
+}
+
 // Guards against a second step that follows its job rather than its data.
 #[test]
 fn the_rack_of_the_data_goes_before_the_data_centre() {
