--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,67 +1,59 @@
-"""Queues are removed from the configuration while their jobs run. See claim.txt."""
+"""Jobs whose subtasks take longer than estimated. See claim.txt."""
 import asyncio, json, os, random, sys, time
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
 import stand
 
+MINIONS = 8
+WORK_MS = 8000
+ESTIMATES_MS = [0, 300, 600, 900, 1200, 1500]      # 0: none is given, the field is omitted
+FINISH_S, IDLE_S, WATCH_S = 14, 3.0, 25
+
 
 async def case(world, record, trouble):
-    services = [stand.service("huvo11a"), stand.service("lohu93e", True)]
-    four = stand.route("r-anu6wsj", "/puxa400/", attempts=4)
-    two = stand.route("r-k9m68k7", "/wuhu344/", attempts=2)
-    other = stand.route("r-nbanfqa", "/cufi501/", attempts=3)
-    minions = await stand.deployment(world, record, [four, two, other])
+    minions = await stand.deployment(world, record, minions=MINIONS)
 
-    def job(fail):
-        return {"spec": json.dumps({"ms": 1200, "fail": fail}),
-                "jobSteps": [{"count": 1, "cpu": 500, "memMb": 64, "estRuntimeMs": 1200}]}
-    # Its first three runs fail and its fourth would be done: within maxAttempts 4.
-    saved = "%016x" % random.getrandbits(64)
-    # All its runs fail: it may have two.
-    hopeless = "%016x" % random.getrandbits(64)
-    jobs = {saved: ("/puxa400/", 3), hopeless: ("/wuhu344/", 9)}
-    for i, (prefix, fail) in jobs.items():
-        if not await world.submit(prefix + i, job(fail)):
+    async def submit(step, ms):
+        i = "%016x" % random.getrandbits(64)
+        if not await world.submit("/puxa400/" + i, {"spec": json.dumps({"ms": ms}), "jobSteps": [step]}):
             raise stand.CannotRun("a job wasn't accepted")
-
-    def starts(i):
-        return sorted((when, run) for m in minions for when, task, run in m.starts if task.startswith(i))
-
-    def failed(i):
-        return sorted(when for m in minions for when, task, _, how, number in m.ends
-                      if task.startswith(i) and how == "failed" and number <= m.acked)
-    begun = time.monotonic()
-    while not all(map(starts, jobs)):
-        await asyncio.sleep(0.01)
-        if time.monotonic() > begun + 10:
-            raise stand.CannotRun("the jobs weren't started")
-    if trouble:
-        await world.put_config(stand.config(4, [other], services))
-    await asyncio.sleep(14)
-    if trouble:
-        # The queues are added again, so that their jobs can be asked for.
-        await world.put_config(stand.config(9, [four, two, other], services))
-        await asyncio.sleep(4)
-    states = {}
-    for i, (prefix, _) in jobs.items():
-        for _ in range(5):
-            status, text = await world.requester("GET", prefix + i)
-            if status == 200:
-                states[i] = json.loads(text)["state"]
-                break
-            await asyncio.sleep(0.4)
-    for i, most in ((saved, 4), (hopeless, 2)):
-        record.say(f"{i}: maxAttempts {most}, runs {[run for _, run in starts(i)]}, "
-                   f"{len(failed(i))} ended `failed`, shown as {states.get(i)}")
+        return i
+    # Ordinary jobs, whose estimates are right.
+    for _ in range(40):
+        await submit({"count": 2, "cpu": 500, "memMb": 64, "estRuntimeMs": 500}, 500)
+    jobs = {}
+    for estimate in ESTIMATES_MS:
+        step = {"count": MINIONS, "cpu": 500, "memMb": 64, "maxPerServer": 1}
+        known = estimate if trouble else WORK_MS
+        if known:
+            step["estRuntimeMs"] = known
+        jobs[await submit(step, WORK_MS)] = estimate
+    record("the end of the traffic")
+    await asyncio.sleep(FINISH_S)
+    finish = time.monotonic()
+    await asyncio.sleep(WATCH_S)
+    now = time.monotonic()
     breaks = []
-    if states.get(saved) == "failed" and len(failed(saved)) < 4:
-        breaks.append(f"LOST: {saved} is shown as `failed` after {len(failed(saved))} ends `failed`; "
-                      "its queue's maxAttempts is 4 in each configuration that has it")
-    ends = failed(hopeless)
-    late = [run for when, run in starts(hopeless) if len(ends) >= 2 and when > ends[1]]
-    if late:
-        breaks.append(f"BUDGET: {hopeless} was started again (run {late}) after two runs had ended `failed`; "
-                      "its queue's maxAttempts is 2 in each configuration that has it")
+    for i, estimate in jobs.items():
+        _, text = await world.requester("GET", "/puxa400/" + i)
+        state = json.loads(text or "{}").get("state")
+        runs = []
+        for minion in minions:
+            ends = {(task, run): when for when, task, run, _, _ in minion.ends}
+            runs += [(when, ends.get((task, run), now)) for when, task, run in minion.starts if task.startswith(i)]
+        done = {task for m in minions for _, task, _, how, _ in m.ends if task.startswith(i) and how == "done"}
+        # The longest time after finish_s in which none of the job's subtasks ran.
+        idle, at = 0.0, finish
+        for begun, ended in sorted(runs):
+            if ended > finish:
+                idle = max(idle, begun - at)
+                at = max(at, ended)
+        idle = max(idle, now - at)
+        record.say(f"{i}: estimate {estimate if trouble else WORK_MS} ms, {state}, {len(runs)} starts, {len(done)} of "
+                   f"{MINIONS} subtasks done, nothing running for {0 if len(done) == MINIONS else idle:.2f} s at most")
+        if len(done) < MINIONS and idle > IDLE_S:
+            breaks.append(f"LOST: {i} has nothing running for {idle:.2f} s, later than finish_s; its subtasks may all "
+                          f"run, and {len(jobs) * MINIONS * 500} of {MINIONS * 32000} thousandths of a core at most are in use")
     return breaks
 
 
