--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -12,4 +12,5 @@
 pub mod mesh;
 pub mod metrics;
 pub mod minions;
+pub mod panics;
 pub mod platform;
