Keep one entry for the next occurrence of a job, and few open ones

Cause: Scheduler::open_job visited all occurrences of a job at its acceptance and at each election, put an entry of 50 bytes in a set for each that wasn't due, and opened all that were due with all their tasks.

A job has one entry now, for its next occurrence. Overdue ones are opened in order while fewer of its tasks wait than a round starts, and at most 100,000 tasks of a job are open. The finished ones are a number and a bit for each beyond it. The time of an occurrence that can't be represented is never instead of a panic, as such jobs are in logs, and estimates and resources have a largest value from which no decision tells them apart.

--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -90,6 +90,25 @@
 }
 
 impl Resources {
+    /// The most of each resource that is told from more of it: a million cores, a pebibyte and a million
+    /// accelerators. Sums over as many tasks as a leader can hold can be represented.
+    const MOST: Self = Self {
+        millicores: 1_000_000_000,
+        memory: 1 << 50,
+        accelerators: 1_000_000,
+    };
+
+    /// The same, with what exceeds the most of a resource lowered to it. Numbers that others send have no
+    /// bound of their own.
+    #[must_use]
+    pub fn clamped(&self) -> Self {
+        Self {
+            millicores: self.millicores.min(Self::MOST.millicores),
+            memory: self.memory.min(Self::MOST.memory),
+            accelerators: self.accelerators.min(Self::MOST.accelerators),
+        }
+    }
+
     /// Whether `need` fits into what is left here.
     pub fn fits(&self, need: &Self) -> bool {
         need.millicores <= self.millicores
--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -3,12 +3,13 @@
 //! The types here hold state only. The [`ledger`](super::ledger) changes it when it applies commands; nothing
 //! here decides what to start or to stop.
 
-use std::{collections::BTreeMap, fmt, sync::Arc};
+use std::{collections::BTreeMap, fmt, ops::RangeInclusive, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
     catalog::JobId,
+    finished::FinishedRuns,
     spec::{JobSpec, Occurrence, StepIx, TaskIx},
     suspicion::Evidence,
 };
@@ -26,6 +27,18 @@
     pub step: StepIx,
 }
 
+impl StepId {
+    /// The steps of some occurrences of a job, in the order of ids.
+    pub(super) fn range(job: JobId, first: Occurrence, last: Occurrence) -> RangeInclusive<Self> {
+        let edge = |occurrence, step| Self {
+            job,
+            occurrence,
+            step,
+        };
+        edge(first, StepIx::MIN)..=edge(last, StepIx::MAX)
+    }
+}
+
 /// One task of one occurrence of a job.
 ///
 /// Displayed and parsed as `JOB.OCCURRENCE.STEP.TASK`, the job in 16 hexadecimal digits.
@@ -110,11 +123,15 @@
     pub accepted_at: Wall,
     /// Its state.
     pub state: JobState,
-    /// Its occurrences that have started. Once an occurrence is finished, or the job has ended, its steps are
-    /// dropped as soon as none of its tasks is placed.
+    /// Its occurrences that have started. Once an occurrence is finished, or the job has ended, it is dropped
+    /// as soon as none of its tasks is placed.
     pub runs: BTreeMap<Occurrence, Run>,
     /// The number of finished occurrences.
     pub finished: Occurrence,
+    /// Which occurrences are finished. Absent in snapshots of earlier releases, which keep an entry without
+    /// steps in `runs` for each.
+    #[serde(default, skip_serializing_if = "FinishedRuns::is_empty")]
+    pub finished_runs: FinishedRuns,
     /// The crashes of hosts under its batch tasks. Absent in snapshots of earlier releases.
     #[serde(default, skip_serializing_if = "Evidence::is_none")]
     pub evidence: Evidence,
@@ -176,7 +193,8 @@
 
 impl Job {
     /// Creates a job without a workspace that has just been accepted.
-    pub fn new(queue: Name, pool: PoolId, spec: JobSpec, accepted: Wall) -> Self {
+    pub fn new(queue: Name, pool: PoolId, mut spec: JobSpec, accepted: Wall) -> Self {
+        spec.clamp();
         Self {
             queue,
             pool,
@@ -186,6 +204,7 @@
             state: JobState::Queued,
             runs: BTreeMap::new(),
             finished: 0,
+            finished_runs: FinishedRuns::default(),
             evidence: Evidence::default(),
             poison_task: None,
         }
@@ -196,7 +215,34 @@
         !matches!(self.state, JobState::Queued | JobState::Running)
     }
 
-    /// A task, if its occurrence has started and its steps haven't been dropped.
+    /// Whether all tasks of an occurrence are done.
+    pub fn is_finished(&self, occurrence: Occurrence) -> bool {
+        self.finished_runs.contains(occurrence)
+    }
+
+    /// Drops the occurrences that are finished, or all of them if the job has ended. An occurrence with a task
+    /// that may still run is kept.
+    pub(super) fn drop_runs(&mut self) {
+        let over = self.has_ended();
+        let finished = &self.finished_runs;
+        self.runs.retain(|occurrence, run| {
+            let open = !over && !finished.contains(*occurrence);
+            open || !run.is_unplaced()
+        });
+    }
+
+    /// Makes what an earlier release wrote look like what this one would have written.
+    pub(super) fn upgrade(&mut self) {
+        let finished = self.runs.iter().filter(|(_, run)| run.is_finished());
+        let finished: Vec<_> = finished.map(|(occurrence, _)| *occurrence).collect();
+        for occurrence in finished {
+            self.finished_runs.insert(occurrence);
+        }
+        self.drop_runs();
+        Arc::make_mut(&mut self.spec).clamp();
+    }
+
+    /// A task, if its occurrence has started and hasn't been dropped.
     pub fn task(&self, id: TaskId) -> Option<&Task> {
         let step = self.step(id.step)?;
         step.tasks.get(usize::try_from(id.task).ok()?)
@@ -225,15 +271,16 @@
         }
     }
 
-    /// A step, if its occurrence has started and its steps haven't been dropped.
+    /// A step, if its occurrence has started and hasn't been dropped.
     pub fn step(&self, id: StepId) -> Option<&Step> {
         let run = self.runs.get(&id.occurrence)?;
         run.steps.get(usize::from(id.step))
     }
 
-    /// An occurrence, which is created if it hasn't started yet; `None` if the job has no such occurrence.
+    /// An occurrence, which is created if it hasn't started yet; `None` if it is finished, or if the job has no
+    /// such occurrence.
     pub(super) fn run_mut(&mut self, occurrence: Occurrence) -> Option<&mut Run> {
-        if occurrence >= self.spec.occurrences() {
+        if occurrence >= self.spec.occurrences() || self.is_finished(occurrence) {
             return None;
         }
         let spec = &self.spec;
@@ -301,7 +348,7 @@
         Self { steps }
     }
 
-    /// Whether all its tasks are done. Holds also for an occurrence whose steps have been dropped.
+    /// Whether all its tasks are done. Earlier releases dropped the steps of a finished occurrence.
     pub fn is_finished(&self) -> bool {
         self.steps.iter().all(Step::is_done)
     }
@@ -312,7 +359,7 @@
         tasks.all(|t| t.agent.is_none())
     }
 
-    /// Whether all tasks of a step are done. False if the steps have been dropped.
+    /// Whether all tasks of a step are done.
     pub fn is_step_done(&self, step: StepIx) -> bool {
         let step = self.steps.get(usize::from(step));
         step.is_some_and(Step::is_done)
--- a/src/core/workload/ledger/attempts.rs
+++ b/src/core/workload/ledger/attempts.rs
@@ -172,10 +172,12 @@
                 }));
             }
         }
-        if run.is_finished() {
+        if run.is_finished() && found.finished_runs.insert(occurrence) {
             found.finished += 1;
             if found.finished == found.spec.occurrences() {
                 self.end_job(job, JobState::Completed, changes);
+            } else {
+                changes.push(Change::OccurrenceFinished(job, occurrence));
             }
         }
     }
@@ -261,17 +263,11 @@
         self.drop_tasks(id.step.job);
     }
 
-    /// Drops the steps of a job's finished occurrences, or of all occurrences if the job has ended. An
-    /// occurrence with a task that may still run keeps its steps.
+    /// Drops the finished occurrences of a job, or all of them if it has ended, except those with a task that
+    /// may still run.
     pub(super) fn drop_tasks(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let over = job.has_ended();
-        for run in job.runs.values_mut() {
-            if (over || run.is_finished()) && run.is_unplaced() {
-                run.steps = Vec::new();
-            }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.drop_runs();
         }
     }
 }
--- a/src/core/workload/ledger/change.rs
+++ b/src/core/workload/ledger/change.rs
@@ -6,6 +6,7 @@
         catalog::JobId,
         command::Placement,
         job::{StepId, TaskId},
+        spec::Occurrence,
         suspicion::Evidence,
     },
 };
@@ -19,6 +20,8 @@
     Accepted(JobId),
     /// A job has ended; its attempts that are still placed must be stopped.
     JobEnded(JobId),
+    /// An occurrence of a job is finished, and the job isn't complete with it.
+    OccurrenceFinished(JobId, Occurrence),
     /// All steps that a step depends on are done.
     StepReady(StepId),
     /// An attempt of a task was placed at an agent.
--- a/src/core/workload/ledger/mod.rs
+++ b/src/core/workload/ledger/mod.rs
@@ -226,6 +226,7 @@
     /// The bytes were written by another release, or are damaged.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, ciborium::de::Error<std::io::Error>> {
         let mut ledger: Self = ciborium::from_reader(bytes)?;
+        ledger.jobs.values_mut().for_each(Job::upgrade);
         ledger.rebuild_indexes();
         Ok(ledger)
     }
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! - [`spec`] declares a job, [`catalog`] the queues and pools, [`workspace`] the callers and the limits on
 //!   what they may have running.
-//! - [`command`] holds the entries of the replicated log, [`job`] a job with its tasks as the ledger stores it.
+//! - [`command`] holds the entries of the replicated log, [`job`] a job with its tasks as the ledger stores it,
+//!   and [`finished`] the finished occurrences of a recurring job.
 //! - [`ledger`] is the replicated state machine: which jobs were accepted, at which agent the last attempt of
 //!   each task is placed, and which ends of attempts have been applied.
 //! - [`scheduler`] runs on the leader only. It decides which attempts to start and stop and which leases to
@@ -26,6 +27,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod command;
+pub mod finished;
 pub mod intents;
 pub mod job;
 pub mod ledger;
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Agent, AgentRecord, Change, Job, Ledger, MAX_ORDER_TRANSIT, MinionId, Now, Phase, Placement,
-    Run, Scheduler, Settings, Slot, StepSpec, Task, TaskId, Wall,
+    Scheduler, Settings, Slot, StepSpec, Task, TaskId, Wall,
     operations::Stage,
     throttle::{INHERITED_SHARE, UNKNOWN_SHARE},
 };
@@ -94,6 +94,7 @@
                 }
             }
             Change::JobEnded(id) => self.end_job(now, ledger, *id),
+            Change::OccurrenceFinished(id, occurrence) => self.close_occurrence(*id, *occurrence),
             Change::StepReady(step) => {
                 if let Some(job) = ledger.job(step.job) {
                     self.open_step(now, *step, job);
@@ -375,6 +376,7 @@
             }
         }
         self.count_unplaced(placed.task, placed.attempt);
+        self.occurrences.stir(placed.task.step.job);
         if again {
             self.make_ready(now, ledger, placed.task);
         }
@@ -385,6 +387,7 @@
     /// An abandoned attempt may turn out to have done it, so its latest attempt needn't be placed.
     fn complete_task(&mut self, task: TaskId, late: bool) {
         self.ready.take(task.step, task.task);
+        self.occurrences.stir(task.step.job);
         self.outstanding
             .finish_task(task.step.job, usize::from(task.step.step));
         let held = self.suspects.clear(task);
@@ -432,8 +435,7 @@
         self.count_unplaced(start.task, start.attempt);
         let needed = |task: &Task| task.agent.is_none() && !task.done;
         // The tasks of a finished occurrence may have been dropped.
-        let run = job.and_then(|job| job.runs.get(&start.task.step.occurrence));
-        let open = !run.is_some_and(Run::is_finished);
+        let open = !job.is_some_and(|job| job.is_finished(start.task.step.occurrence));
         if open && task.is_none_or(needed) {
             self.make_ready(now, ledger, start.task);
         }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -5,39 +5,11 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use super::{
-    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, ReadyStep, Run, Scheduler,
-    StepId, StepIx, StepSpec, TaskIx, TaskTimes, Wall,
+    Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, ReadyStep, Scheduler, StepId,
+    StepIx, StepSpec, TaskIx, TaskTimes,
 };
 
 impl Scheduler {
-    /// Makes the tasks of a job ready that may run at once, and records when its later occurrences
-    /// are due.
-    pub(super) fn open_job(&mut self, now: Now, wall: Wall, id: JobId, job: &Job) {
-        for occurrence in 0..job.spec.occurrences() {
-            if job.runs.get(&occurrence).is_some_and(Run::is_finished) {
-                continue;
-            }
-            match job.spec.due(occurrence) {
-                Some(due) if due > wall => {
-                    self.upcoming.insert((due, id, occurrence));
-                }
-                _ => self.open_occurrence(now, id, occurrence, job),
-            }
-        }
-    }
-
-    pub(super) fn open_due_occurrences(&mut self, now: Now, wall: Wall, ledger: &Ledger) {
-        while let Some((due, id, occurrence)) = self.upcoming.first().copied() {
-            if due > wall {
-                return;
-            }
-            self.upcoming.pop_first();
-            if let Some(job) = ledger.job(id).filter(|job| !job.has_ended()) {
-                self.open_occurrence(now, id, occurrence, job);
-            }
-        }
-    }
-
     pub(super) fn open_occurrence(
         &mut self,
         now: Now,
@@ -165,6 +137,7 @@
     /// Stops the attempts of a job that is over and drops its tasks.
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
+        self.occurrences.forget(id);
         self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -68,6 +68,7 @@
 mod learned;
 mod leases;
 mod losses;
+mod occurrences;
 mod operations;
 mod order;
 mod overdue;
@@ -118,6 +119,7 @@
     hosts::Hosts,
     learned::TaskTimes,
     losses::Losses,
+    occurrences::Occurrences,
     poison_queues::Completions,
     pressure::Pressure,
     probes::Probes,
@@ -130,7 +132,7 @@
     admission::{Admission, outstanding::Outstanding},
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
-    job::{Job, JobState, Run, StepId, Task, TaskId},
+    job::{Job, JobState, StepId, Task, TaskId},
     ledger::{Change, Ledger},
     recent_starts::MAX_OPEN_ROUNDS,
     spec::{Occurrence, StepIx, StepSpec, TaskIx},
@@ -339,8 +341,7 @@
     ready: ReadyQueue,
     /// Where batch jobs are kept; empty unless [`Settings::colocate_jobs`] is set.
     homes: Homes,
-    /// Occurrences that aren't due yet.
-    upcoming: BTreeSet<(Wall, JobId, Occurrence)>,
+    occurrences: Occurrences,
     /// Jobs that are over and when this leader learnt of it, ordered by that time.
     ended_jobs: VecDeque<(Now, JobId)>,
     /// When each job that this leader knows was accepted, by the leader's clock.
@@ -452,7 +453,7 @@
             agents: Agents::new(settings.colocate_jobs),
             ready: ReadyQueue::with_shares(settings.workspace_shares),
             homes: Homes::default(),
-            upcoming: BTreeSet::new(),
+            occurrences: Occurrences::default(),
             ended_jobs: VecDeque::new(),
             accepted_at: Map::default(),
             pending: Map::default(),
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -11,18 +11,18 @@
 
 use std::{
     cell::Cell,
-    collections::{BTreeMap, BTreeSet, btree_map},
-    ops::Bound,
+    collections::{BTreeMap, BTreeSet, btree_map, hash_map},
+    ops::{Bound, RangeInclusive},
     time::Duration,
 };
 
 use super::owner_queue::OwnerQueue;
 use crate::core::{
-    types::{Now, PoolId, Resources, WorkspaceId},
+    types::{Map, Now, PoolId, Resources, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
         job::{StepId, TaskId},
-        spec::{StepSpec, TaskIx},
+        spec::{Occurrence, StepSpec, TaskIx},
         workspace_shares::Owner,
     },
 };
@@ -136,6 +136,8 @@
     has_shares: bool,
     /// The workspaces of pools of which steps may have to be moved into their share or out of it.
     unsettled: BTreeSet<(PoolId, Owner)>,
+    /// The number of free tasks of each job that has any.
+    waiting_tasks: Map<JobId, usize>,
     /// How many steps were visited.
     visits: Cell<usize>,
 }
@@ -339,21 +341,26 @@
 
     /// Forgets a job that is over.
     pub(super) fn forget(&mut self, job: JobId) {
-        let first = StepId {
-            job,
-            occurrence: 0,
-            step: 0,
-        };
-        let found = self
-            .steps
-            .range(first..)
-            .take_while(|(id, _)| id.job == job);
-        let found: Vec<_> = found.map(|(id, _)| *id).collect();
+        self.forget_range(StepId::range(job, 0, Occurrence::MAX));
+    }
+
+    /// Forgets an occurrence that is finished.
+    pub(super) fn forget_occurrence(&mut self, job: JobId, occurrence: Occurrence) {
+        self.forget_range(StepId::range(job, occurrence, occurrence));
+    }
+
+    fn forget_range(&mut self, steps: RangeInclusive<StepId>) {
+        let found: Vec<_> = self.steps.range(steps).map(|(id, _)| *id).collect();
         for id in found {
             self.remove(id);
         }
     }
 
+    /// The number of tasks of a job that wait to be started.
+    pub(super) fn waiting_tasks(&self, job: JobId) -> usize {
+        self.waiting_tasks.get(&job).copied().unwrap_or_default()
+    }
+
     /// Removes a task, if it is free: it is being started, or never runs again.
     pub(super) fn take(&mut self, step: StepId, task: TaskIx) {
         let ready = self.get(step);
@@ -513,6 +520,7 @@
         if ready.free.is_empty() {
             return;
         }
+        *self.waiting_tasks.entry(rank.step.job).or_default() += ready.free.len();
         let line = self.pools.entry(ready.pool.clone()).or_default();
         line.ranks.insert(rank);
         let size = line.sizes.entry(ready.spec.reservation()).or_default();
@@ -544,6 +552,12 @@
         if !line.ranks.remove(&rank) {
             return;
         }
+        if let hash_map::Entry::Occupied(mut waiting) = self.waiting_tasks.entry(rank.step.job) {
+            *waiting.get_mut() -= ready.free.len();
+            if *waiting.get() == 0 {
+                waiting.remove();
+            }
+        }
         let size = ready.spec.reservation();
         if let Some(ranks) = line.sizes.get_mut(&size) {
             ranks.remove(&rank);
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -272,6 +272,7 @@
         let late = self.ready.is_late(task.step);
         self.count_placed(ledger, task, placed.attempt, spec);
         self.ready.take(task.step, task.task);
+        self.occurrences.stir(task.step.job);
         if let Some(agent) = self.agents.get_mut(&placed.agent) {
             self.agent_ages.push(now.saturating_sub(agent.last_seen));
             let mut slot = Slot::new(spec, placed.attempt, Phase::Proposed, now);
--- a/src/core/workload/spec.rs
+++ b/src/core/workload/spec.rs
@@ -37,6 +37,9 @@
 /// The most tasks that a job may have, over all its steps. If all of them run at once, they take a tenth of
 /// a leader's memory.
 pub const MAX_TASKS: u32 = 100_000;
+/// The longest estimate, target and other time span of a job that is told from a longer one. Sums over all
+/// steps of a job, multiplied by the stretch of its queue, can be represented.
+pub const MAX_SPAN: Duration = Duration::from_secs(10 * 365 * 24 * 60 * 60);
 
 /// A job as it was submitted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,6 +135,12 @@
     /// The job has too many tasks.
     #[snafu(display("more than {MAX_TASKS} tasks; split the job"))]
     Tasks,
+    /// The time of the last occurrence can't be represented.
+    #[snafu(display("the last of {count} occurrences is too far in the future"))]
+    Recurrence {
+        /// The number of occurrences.
+        count: Occurrence,
+    },
     /// A step depends on itself or on a later one.
     #[snafu(display("step {step} depends on step {on}; name earlier steps only"))]
     Order {
@@ -171,9 +180,25 @@
             }
         }
         ensure!(tasks <= MAX_TASKS, TasksSnafu);
+        if let Some(recurrence) = self.recurrence {
+            let count = recurrence.count;
+            let last = recurrence.checked_due(count.saturating_sub(1));
+            ensure!(last.is_some(), RecurrenceSnafu { count });
+        }
         Ok(())
     }
 
+    /// Lowers times and resources that no scheduling decision can tell from lower ones, so that sums over the
+    /// steps and the tasks of many jobs can be represented. The numbers are the submitter's, and those of jobs
+    /// that an earlier release accepted had no bound.
+    pub(super) fn clamp(&mut self) {
+        for step in &mut self.steps {
+            step.estimate = step.estimate.min(MAX_SPAN);
+            step.tail_latency = step.tail_latency.map(|tail| tail.min(MAX_SPAN));
+            step.need = step.need.clamped();
+        }
+    }
+
     /// The estimated duration of the critical path, the chain of dependent steps that takes longest.
     pub fn critical_path(&self) -> Duration {
         let all = self.remaining(|step| step.estimate);
@@ -188,7 +213,7 @@
         for (step, spec) in self.steps.iter().enumerate().rev() {
             for &before in &spec.after {
                 let before = usize::from(before);
-                left[before] = left[before].max(own[before] + left[step]);
+                left[before] = left[before].max(own[before].saturating_add(left[step]));
             }
         }
         left
@@ -200,9 +225,18 @@
     }
 
     /// When an occurrence is due; `None` for a job that runs once, immediately.
+    ///
+    /// It is never due if that time can't be represented. [`JobSpec::check`] rejects such a job, but an earlier
+    /// release accepted it.
     pub fn due(&self, occurrence: Occurrence) -> Option<Wall> {
         let recurrence = self.recurrence?;
-        Some(recurrence.first + recurrence.interval * occurrence)
+        Some(recurrence.checked_due(occurrence).unwrap_or(Wall::MAX))
+    }
+
+    /// The number of tasks of one occurrence.
+    pub fn tasks(&self) -> TaskIx {
+        let tasks = self.steps.iter().map(|step| step.tasks);
+        tasks.fold(0, TaskIx::saturating_add)
     }
 
     /// Whether any of its steps is long-running.
@@ -211,6 +245,14 @@
     }
 }
 
+impl Recurrence {
+    /// When an occurrence is due; `None` if that time can't be represented.
+    fn checked_due(&self, occurrence: Occurrence) -> Option<Wall> {
+        let after = self.interval.checked_mul(occurrence)?;
+        self.first.checked_add(after)
+    }
+}
+
 impl StepSpec {
     /// Creates a step of batch tasks without any resource needs or placement constraints.
     pub fn new(tasks: TaskIx, estimate: Duration) -> Self {
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -27,6 +27,7 @@
 mod poison_queues;
 mod poison_tasks;
 mod pools_in_turn;
+mod recurring;
 mod refusals;
 mod relays;
 mod renewals;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -24,7 +24,7 @@
         workload::{
             catalog::{Catalog, Eligibility, PoolSpec, QueueSpec},
             command::{AgentRecord, Command, Ending, Placement, Submission, WaveRecord},
-            job::{JobState, Run as Occurrence, StepId, TaskId},
+            job::{JobState, StepId, TaskId},
             ledger::Ledger,
             scheduler::{
                 AgentTime, Answer, Ended, HostState, HostView, Order, OrderId, OrderKind,
@@ -1242,8 +1242,7 @@
         let Some(job) = job.filter(|job| !job.has_ended()) else {
             return false;
         };
-        let run = job.runs.get(&task.step.occurrence);
-        let finished = run.is_some_and(Occurrence::is_finished);
+        let finished = job.is_finished(task.step.occurrence);
         let done = job.task(task).is_some_and(|task| task.done);
         !finished && !done
     }
