Reject numbers that can't be summed before they are in the log

Cause: the decoder takes each number, and sums and products of them come later, in the leader: the time of an occurrence, the objective of a job, the end of a wave.

The leader checks jobs itself as well, as an entry node of an earlier release may pass one on. A configuration that an earlier release put in force is lowered to the same bounds when it is decoded.

--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -27,6 +27,7 @@
 
 use super::{
     job::Job,
+    spec::MAX_SPAN,
     workspace::{Cap, KeyDigest, WorkspaceSpec},
 };
 use crate::core::types::{Map, Name, PoolId, Set, WorkspaceId};
@@ -36,6 +37,9 @@
 /// The number of a job, chosen by its submitter.
 pub type JobId = u64;
 
+/// The largest stretch of a queue. The longest estimate of a job's steps, multiplied by it, can be represented.
+pub const MAX_STRETCH: f64 = 1e6;
+
 /// A catalog with indexes for its lookups.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -165,6 +169,26 @@
         /// The pool.
         pool: PoolId,
     },
+    /// A time of a queue is too long.
+    #[snafu(display("{field} of queue {queue} is too long; at most {} s are taken", MAX_SPAN.as_secs()))]
+    TooLong {
+        /// The queue.
+        queue: Name,
+        /// Which of its times.
+        field: &'static str,
+    },
+    /// A time of the limits on calls is too long.
+    #[snafu(display("{field} is too long; at most {} s are taken", MAX_SPAN.as_secs()))]
+    LongLimit {
+        /// Which of the times.
+        field: &'static str,
+    },
+    /// The stretch of a queue isn't a number that a time can be multiplied by.
+    #[snafu(display("the stretch of queue {queue} is too large; at most {MAX_STRETCH} is taken"))]
+    Stretch {
+        /// The queue.
+        queue: Name,
+    },
     /// The timeout of a queue is 0.
     #[snafu(display("queue {queue} has a timeout of 0; give it at least a millisecond"))]
     NoTimeout {
@@ -199,6 +223,7 @@
         match self {
             Self::SharedKey { .. } | Self::DuplicateKey { .. } => CatalogPart::Keys,
             Self::DuplicateWorkspace { .. } => CatalogPart::Workspaces,
+            Self::LongLimit { .. } => CatalogPart::Limits,
             _ => CatalogPart::Queues,
         }
     }
@@ -213,6 +238,8 @@
     Workspaces,
     /// The keys of its workspaces.
     Keys,
+    /// The limits on calls.
+    Limits,
 }
 
 /// A call on a queue that requires a key presented none, or one that no workspace has.
@@ -232,6 +259,63 @@
     Nothing,
 }
 
+impl QueueSpec {
+    /// Checks that no sum or product of its numbers with those of a job exceeds what can be represented.
+    fn check_numbers(&self) -> Result<(), CatalogError> {
+        let eligibility = self.eligibility.unwrap_or_default();
+        let times = [
+            ("the timeout", self.timeout),
+            ("the target", self.objective_offset),
+            ("the time of a query", eligibility.per_query),
+            ("the time per agent of a query", eligibility.per_agent),
+            ("the validity of an answer", eligibility.valid_for),
+        ];
+        let queue = &self.name;
+        for (field, time) in times {
+            ensure!(
+                time <= MAX_SPAN,
+                TooLongSnafu {
+                    queue: queue.clone(),
+                    field
+                }
+            );
+        }
+        let is_usable = self.stretch.is_finite() && self.stretch <= MAX_STRETCH;
+        ensure!(
+            is_usable,
+            StretchSnafu {
+                queue: queue.clone()
+            }
+        );
+        Ok(())
+    }
+
+    fn clamp_numbers(&mut self) {
+        self.timeout = self.timeout.min(MAX_SPAN);
+        self.objective_offset = self.objective_offset.min(MAX_SPAN);
+        if let Some(eligibility) = &mut self.eligibility {
+            eligibility.per_query = eligibility.per_query.min(MAX_SPAN);
+            eligibility.per_agent = eligibility.per_agent.min(MAX_SPAN);
+            eligibility.valid_for = eligibility.valid_for.min(MAX_SPAN);
+        }
+        // `min` takes the other value for one that isn't a number.
+        self.stretch = self.stretch.min(MAX_STRETCH);
+    }
+}
+
+impl CallLimits {
+    fn check(&self) -> Result<(), CatalogError> {
+        let times = [
+            ("the time limit of a header section", self.header_timeout),
+            ("the idle time of a connection", self.idle_timeout),
+        ];
+        for (field, time) in times {
+            ensure!(time <= MAX_SPAN, LongLimitSnafu { field });
+        }
+        Ok(())
+    }
+}
+
 impl Catalog {
     /// Creates a catalog with default limits and no workspaces. It may be invalid: see [`Catalog::check`].
     pub fn new(version: CatalogVersion, queues: Vec<QueueSpec>, pools: Vec<PoolSpec>) -> Self {
@@ -276,6 +360,7 @@
     /// The error names the queue, pool or workspace that is wrong, and never a key.
     pub fn check(&self) -> Result<(), CatalogError> {
         self.check_workspaces()?;
+        self.limits.check()?;
         let mut pools: Set<&Name> = Set::default();
         for pool in &self.pools {
             let name = &pool.name;
@@ -302,6 +387,7 @@
                     queue: queue.name.clone()
                 }
             );
+            queue.check_numbers()?;
             if let Some(first) = places.insert((&queue.host, &queue.prefix), queue) {
                 return Err(CatalogError::DuplicateRoute {
                     first: first.name.clone(),
@@ -314,6 +400,18 @@
         Ok(())
     }
 
+    /// The same with the numbers that [`Catalog::check`] would reject as too large lowered to what is taken. An
+    /// earlier release may have put a catalog with such numbers in force, and it still is.
+    #[must_use]
+    pub fn clamped(mut self) -> Self {
+        for queue in &mut self.queues {
+            queue.clamp_numbers();
+        }
+        self.limits.header_timeout = self.limits.header_timeout.min(MAX_SPAN);
+        self.limits.idle_timeout = self.limits.idle_timeout.min(MAX_SPAN);
+        self
+    }
+
     fn check_workspaces(&self) -> Result<(), CatalogError> {
         let mut names: Set<&WorkspaceId> = Set::default();
         let mut keys: Map<KeyDigest, &WorkspaceId> = Map::default();
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -191,7 +191,8 @@
 }
 
 impl Agent {
-    pub(super) fn new(record: AgentRecord, now: Now) -> Self {
+    pub(super) fn new(mut record: AgentRecord, now: Now) -> Self {
+        record.capacity = record.capacity.clamped();
         let AgentRecord {
             acked, sequence, ..
         } = record;
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -152,6 +152,7 @@
                     agent.log_leaving(ledger.applied());
                 }
                 agent.record = record.clone();
+                agent.record.capacity = record.capacity.clamped();
             }
             None => {
                 let mut agent = Agent::new(record.clone(), now);
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -124,7 +124,7 @@
         let cap = usize::try_from(wave.max_concurrent).unwrap_or(usize::MAX);
         self.drop_missing_hosts(now, wave);
         // Wall clocks may jump, so the wall clock is read only once for each wave.
-        let due = now + wave.deadline.saturating_sub(wall);
+        let due = now.saturating_add(wave.deadline.saturating_sub(wall));
         let time = self.hosts.waves.entry(wave.wave);
         let time = *time.or_insert(WaveTimes { since: now, due });
         let left = time.due.saturating_sub(now);
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -140,6 +140,10 @@
             submitted.waiting.push(reply_to);
             return;
         }
+        // The node that the caller asked has checked it, perhaps with an earlier release.
+        if let Err(error) = spec.check() {
+            return self.reply(reply_to, Reply::Invalid(error.to_string()));
+        }
         let submission = Submission {
             job,
             queue: queue.name.clone(),
--- a/tests/workload/catalog.rs
+++ b/tests/workload/catalog.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use egretpin::core::workload::catalog::{Catalog, CatalogError, PathTarget, PoolSpec, QueueSpec};
+use egretpin::core::workload::catalog::{
+    Catalog, CatalogError, CatalogPart, PathTarget, PoolSpec, QueueSpec,
+};
 
 fn queue(name: &str, host: &str, prefix: &str) -> QueueSpec {
     QueueSpec {
@@ -86,3 +88,34 @@
         Ok(())
     );
 }
+
+/// A version with such numbers was taken, and ended each control process once there was a job.
+#[test]
+fn numbers_that_cannot_be_summed_are_invalid() {
+    let changes: [fn(&mut QueueSpec); 8] = [
+        |queue| queue.timeout = Duration::from_millis(u64::MAX),
+        |queue| queue.objective_offset = Duration::from_millis(u64::MAX),
+        |queue| queue.stretch = 1e300,
+        |queue| queue.stretch = f64::INFINITY,
+        |queue| queue.stretch = f64::NAN,
+        |queue| queue.eligibility.get_or_insert_default().per_query = Duration::MAX,
+        |queue| queue.eligibility.get_or_insert_default().per_agent = Duration::MAX,
+        |queue| queue.eligibility.get_or_insert_default().valid_for = Duration::MAX,
+    ];
+    for change in changes {
+        let mut extreme = queue("a", "h", "/p/");
+        change(&mut extreme);
+        let catalog = catalog(vec![extreme]);
+        let error = catalog.check().expect_err("the number is too large");
+        assert!(error.to_string().contains("queue a"), "{error}");
+        assert_eq!(catalog.clamped().check(), Ok(()));
+    }
+    let mut limits = catalog(vec![queue("a", "h", "/p/")]);
+    limits.limits.idle_timeout = Duration::from_millis(u64::MAX);
+    let error = limits.check().expect_err("the time is too long");
+    assert_eq!(error.part(), CatalogPart::Limits);
+    // Any number of attempts can be counted.
+    let mut patient = queue("a", "h", "/p/");
+    patient.max_attempts = u32::MAX;
+    assert_eq!(catalog(vec![patient]).check(), Ok(()));
+}
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -11,6 +11,7 @@
 mod disturbed;
 mod domains;
 mod eligible;
+mod extremes;
 mod faults;
 mod host_orders;
 mod hosts;
