Take absence from a cut list of ends for nothing

Cause: an agent lists 500 ends at a time, and the leader took each attempt that was listed neither as running nor as ended for one that never ran. Nothing in a report said that its list may be cut.

The adapter decodes that once, into Report::ends_complete, and the core concludes nothing from absence until the list is complete: for attempts, for an incarnation that another has replaced, for the evidence of a crash and for tasks that run too long. The rest of the ends comes only with an acknowledgement, so an earlier start that no report has listed holds none back then, and what a cut report still lists is acknowledged again: an earlier leader may have ended before it sent that.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -404,6 +404,7 @@
             clock: now,
             running: running.collect(),
             ended: self.ended.iter().cloned().collect(),
+            ends_complete: true,
         }
     }
 }
--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -81,8 +81,10 @@
     pub(super) renewal_due: Now,
     /// When the latest answered renewal was sent, if its report listed no stray attempt.
     pub(super) clean_report: Option<Now>,
-    /// When the latest renewal was sent that was answered with a report.
+    /// When the latest renewal was sent that was answered with a complete report.
     pub(super) last_report: Option<Now>,
+    /// When the latest answered renewal was sent, if its report didn't list all ends.
+    pub(super) cut_report: Option<Now>,
     /// A report is needed to a renewal that is sent at this time or later.
     pub(super) report_needed: Option<Now>,
     /// The number of its last end that was proposed to the log.
@@ -154,6 +156,9 @@
     pub(super) started: bool,
     /// Whether a report of its agent has listed it.
     pub(super) reported: bool,
+    /// Whether the last report listed it neither as running nor as ended, and didn't list all ends. So it isn't
+    /// known how it ended, but it doesn't run.
+    pub(super) unlisted: bool,
     /// Whether hosts had ended under it before.
     pub(super) has_evidence: bool,
     /// Whether its agent was kept free of other batch tasks for it.
@@ -215,6 +220,7 @@
             renewal_due: now,
             clean_report: None,
             last_report: None,
+            cut_report: None,
             report_needed: None,
             proposed_end: acked,
             acked_end: acked,
@@ -333,13 +339,13 @@
         self.last_renewal.is_none_or(|sent| now >= sent + lease / 2)
     }
 
-    /// Whether it has still to answer a renewal with the report that is needed.
+    /// Whether it has still to answer a renewal with the complete report that is needed.
     pub(super) fn owes_report(&self) -> bool {
         self.report_needed > self.last_report
     }
 
-    /// Whether a renewal sent at `since` or later was answered with a report, and all ends that
-    /// were proposed are in the log.
+    /// Whether a renewal sent at `since` or later was answered with a complete report, and all ends
+    /// that were proposed are in the log.
     pub(super) fn has_reported(&self, since: Now) -> bool {
         self.last_report.is_some_and(|sent| sent >= since) && self.proposed_end <= self.record.acked
     }
@@ -390,11 +396,13 @@
     ///
     /// A later incarnation may receive the renewal and would then forget its own ends, of starts
     /// that were meant for this one. So nothing is acknowledged twice, and nothing while a start is
-    /// out that no report of this incarnation has listed.
+    /// out that no report of this incarnation has listed. If its last report didn't list all ends,
+    /// the others may be those of earlier starts, and are listed only after an acknowledgement.
     pub(super) fn next_ack(&self) -> u64 {
         let new = self.record.acked != self.acked_end;
+        let may_be_cut = |slot: &Slot| self.cut_report.is_some_and(|sent| slot.phase_since <= sent);
         let mut slots = self.slots.values();
-        let shown = !slots.any(Slot::is_unreported);
+        let shown = !slots.any(|slot| slot.is_unreported() && !may_be_cut(slot));
         if new && shown { self.record.acked } else { 0 }
     }
 
@@ -511,6 +519,7 @@
             late: false,
             started: false,
             reported: false,
+            unlisted: false,
             has_evidence: false,
             on_probe: false,
             fully_running: false,
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -343,7 +343,10 @@
             // A report doesn't tell what happened after its renewal was sent.
             let settled = matches!(slot.phase, Phase::Unsure | Phase::Stopped | Phase::Running)
                 && slot.phase_since <= sent;
-            if settled && !here && !ended.contains(&key) {
+            let absent = settled && !here && !ended.contains(&key);
+            // If more ends are to come, one of them may be that of the attempt.
+            slot.unlisted = absent && !report.ends_complete;
+            if absent && report.ends_complete {
                 log::info!(agent:% = id, task:%, attempt = slot.attempt, phase:? = slot.phase; "an attempt is abandoned, as its agent doesn't list it");
                 slot.set_phase(now, Phase::Ended);
                 self.abandoned.push(Placement {
@@ -377,7 +380,18 @@
         let strays = strays.filter(|r| !known(&r.task, r.attempt));
         let strays: Vec<_> = strays.map(|r| (r.task, r.attempt)).collect();
         agent.clean_report = strays.is_empty().then_some(sent);
-        agent.last_report = agent.last_report.max(Some(sent));
+        if report.ends_complete {
+            agent.last_report = agent.last_report.max(Some(sent));
+            agent.cut_report = None;
+        } else {
+            // The agent lists further ends only once these are acknowledged. What an earlier leader
+            // acknowledged, or this one did, may not have arrived.
+            agent.cut_report = Some(sent);
+            if let Some(first) = report.ended.first() {
+                agent.acked_end = agent.acked_end.min(first.number.saturating_sub(1));
+            }
+            agent.renewal_due = agent.renewal_due.max(now + RENEWAL_RETRY_DELAY);
+        }
         let to = agent.target();
         // A start that is sent meanwhile makes the next renewal due earlier.
         if agent.slots.is_empty() && !agent.owes_report() {
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -120,6 +120,9 @@
             Change::Acked { agent, through } => {
                 if let Some(agent) = self.agents.get_mut(agent) {
                     agent.record.acked = *through;
+                    if agent.cut_report.is_some() {
+                        agent.renewal_due = agent.renewal_due.min(now);
+                    }
                 }
             }
             Change::Declared | Change::Placed(_) | Change::Wave(_) | Change::PoisonTask(_) => {}
--- a/src/core/workload/scheduler/leases.rs
+++ b/src/core/workload/scheduler/leases.rs
@@ -161,8 +161,8 @@
         let strays = settings.protections.polls && self.may_run_strays(strays);
         let unconfirmed = self.unconfirmed && now < self.last_seen + settings.max_silence;
         let unacked = self.record.acked != self.acked_end;
-        let needed =
-            !self.slots.is_empty() || unacked || strays || unconfirmed || self.owes_report();
+        let owes = self.owes_report() || self.cut_report.is_some();
+        let needed = !self.slots.is_empty() || unacked || strays || unconfirmed || owes;
         needed.then_some(self.renewal_due)
     }
 }
--- a/src/core/workload/scheduler/losses.rs
+++ b/src/core/workload/scheduler/losses.rs
@@ -375,7 +375,7 @@
                 && tried.is_some_and(|tried| slot.placed_at + CORRELATION_WINDOW < tried)
         };
         let there = agent.slots.iter();
-        let there = there.filter(|(_, slot)| slot.may_run() && !before(slot));
+        let there = there.filter(|(_, slot)| slot.may_run() && !slot.unlisted && !before(slot));
         let loss = Loss {
             at: now,
             agent: id.clone(),
--- a/src/core/workload/scheduler/order.rs
+++ b/src/core/workload/scheduler/order.rs
@@ -217,6 +217,11 @@
     pub running: Vec<Running>,
     /// The ends that weren't acknowledged yet, in order.
     pub ended: Vec<Ended>,
+    /// Whether these are all ends that weren't acknowledged yet. An agent may list some of them only, and the
+    /// others once these are acknowledged. Absent in reports that a relay of an earlier release passes on, which
+    /// may be incomplete.
+    #[serde(default)]
+    pub ends_complete: bool,
 }
 
 /// An attempt that runs.
--- a/tests/manager/backlog.rs
+++ b/tests/manager/backlog.rs
@@ -124,6 +124,7 @@
             clock,
             running: Vec::new(),
             ended: Vec::new(),
+            ends_complete: true,
         }),
         OrderKind::Start(start) if *start.to.agent == *"a" => {
             starts.fetch_add(1, Ordering::SeqCst);
--- a/tests/manager/leader_lease.rs
+++ b/tests/manager/leader_lease.rs
@@ -97,6 +97,7 @@
         clock: epoch.elapsed(),
         running: vec![running],
         ended: Vec::new(),
+        ends_complete: true,
     })
 }
 
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -7,6 +7,7 @@
 mod caps;
 mod catalog;
 mod completed_suspects;
+mod cut_reports;
 mod delayed;
 mod disturbed;
 mod domains;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -79,6 +79,8 @@
 pub(crate) const MAX_LOST_HOSTS: u32 = 3;
 /// Separates the name of an agent from the number of its incarnation.
 const INCARNATION_SEPARATOR: char = '@';
+/// How many ends an agent lists at a time unless a test sets [`World::max_listed_ends`], as agents do.
+const MAX_LISTED_ENDS: usize = 500;
 /// How long a host is down for maintenance, a move or a restart.
 const HOST_DOWN_TIME: Duration = Duration::from_millis(1800);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
@@ -308,6 +310,10 @@
     /// The number of runs that were interrupted by orders about their hosts.
     pub(crate) interrupted_runs: usize,
     pub(crate) stop_time: Duration,
+    /// How long the tasks of a job take, if not as long as estimated.
+    pub(crate) run_times: BTreeMap<u64, Duration>,
+    /// How many ends an agent lists at a time; the others follow once these are acknowledged.
+    pub(crate) max_listed_ends: usize,
     /// The time from a proposal to its commit.
     pub(crate) commit_delay: Duration,
     /// The probability that an agent is started under its host's name, which a later incarnation
@@ -515,6 +521,8 @@
             unlisted: BTreeSet::new(),
             interrupted_runs: 0,
             stop_time: STOP_TIME,
+            run_times: BTreeMap::new(),
+            max_listed_ends: MAX_LISTED_ENDS,
             commit_delay: COMMIT_DELAY,
             id_reuse: 0.0,
             defer_heartbeats: false,
@@ -2083,7 +2091,9 @@
         let report = Report {
             clock: agent.clock(now),
             running: running.collect(),
-            ended: agent.unacked_ends.clone(),
+            ends_complete: agent.unacked_ends.len() < self.max_listed_ends,
+            ended: agent.unacked_ends[..agent.unacked_ends.len().min(self.max_listed_ends)]
+                .to_vec(),
         };
         // A report names the incarnation that it is from.
         let asked = order.kind.target().map(|to| &to.agent);
