Let a task that takes longer than estimated be done

Cause: the limit guards against slow and hung agents, and was the same for each attempt, so that a wrong estimate was held against each agent in turn.

An estimate of zero is none. An agent is excluded for tasks of two jobs that run too long there, other than those that do so everywhere, or once for a step, and never more than half of a pool. What a task that runs too long at several agents ran for counts as its time.

Ruled out: no stop while a step runs too long at several agents, and no exclusion for a single step; both leave tasks at hung agents (normal_operation::a_task_that_hangs_is_started_elsewhere).

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -13,7 +13,7 @@
     workload::{
         catalog::JobId,
         command::{AgentRecord, Placement},
-        job::TaskId,
+        job::{StepId, TaskId},
         spec::StepSpec,
     },
 };
@@ -38,8 +38,6 @@
 const PACE_MEMORY: Duration = Duration::from_secs(8);
 /// How many times its estimate a task may take away from its data or from its gang's rack.
 const FAR_FACTOR: u32 = 3;
-/// How long an agent with an overdue task gets no new tasks.
-pub(super) const OVERDUE_EXCLUSION: Duration = Duration::from_secs(2);
 
 /// An agent that was heard from this recently is assumed to be running.
 pub(super) const RECENTLY_SEEN: Duration = Duration::from_millis(200);
@@ -122,6 +120,8 @@
     /// The time that its tasks take, averaged and as a multiple of the estimate, and when the last
     /// one ended.
     pace: (f64, Now),
+    /// The steps whose tasks ran too long here, and when that was last seen.
+    pub(super) long_steps: BTreeMap<StepId, Now>,
 }
 
 /// An attempt at an agent.
@@ -238,6 +238,7 @@
             failed_jobs: Vec::new(),
             exclusions: 0,
             pace: (1.0, now),
+            long_steps: BTreeMap::new(),
         }
     }
 
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -7,7 +7,7 @@
     OrderId, OrderKind, Pending, Phase, Placement, RENEWAL_GAP, RENEWAL_RETRY_DELAY, Refusal,
     Report, ReportedEnd, Scheduler, Settings, Slot, TaskId, UNWELL_PAUSE,
 };
-use super::{agent::OVERDUE_EXCLUSION, operations::Stage, throttle::UNKNOWN_SHARE};
+use super::{operations::Stage, throttle::UNKNOWN_SHARE};
 use crate::core::workload::command::Ending;
 
 /// The progress that a long-running task reports when it does all its work, in percent.
@@ -356,18 +356,26 @@
                 });
             }
         }
-        let learned = self.learned.get(&agent.record.pool);
-        let overdue = agent.slots.iter().filter(|(_, slot)| {
-            let limit = learned.and_then(|learned| learned.limit(slot.estimate));
-            limit.is_some_and(|limit| slot.has_run_for(now, limit))
+        // What isn't listed as running may have ended already.
+        let overdue = self.take_overruns(now, id, |task, attempt| {
+            running.contains_key(&(task, attempt))
         });
-        let overdue: Vec<_> = overdue.map(|(task, _)| *task).collect();
-        if !overdue.is_empty() {
-            agent.excluded_until = agent.excluded_until.max(now + OVERDUE_EXCLUSION);
-        }
+        let Some(agent) = self.agents.get_mut(id) else {
+            return;
+        };
         for task in overdue {
-            log::info!(agent:% = id, task:%; "a task is overdue and is retried elsewhere");
             if let Some(slot) = agent.slots.get_mut(&task) {
+                let (attempt, ran, estimate) = (
+                    slot.attempt,
+                    now.saturating_sub(slot.phase_since),
+                    slot.estimate,
+                );
+                log::info!(agent:% = id, task:%, attempt, ran:?, estimate:?; "a task is overdue and is retried elsewhere");
+                // It takes at least as long as it has run, if its agent isn't the cause.
+                if self.overruns.is_underestimated(task.step) {
+                    let learned = self.learned.entry(agent.record.pool.clone()).or_default();
+                    learned.note(ran, estimate);
+                }
                 slot.tries = 0;
                 slot.set_phase(now, Phase::Stopping(None));
             }
@@ -442,7 +450,14 @@
                 if slot.plain_estimate {
                     learned.note_lag(now.saturating_sub(slot.placed_at), estimate);
                 }
-                if let Some(ratio) = learned.ratio(took, estimate) {
+                if learned.limit(estimate).is_none_or(|limit| took <= limit) {
+                    self.overruns.record_in_time(ended.task.step);
+                }
+                // The time of a task that takes longer than estimated everywhere says nothing of
+                // the agent.
+                let ratio = learned.ratio(took, estimate);
+                let ratio = ratio.filter(|_| !self.overruns.is_underestimated(ended.task.step));
+                if let Some(ratio) = ratio {
                     agent.record_pace(now, ratio);
                 }
             }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -138,6 +138,7 @@
     pub(super) fn end_job(&mut self, now: Now, ledger: &Ledger, id: JobId) {
         self.ready.forget(id);
         self.occurrences.forget(id);
+        self.overruns.forget(id);
         self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
--- a/src/core/workload/scheduler/learned.rs
+++ b/src/core/workload/scheduler/learned.rs
@@ -28,6 +28,8 @@
 const LONGEST_FACTOR: f64 = 1.5;
 /// Added to both limits: the time that a poll, a commit and a start take.
 const LIMIT_SLACK: Duration = Duration::from_millis(700);
+/// The most that one task counts as a deviation: a twentieth of its estimate, or twenty times it.
+const MOST_OFF: f64 = 3.0;
 /// Tasks shorter than this aren't compared with their estimates: polls and commits take as long.
 const MIN_COMPARED: Duration = Duration::from_millis(150);
 
@@ -53,15 +55,15 @@
     /// Records how long a task took.
     pub(super) fn note(&mut self, took: Duration, estimate: Duration) {
         let took = took.as_secs_f64();
-        let off = match estimate {
-            Duration::ZERO => 1.0,
-            _ => (took / estimate.as_secs_f64()).ln().abs(),
-        };
         self.count = self.count.saturating_add(1);
         // The first tasks have more weight, so that the average is soon meaningful.
         let weight = TASK_WEIGHT.max(1.0 / f64::from(self.count));
         self.mean += (took - self.mean) * weight;
-        self.deviation += (off - self.deviation) * weight;
+        // Without an estimate, none is wrong.
+        if !estimate.is_zero() {
+            let off = (took / estimate.as_secs_f64()).ln().abs().min(MOST_OFF);
+            self.deviation += (off - self.deviation) * weight;
+        }
         self.longest -= (self.longest - took).max(0.0) * LONGEST_DECAY;
         self.longest = self.longest.max(took);
     }
@@ -90,9 +92,10 @@
         self.count < MIN_TASKS || self.deviation <= MAX_DEVIATION
     }
 
-    /// About how long a task with this estimate takes.
+    /// About how long a task with this estimate takes; an estimate of zero is none.
     pub(super) fn estimate(&self, estimate: Duration) -> Duration {
-        if self.is_reliable() {
+        let is_known = !estimate.is_zero() || self.count < MIN_TASKS;
+        if is_known && self.is_reliable() {
             estimate
         } else {
             Duration::from_secs_f64(self.mean)
@@ -105,9 +108,9 @@
     }
 
     /// How long a task with this estimate may run before another attempt should be started
-    /// elsewhere; `None` while too few tasks were seen.
+    /// elsewhere; `None` while too few tasks were seen. An estimate of zero is none.
     pub(super) fn limit(&self, estimate: Duration) -> Option<Duration> {
-        let limit = if self.is_reliable() {
+        let limit = if self.is_reliable() && !estimate.is_zero() {
             estimate.mul_f64(OVERDUE_FACTOR)
         } else {
             Duration::from_secs_f64(self.longest * LONGEST_FACTOR)
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -72,6 +72,7 @@
 mod operations;
 mod order;
 mod overdue;
+mod overruns;
 mod owner_queue;
 mod place;
 mod poison_queues;
@@ -120,6 +121,7 @@
     learned::TaskTimes,
     losses::Losses,
     occurrences::Occurrences,
+    overruns::Overruns,
     poison_queues::Completions,
     pressure::Pressure,
     probes::Probes,
@@ -379,6 +381,7 @@
     eligible: Eligible,
     /// How long the tasks of each pool take.
     learned: BTreeMap<PoolId, TaskTimes>,
+    overruns: Overruns,
     pressure: Pressure,
     suspects: Suspects,
     probes: Probes,
@@ -474,6 +477,7 @@
             intents: HostIntents::new(now, settings.handover_delay, ledger.intents()),
             eligible: Eligible::default(),
             learned: BTreeMap::new(),
+            overruns: Overruns::default(),
             pressure: Pressure::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
--- a/src/core/workload/scheduler/occurrences.rs
+++ b/src/core/workload/scheduler/occurrences.rs
@@ -110,6 +110,7 @@
     /// Drops what is known of an occurrence that is finished.
     pub(super) fn close_occurrence(&mut self, id: JobId, occurrence: Occurrence) {
         self.ready.forget_occurrence(id, occurrence);
+        self.overruns.forget_occurrence(id, occurrence);
         self.occurrences.stir(id);
     }
 
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -109,7 +109,7 @@
     let disturbs = spec.best_effort && agent.has_latency_sensitive();
     let disturbed = spec.tail_latency.is_some() && agent.has_best_effort();
     Fit {
-        on_pace: !agent.is_slow(now),
+        on_pace: !agent.is_slow(now) && !agent.has_overruns(now),
         safe: !agent.slots.values().any(|slot| slot.has_evidence),
         near_data: near,
         undisturbed: !disturbs && !disturbed,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -25,6 +25,7 @@
 mod max_min;
 mod normal_operation;
 mod overload;
+mod overruns;
 mod poison_false_positives;
 mod poison_queues;
 mod poison_tasks;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -1901,9 +1901,9 @@
         let ends_at = if spec.long_running {
             Duration::MAX
         } else {
-            now + spec
-                .estimate
-                .mul_f64(run_factor * agent.slowdown * estimate_error)
+            let usual = self.run_times.get(&start.task.step.job);
+            let usual = usual.copied().unwrap_or(spec.estimate);
+            now + usual.mul_f64(run_factor * agent.slowdown * estimate_error)
         };
         let ending = if fails { Ending::Failed } else { Ending::Done };
         let run = Run {
