--- a/src/adapters/memory.rs
+++ b/src/adapters/memory.rs
@@ -25,7 +25,10 @@
 
 /// Memory that bodies share. A clone speaks of the same memory.
 #[derive(Clone, Debug)]
-pub struct Memory(Arc<Semaphore>);
+pub struct Memory {
+    free: Arc<Semaphore>,
+    total: usize,
+}
 
 /// A share of the memory; given back when dropped.
 #[derive(Debug)]
@@ -40,19 +43,28 @@
 impl Memory {
     /// So many bytes, rounded down to whole KiB.
     pub fn new(bytes: usize) -> Self {
-        Self(Arc::new(Semaphore::new(bytes / STEP)))
+        let whole = bytes / STEP;
+        Self {
+            free: Arc::new(Semaphore::new(whole)),
+            total: whole * STEP,
+        }
+    }
+
+    /// How many bytes there are in all.
+    pub fn total(&self) -> usize {
+        self.total
     }
 
     /// Reserves without waiting; `None` if there is no room now.
     pub fn try_reserve(&self, bytes: usize) -> Option<Share> {
-        let permit = self.0.clone().try_acquire_many_owned(steps(bytes));
+        let permit = self.free.clone().try_acquire_many_owned(steps(bytes));
         permit.ok().map(Share)
     }
 
     /// Reserves, waiting for room. Whoever reserves all that it needs at once can't be held up by
     /// others that wait for more.
     pub async fn reserve(&self, bytes: usize) -> Option<Share> {
-        let permit = self.0.clone().acquire_many_owned(steps(bytes)).await;
+        let permit = self.free.clone().acquire_many_owned(steps(bytes)).await;
         permit.ok().map(Share)
     }
 }
--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -10,7 +10,9 @@
 use super::{
     catalog::JobId,
     finished::FinishedRuns,
+    footprint,
     spec::{JobSpec, Occurrence, StepIx, TaskIx},
+    step::Step,
     suspicion::Evidence,
 };
 use crate::core::types::{Attempt, MinionId, Name, PoolId, Wall, WorkspaceId};
@@ -116,7 +118,7 @@
     /// The workspace that it belongs to. Absent in snapshots of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
-    /// Its specification.
+    /// Its specification, without its texts once the job has ended and nothing of it runs.
     pub spec: Arc<JobSpec>,
     /// When it was accepted, by the clock of the leader at that time.
     #[serde(rename = "accepted")]
@@ -149,16 +151,6 @@
     pub steps: Vec<Step>,
 }
 
-/// One step of an occurrence.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Step {
-    /// The number of its tasks that are done.
-    pub done: TaskIx,
-    /// Its tasks.
-    pub tasks: Vec<Task>,
-}
-
 /// One task of a step.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -220,8 +212,8 @@
         self.finished_runs.contains(occurrence)
     }
 
-    /// Drops the occurrences that are finished, or all of them if the job has ended. An occurrence with a task
-    /// that may still run is kept.
+    /// Drops the occurrences that are finished, or all of them if the job has ended, and then also the texts of
+    /// its specification. An occurrence with a task that may still run is kept.
     pub(super) fn drop_runs(&mut self) {
         let over = self.has_ended();
         let finished = &self.finished_runs;
@@ -229,6 +221,24 @@
             let open = !over && !finished.contains(*occurrence);
             open || !run.is_unplaced()
         });
+        if over && self.runs.is_empty() && self.spec.has_texts() {
+            Arc::make_mut(&mut self.spec).drop_texts();
+        }
+    }
+
+    /// The bytes that it takes, without its tasks that were placed.
+    pub(super) fn bytes(&self) -> u64 {
+        if self.has_ended() {
+            footprint::ended_job_bytes(&self.spec)
+        } else {
+            footprint::job_bytes(&self.spec)
+        }
+    }
+
+    /// How many of its tasks have a record.
+    pub(super) fn record_count(&self) -> u64 {
+        let steps = self.runs.values().flat_map(|run| &run.steps);
+        steps.map(Step::record_count).sum()
     }
 
     /// Makes what an earlier release wrote look like what this one would have written.
@@ -238,20 +248,23 @@
         for occurrence in finished {
             self.finished_runs.insert(occurrence);
         }
-        self.drop_runs();
         Arc::make_mut(&mut self.spec).clamp();
+        self.drop_runs();
     }
 
     /// A task, if its occurrence has started and hasn't been dropped.
     pub fn task(&self, id: TaskId) -> Option<&Task> {
-        let step = self.step(id.step)?;
-        step.tasks.get(usize::try_from(id.task).ok()?)
+        self.step(id.step)?.task(id.task)
+    }
+
+    pub(super) fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        let run = self.runs.get_mut(&id.occurrence)?;
+        run.steps.get_mut(usize::from(id.step))
     }
 
+    /// A task that has a record.
     pub(super) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
-        let run = self.runs.get_mut(&id.step.occurrence)?;
-        let step = run.steps.get_mut(usize::from(id.step.step))?;
-        step.tasks.get_mut(usize::try_from(id.task).ok()?)
+        self.step_mut(id.step)?.record_mut(id.task)
     }
 
     /// Whether a task is a batch task, which finishes; long-running tasks run until the job is cancelled.
@@ -300,11 +313,8 @@
                     occurrence,
                     step: StepIx::try_from(step).unwrap_or(StepIx::MAX),
                 };
-                let placed = tasks.tasks.iter().enumerate();
-                placed.filter_map(move |(task, t)| {
-                    let task = TaskIx::try_from(task).ok()?;
-                    Some((TaskId { step, task }, t.agent.clone()?))
-                })
+                let records = tasks.records();
+                records.filter_map(move |(task, t)| Some((TaskId { step, task }, t.agent.clone()?)))
             })
         })
     }
@@ -319,7 +329,7 @@
                     occurrence,
                     step,
                 };
-                let suspects = (0..).zip(&tasks.tasks);
+                let suspects = tasks.records();
                 let suspects = suspects.filter(|(_, t)| !t.done && !t.evidence.is_none());
                 suspects.map(move |(task, t)| (TaskId { step, task }, t.evidence))
             })
@@ -340,12 +350,10 @@
 
 impl Run {
     fn new(spec: &JobSpec) -> Self {
-        let step = |tasks: TaskIx| Step {
-            done: 0,
-            tasks: vec![Task::default(); usize::try_from(tasks).unwrap_or_default()],
-        };
-        let steps = spec.steps.iter().map(|s| step(s.tasks)).collect();
-        Self { steps }
+        let steps = spec.steps.iter().map(|step| Step::new(step.tasks));
+        Self {
+            steps: steps.collect(),
+        }
     }
 
     /// Whether all its tasks are done. Earlier releases dropped the steps of a finished occurrence.
@@ -355,8 +363,8 @@
 
     /// Whether none of its tasks is placed.
     pub(super) fn is_unplaced(&self) -> bool {
-        let mut tasks = self.steps.iter().flat_map(|s| &s.tasks);
-        tasks.all(|t| t.agent.is_none())
+        let mut tasks = self.steps.iter().flat_map(Step::records);
+        tasks.all(|(_, task)| task.agent.is_none())
     }
 
     /// Whether all tasks of a step are done.
@@ -365,15 +373,3 @@
         step.is_some_and(Step::is_done)
     }
 }
-
-impl Step {
-    /// Whether all its tasks are done.
-    pub fn is_done(&self) -> bool {
-        usize::try_from(self.done).is_ok_and(|done| done >= self.tasks.len())
-    }
-
-    /// The number of failed attempts of all its tasks together.
-    pub fn failures(&self) -> u32 {
-        self.tasks.iter().map(|t| t.failures).sum()
-    }
-}
--- a/src/core/workload/ledger/agents.rs
+++ b/src/core/workload/ledger/agents.rs
@@ -8,6 +8,7 @@
     types::{MinionId, Resources},
     workload::{
         command::AgentRecord,
+        footprint,
         job::{Job, Task, TaskId},
         suspicion::{Crash, Evidence},
     },
@@ -31,13 +32,27 @@
         }
         self.terminated.remove(&record.id);
         changes.push(Change::Agent(record.id.clone()));
-        self.agents.insert(record.id.clone(), record);
+        self.insert_agent(record);
+    }
+
+    fn insert_agent(&mut self, record: AgentRecord) {
+        self.footprint.others += footprint::agent_bytes(&record);
+        if let Some(before) = self.agents.insert(record.id.clone(), record) {
+            self.footprint.others -= footprint::agent_bytes(&before);
+        }
+    }
+
+    /// Removes the record of an incarnation.
+    fn take_agent(&mut self, id: &MinionId) -> Option<AgentRecord> {
+        let record = self.agents.remove(id)?;
+        self.footprint.others -= footprint::agent_bytes(&record);
+        Some(record)
     }
 
     /// Records an incarnation, which was recorded under its agent's name so far, under an id of its own.
     fn assign_id(&mut self, mut record: AgentRecord, changes: &mut Vec<Change>) {
         let (from, to) = (record.name().clone(), record.id.clone());
-        if let Some(known) = self.agents.remove(&from) {
+        if let Some(known) = self.take_agent(&from) {
             record.acked = known.acked;
             record.leaving |= known.leaving;
         }
@@ -48,7 +63,7 @@
             }
         }
         self.placed.insert(to.clone(), placed);
-        self.agents.insert(to.clone(), record);
+        self.insert_agent(record);
         changes.push(Change::Renamed { from, to });
     }
 
@@ -59,7 +74,7 @@
             let last = known.map_or(0, |known| known.sequence);
             self.terminated.insert(agent.clone(), last);
         }
-        if self.agents.remove(agent).is_none() {
+        if self.take_agent(agent).is_none() {
             return;
         }
         for task in self.placed.remove(agent).unwrap_or_default() {
--- a/src/core/workload/ledger/attempts.rs
+++ b/src/core/workload/ledger/attempts.rs
@@ -130,12 +130,20 @@
         let Some(run) = found.runs.get_mut(&occurrence) else {
             return;
         };
+        let tasks = if spec.gang {
+            0..spec.tasks
+        } else {
+            id.task..id.task.saturating_add(1)
+        };
+        let records = run.steps[step].record_count();
         let mut newly = 0;
-        for (ix, task) in (0..).zip(&mut run.steps[step].tasks) {
-            if task.done || !(spec.gang || ix == id.task) {
+        for ix in tasks {
+            let Some(task) = run.steps[step].task(ix).cloned() else {
+                continue;
+            };
+            if !run.steps[step].finish(ix) {
                 continue;
             }
-            task.done = true;
             newly += 1;
             let other = TaskId { task: ix, ..id };
             let same = task.attempt == attempt;
@@ -144,7 +152,7 @@
                 task: other,
                 was_abandoned,
             });
-            if let Some(agent) = task.agent.clone().filter(|_| !same) {
+            if let Some(agent) = task.agent.filter(|_| !same) {
                 changes.push(Change::Redundant(Placement {
                     task: other,
                     attempt: task.attempt,
@@ -152,7 +160,7 @@
                 }));
             }
         }
-        run.steps[step].done += newly;
+        self.footprint.tasks -= records - run.steps[step].record_count();
         found.clear_evidence(job);
         let over = found.has_ended();
         let Some(run) = found.runs.get(&occurrence) else {
@@ -197,13 +205,20 @@
             return;
         };
         let step = run.steps.get_mut(usize::from(start.task.step.step));
-        let ix = usize::try_from(start.task.task).unwrap_or(usize::MAX);
-        let Some(task) = step.and_then(|step| step.tasks.get_mut(ix)) else {
+        let Some(step) = step.filter(|step| {
+            let task = step.task(start.task.task);
+            task.is_some_and(|task| start.attempt > task.attempt)
+        }) else {
             return;
         };
-        if task.done || start.attempt <= task.attempt {
+        let records = step.record_count();
+        if step.place(start.task.task).is_none() {
             return;
         }
+        self.footprint.tasks += step.record_count() - records;
+        let Some(task) = step.record_mut(start.task.task) else {
+            return;
+        };
         let before = task.agent.replace(start.agent.clone());
         task.attempt = start.attempt;
         task.started_at = (!at.is_zero()).then_some(at);
@@ -260,14 +275,27 @@
         };
         let retry = !over && !task.done;
         changes.push(Change::Unplaced { placed, retry });
+        if let Some(job) = self.jobs.get_mut(&id.step.job)
+            && let Some(step) = job.step_mut(id.step)
+        {
+            let before = step.record_count();
+            step.drop_record(id.task);
+            self.footprint.tasks -= before - step.record_count();
+        }
         self.drop_tasks(id.step.job);
     }
 
     /// Drops the finished occurrences of a job, or all of them if it has ended, except those with a task that
     /// may still run.
     pub(super) fn drop_tasks(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let finished = |occurrence| job.is_finished(occurrence);
+        if job.has_ended() || job.runs.keys().copied().any(finished) {
+            let records = job.record_count();
             job.drop_runs();
+            self.footprint.tasks -= records - job.record_count();
         }
     }
 }
--- a/src/core/workload/ledger/mod.rs
+++ b/src/core/workload/ledger/mod.rs
@@ -44,6 +44,7 @@
 use super::{
     catalog::JobId,
     command::{AgentRecord, Command, Document, Submission, WaveRecord},
+    footprint::{self, Footprint},
     intents::OrderIntents,
     job::{Job, JobState, Task, TaskId},
     poison_rate::PoisonRate,
@@ -98,6 +99,9 @@
     /// Derived: for each workspace, the total resources of its placed tasks.
     #[serde(skip)]
     used: BTreeMap<WorkspaceId, Resources>,
+    /// Derived: how much memory the state takes.
+    #[serde(skip)]
+    footprint: Footprint,
 }
 
 impl Ledger {
@@ -212,6 +216,11 @@
         self.poison_rates.values().any(|rate| !rate.is_negligible())
     }
 
+    /// How much memory the state takes.
+    pub fn footprint(&self) -> Footprint {
+        self.footprint
+    }
+
     /// Encodes a snapshot of the state.
     pub fn snapshot(&self) -> Payload {
         let mut bytes = Vec::new();
@@ -240,6 +249,15 @@
                 self.placed.entry(agent).or_default().insert(task);
             }
         }
+        let jobs = self.jobs.values();
+        let agents = self.agents.values().map(footprint::agent_bytes);
+        let waves = self.waves.values().map(footprint::wave_bytes);
+        let document = self.document.iter().map(footprint::document_bytes);
+        self.footprint = Footprint {
+            jobs: jobs.clone().map(Job::bytes).sum(),
+            tasks: jobs.map(Job::record_count).sum(),
+            others: agents.chain(waves).chain(document).sum(),
+        };
         let placed: Vec<_> = self.placed.values().flatten().copied().collect();
         for task in placed {
             self.adjust_usage(task, Resources::plus);
@@ -270,6 +288,9 @@
     fn declare(&mut self, document: &Document, changes: &mut Vec<Change>) {
         let held = self.document.as_ref().map_or(0, |d| d.version);
         if self.document.is_none() || document.version > held {
+            let before = self.document.as_ref().map_or(0, footprint::document_bytes);
+            self.footprint.others -= before;
+            self.footprint.others += footprint::document_bytes(document);
             self.document = Some(document.clone());
             changes.push(Change::Declared);
         }
@@ -291,6 +312,7 @@
         *self.pending.entry(queue.clone()).or_default() += 1;
         let mut job = Job::new(queue, pool, spec, accepted);
         job.workspace = workspace;
+        self.footprint.jobs += job.bytes();
         self.jobs.insert(id, job);
         changes.push(Change::Accepted(id));
     }
@@ -303,7 +325,10 @@
             return;
         }
         let queued = job.state == JobState::Queued;
+        let bytes = job.bytes();
         job.state = state;
+        self.footprint.jobs -= bytes;
+        self.footprint.jobs += job.bytes();
         let queue = job.queue.clone();
         if state == JobState::Completed
             && let Some(rate) = self.poison_rates.get_mut(&queue)
@@ -337,6 +362,9 @@
     fn decrement_pending(&mut self, queue: &Name) {
         if let Some(count) = self.pending.get_mut(queue) {
             *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.pending.remove(queue);
+            }
         }
     }
 
@@ -350,6 +378,7 @@
 
     fn add_wave(&mut self, wave: &WaveRecord, changes: &mut Vec<Change>) {
         if let Entry::Vacant(place) = self.waves.entry(wave.wave) {
+            self.footprint.others += footprint::wave_bytes(wave);
             place.insert(wave.clone());
             changes.push(Change::Wave(wave.wave));
         }
@@ -357,7 +386,9 @@
 
     fn remove_from_wave(&mut self, wave: WaveId, hosts: &[HostId], changes: &mut Vec<Change>) {
         if let Some(record) = self.waves.get_mut(&wave) {
+            self.footprint.others -= footprint::wave_bytes(record);
             record.remaining.retain(|host| !hosts.contains(host));
+            self.footprint.others += footprint::wave_bytes(record);
             changes.push(Change::Wave(wave));
         }
     }
@@ -368,8 +399,8 @@
                 .jobs
                 .get(id)
                 .is_some_and(|job| job.has_ended() && job.placements(*id).next().is_none());
-            if over {
-                self.jobs.remove(id);
+            if over && let Some(job) = self.jobs.remove(id) {
+                self.footprint.jobs -= job.bytes();
             }
         }
     }
--- a/src/core/workload/mod.rs
+++ b/src/core/workload/mod.rs
@@ -7,14 +7,15 @@
 //!
 //! - [`spec`] declares a job, [`catalog`] the queues and pools, [`workspace`] the callers and the limits on
 //!   what they may have running.
-//! - [`command`] holds the entries of the replicated log, [`job`] a job with its tasks as the ledger stores it,
-//!   and [`finished`] the finished occurrences of a recurring job.
+//! - [`command`] holds the entries of the replicated log, [`job`] a job as the ledger stores it, [`step`] the tasks
+//!   of one of its steps, and [`finished`] the finished occurrences of a recurring job.
 //! - [`ledger`] is the replicated state machine: which jobs were accepted, at which agent the last attempt of
 //!   each task is placed, and which ends of attempts have been applied.
 //! - [`scheduler`] runs on the leader only. It decides which attempts to start and stop and which leases to
 //!   renew. Each new leader rebuilds it from the ledger.
 //! - [`suspicion`] weighs the evidence against tasks that may crash the hosts they run on, and [`poison_rate`]
 //!   estimates how likely the next jobs of a queue do so.
+//! - [`footprint`] counts the memory that all of this takes, which is bounded.
 //! - [`admission`] decides which jobs are accepted, given the work that is outstanding.
 //! - [`max_min`] divides what is scarce among those that ask for it, and [`workspace_shares`] a pool among the
 //!   workspaces that contend for it.
@@ -28,6 +29,7 @@
 pub mod catalog;
 pub mod command;
 pub mod finished;
+pub mod footprint;
 pub mod intents;
 pub mod job;
 pub mod ledger;
@@ -36,6 +38,7 @@
 pub mod recent_starts;
 pub mod scheduler;
 pub mod spec;
+pub mod step;
 pub mod suspicion;
 pub mod terminated;
 pub mod workspace;
--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -16,6 +16,7 @@
         outstanding::{JobWork, Outstanding, StepWork},
     },
     command::Submission,
+    step::Step,
     workspace_shares::Standing,
 };
 
@@ -321,9 +322,7 @@
             if spec.long_running {
                 return StepWork::default();
             }
-            let done = run
-                .and_then(|run| run.steps.get(ix))
-                .map_or(0, |step| step.done);
+            let done = run.and_then(|run| run.steps.get(ix)).map_or(0, Step::done);
             let millis = self.estimate(&pool, spec).as_millis();
             StepWork {
                 tasks: u64::from(spec.tasks.saturating_sub(done)),
--- a/src/core/workload/scheduler/delayed.rs
+++ b/src/core/workload/scheduler/delayed.rs
@@ -160,7 +160,7 @@
 
     fn delay_reason(&self, now: Now, ledger: &Ledger, task: TaskId) -> Option<DelayReason> {
         let ready = self.ready.get(task.step)?;
-        if ready.free.contains(&task.task) {
+        if ready.free.contains(task.task) {
             let candidates = self.candidates(now, ledger, task, ready);
             return Some(DelayReason::Waiting(candidates));
         }
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -2,12 +2,25 @@
 //! long they take and sets the deadlines by which they are ordered, and stops what is left of them
 //! when they are over.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
+
+use roaring::RoaringBitmap;
 
 use super::{
     Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, ReadyStep, Scheduler, StepId,
     StepIx, StepSpec, TaskIx, TaskTimes,
 };
+use crate::core::workload::step::all_tasks;
+
+/// The times by which the steps of a job are ordered.
+pub(super) struct JobTimes {
+    /// The pool that runs the job.
+    pool: PoolId,
+    /// How long the job should take.
+    objective: Duration,
+    /// About how long it takes from the start of each step to the end of the job.
+    remaining: Vec<Duration>,
+}
 
 impl Scheduler {
     pub(super) fn open_occurrence(
@@ -18,6 +31,7 @@
         job: &Job,
     ) {
         self.track_work(id, occurrence, job);
+        let times = self.job_times(job);
         for step in 0..job.spec.steps.len() {
             let step = StepId {
                 job: id,
@@ -25,25 +39,27 @@
                 step: StepIx::try_from(step).unwrap_or(StepIx::MAX),
             };
             if job.is_ready(step) {
-                self.open_step(now, step, job);
+                self.open_step_within(now, step, job, &times);
             }
         }
     }
 
     /// Makes the tasks of a step ready that are neither done nor placed.
     pub(super) fn open_step(&mut self, now: Now, id: StepId, job: &Job) {
+        let times = self.job_times(job);
+        self.open_step_within(now, id, job, &times);
+    }
+
+    /// Does the same given the times of the job, which take a visit of all its steps.
+    pub(super) fn open_step_within(&mut self, now: Now, id: StepId, job: &Job, times: &JobTimes) {
         let Some(spec) = job.spec.steps.get(usize::from(id.step)) else {
             return;
         };
         let free = match job.step(id) {
-            Some(step) => {
-                let tasks = (0..).zip(&step.tasks);
-                let free = tasks.filter(|(_, t)| !t.done && t.agent.is_none());
-                free.map(|(ix, _)| ix).collect()
-            }
-            None => (0..spec.tasks).collect(),
+            Some(step) => step.free(),
+            None => all_tasks(spec.tasks),
         };
-        let mut ready = self.ready_step(now, id, job, spec, free);
+        let mut ready = self.ready_step(now, id, job, spec, free, times);
         if let Some(before) = self.ready.get(id) {
             // A task that is proposed to be placed and not committed yet isn't free either.
             ready.free = before.free.clone();
@@ -51,30 +67,28 @@
         self.ready.insert(now, id, ready);
     }
 
-    pub(super) fn ready_step(
+    fn ready_step(
         &self,
         now: Now,
         id: StepId,
         job: &Job,
         spec: &StepSpec,
-        free: BTreeSet<TaskIx>,
+        free: RoaringBitmap,
+        times: &JobTimes,
     ) -> ReadyStep {
         let queue = self.catalog.queue(&job.queue);
         let accepted = self.accepted_at.get(&id.job).copied().unwrap_or(now);
-        let pool = self.pool(job);
-        let objective = self.objective(job);
-        let lag = self.expected_lag(&pool, job, objective);
-        let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
         let workspace = job.workspace.clone();
         let cap = workspace.as_ref().map(|name| self.catalog.cap(name));
         ReadyStep {
-            pool,
+            pool: times.pool.clone(),
             workspace,
             max_parallel: cap.map_or(TaskIx::MAX, |cap| cap.max_parallel(&spec.need)),
             spec: spec.clone(),
             free,
-            deadline: accepted + objective,
-            remaining_time: remaining
+            deadline: accepted + times.objective,
+            remaining_time: times
+                .remaining
                 .get(usize::from(id.step))
                 .copied()
                 .unwrap_or_default(),
@@ -83,6 +97,19 @@
         }
     }
 
+    /// The times by which the steps of a job are ordered.
+    pub(super) fn job_times(&self, job: &Job) -> JobTimes {
+        let pool = self.pool(job);
+        let objective = self.objective(job);
+        let lag = self.expected_lag(&pool, job, objective);
+        let remaining = job.spec.remaining(|step| self.estimate(&pool, step) + lag);
+        JobTimes {
+            pool,
+            objective,
+            remaining,
+        }
+    }
+
     /// By how much each step of a job is expected to take longer than its tasks are estimated to
     /// take.
     ///
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -134,6 +134,7 @@
     admission::{Admission, outstanding::Outstanding},
     catalog::{Catalog, JobId},
     command::{AgentRecord, Command, EndBatch, Placement, ReportedEnd, Round},
+    footprint::Budget,
     job::{Job, JobState, StepId, Task, TaskId},
     ledger::{Change, Ledger},
     recent_starts::MAX_OPEN_ROUNDS,
@@ -150,6 +151,8 @@
 /// Maximum number of starts in one round unless set otherwise; keeps a log entry far smaller than
 /// one message.
 const ROUND_STARTS: usize = 64;
+/// Maximum number of starts of one step in a round. The round ends with the step that fills it.
+const MAX_STEP_STARTS: usize = 1024;
 /// Delay from an answer to the next renewal, while there is time. Ends that come within it are
 /// reported together.
 const RENEWAL_GAP: Duration = Duration::from_millis(25);
@@ -183,6 +186,7 @@
 /// The longest that an order without an answer may be in transit, as operators have stated for
 /// their agents.
 const MAX_ORDER_TRANSIT: Duration = Duration::from_millis(12_500);
+
 /// Attempts of a task whose queue is no longer in the catalog.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
 
@@ -205,6 +209,9 @@
     pub retention: Duration,
     /// Maximum number of starts in one round.
     pub round_starts: usize,
+    /// How many tasks may have been placed without being done; beyond, only those are started that
+    /// were placed before.
+    pub max_tasks: u64,
     /// How many orders about hosts may be given.
     pub host_orders: OrderLimits,
     /// Whether a fleet that is too small for all pools goes first to work that can be in time.
@@ -233,6 +240,7 @@
             start_window: Duration::from_secs(6),
             retention: Duration::from_secs(180),
             round_starts: ROUND_STARTS,
+            max_tasks: Budget::default().tasks,
             host_orders: OrderLimits::default(),
             allocate_hosts: false,
             admission: false,
@@ -528,9 +536,13 @@
     pub fn set_catalog(&mut self, now: Now, catalog: Arc<Catalog>, ledger: &Ledger) {
         self.catalog = catalog;
         let steps: Vec<_> = self.ready.iter().map(|(step, _)| step).collect();
-        for step in steps {
-            if let Some(job) = ledger.job(step.job) {
-                self.open_step(now, step, job);
+        for steps in steps.chunk_by(|one, next| one.job == next.job) {
+            let Some(job) = steps.first().and_then(|step| ledger.job(step.job)) else {
+                continue;
+            };
+            let times = self.job_times(job);
+            for step in steps {
+                self.open_step_within(now, *step, job, &times);
             }
         }
         self.reassign_work(ledger);
@@ -677,7 +689,8 @@
 
     /// How many tasks wait to be started.
     pub fn waiting(&self) -> usize {
-        self.ready.iter().map(|(_, ready)| ready.free.len()).sum()
+        let waiting = self.ready.iter().map(|(_, ready)| ready.free.len());
+        usize::try_from(waiting.sum::<u64>()).unwrap_or(usize::MAX)
     }
 
     /// How many attempts are placed.
--- a/src/core/workload/scheduler/occurrences.rs
+++ b/src/core/workload/scheduler/occurrences.rs
@@ -12,7 +12,7 @@
 
 /// No further occurrence of a job is opened while this many of its tasks wait to be started: a round starts no
 /// more.
-const MAX_WAITING_TASKS: usize = ROUND_STARTS;
+const MAX_WAITING_TASKS: u64 = ROUND_STARTS as u64;
 
 /// The next occurrences of recurring jobs.
 #[derive(Clone, Debug, Default)]
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -24,6 +24,9 @@
     },
 };
 
+/// The most tasks that an agent is given. Each of its reports lists all of them, and tasks that need nothing fit
+/// anywhere.
+const MAX_AGENT_TASKS: usize = 4096;
 /// Ends closer together than this count as equal: estimates aren't more precise.
 const END_RESOLUTION: Duration = Duration::from_millis(200);
 
@@ -58,7 +61,9 @@
 
 /// Whether an agent may run a task of a step now.
 pub(super) fn may_run(agent: &Agent, spec: &StepSpec, step: StepId) -> bool {
-    suits(agent, spec, step) && agent.free().fits(&spec.reservation())
+    agent.slots.len() < MAX_AGENT_TASKS
+        && suits(agent, spec, step)
+        && agent.free().fits(&spec.reservation())
 }
 
 fn suits(agent: &Agent, spec: &StepSpec, step: StepId) -> bool {
--- a/src/core/workload/scheduler/probes.rs
+++ b/src/core/workload/scheduler/probes.rs
@@ -121,7 +121,7 @@
         let pool = ready.pool.clone();
         let pool = &pool;
         let request = StartRequest { pool, step, spec };
-        let tasks = ready.free.iter().map(|task| TaskId { step, task: *task });
+        let tasks = ready.free.iter().map(|task| TaskId { step, task });
         let tasks = tasks.filter_map(|task| Some((self.suspects.get(task)?, task)));
         let mut tasks: Vec<_> = tasks.collect();
         // If not all of them fit on one host, those with the most evidence go first.
@@ -462,7 +462,7 @@
             .filter(|(_, entry)| !entry.long_running);
         let waiting = batch.filter_map(|(task, _)| {
             let ready = self.ready.get(task.step)?;
-            let waits = ready.free.contains(&task.task);
+            let waits = ready.free.contains(task.task);
             waits.then(|| ready.pool.clone())
         });
         let waiting: BTreeSet<_> = waiting.collect();
@@ -487,7 +487,7 @@
     fn is_needed_by(&self, agent: &Agent, unit: SuspectUnit) -> bool {
         let waits = |task: TaskId| {
             let ready = self.ready.get(task.step);
-            ready.is_some_and(|ready| ready.free.contains(&task.task))
+            ready.is_some_and(|ready| ready.free.contains(task.task))
         };
         let mut there = agent.slots.iter();
         self.suspects.is_unit_suspected(unit)
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -16,6 +16,8 @@
     time::Duration,
 };
 
+use roaring::RoaringBitmap;
+
 use super::owner_queue::OwnerQueue;
 use crate::core::{
     types::{Map, Now, PoolId, Resources, WorkspaceId},
@@ -38,7 +40,7 @@
     /// The step.
     pub(super) spec: StepSpec,
     /// The tasks that wait to be started.
-    pub(super) free: BTreeSet<TaskIx>,
+    pub(super) free: RoaringBitmap,
     /// When their job should be complete.
     pub(super) deadline: Now,
     /// About how long it takes from the start of this step to the end of the job.
@@ -112,8 +114,8 @@
 
     /// Thousandths of a core that its free tasks wait for.
     pub(super) fn millicores(&self) -> u64 {
-        let count = u64::try_from(self.free.len()).unwrap_or(u64::MAX);
-        self.spec.reservation().millicores.saturating_mul(count)
+        let need = self.spec.reservation().millicores;
+        need.saturating_mul(self.free.len())
     }
 }
 
@@ -137,7 +139,7 @@
     /// The workspaces of pools of which steps may have to be moved into their share or out of it.
     unsettled: BTreeSet<(PoolId, Owner)>,
     /// The number of free tasks of each job that has any.
-    waiting_tasks: Map<JobId, usize>,
+    waiting_tasks: Map<JobId, u64>,
     /// How many steps were visited.
     visits: Cell<usize>,
 }
@@ -357,15 +359,15 @@
     }
 
     /// The number of tasks of a job that wait to be started.
-    pub(super) fn waiting_tasks(&self, job: JobId) -> usize {
+    pub(super) fn waiting_tasks(&self, job: JobId) -> u64 {
         self.waiting_tasks.get(&job).copied().unwrap_or_default()
     }
 
     /// Removes a task, if it is free: it is being started, or never runs again.
     pub(super) fn take(&mut self, step: StepId, task: TaskIx) {
         let ready = self.get(step);
-        if ready.is_some_and(|ready| ready.free.contains(&task)) {
-            self.change(step, |free| free.remove(&task));
+        if ready.is_some_and(|ready| ready.free.contains(task)) {
+            self.change(step, |free| free.remove(task));
         }
     }
 
@@ -474,7 +476,7 @@
         let ready = steps.filter_map(|rank| self.get(rank.step).map(|ready| (rank.step, ready)));
         let tasks = ready.flat_map(|(step, ready)| {
             let tasks = ready.free.iter();
-            tasks.map(move |task| TaskId { step, task: *task })
+            tasks.map(move |task| TaskId { step, task })
         });
         tasks.collect()
     }
@@ -491,7 +493,7 @@
     }
 
     /// Changes which tasks of a step are free. Returns whether the step is known.
-    fn change(&mut self, step: StepId, change: impl FnOnce(&mut BTreeSet<TaskIx>) -> bool) -> bool {
+    fn change(&mut self, step: StepId, change: impl FnOnce(&mut RoaringBitmap) -> bool) -> bool {
         let Some(mut entry) = self.steps.remove(&step) else {
             return false;
         };
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    About, Agent, DEFAULT_MAX_ATTEMPTS, EndBatch, Ledger, MinionId, Name, Now, OrderKind, Phase,
+    About, Agent, DEFAULT_MAX_ATTEMPTS, EndBatch, Ledger, MAX_STEP_STARTS, MinionId, Name, Now, OrderKind, Phase,
     Placement, PoolId, RENEWAL_GAP, Round, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId,
     Wall,
     place::{self, AgentRanking},
@@ -147,7 +147,7 @@
                 continue;
             };
             let step = rank.step();
-            let tasks = ready.free.iter().map(|task| TaskId { step, task: *task });
+            let tasks = ready.free.iter().map(|task| TaskId { step, task });
             // Tasks under which hosts were lost were started above, or wait.
             let tasks = tasks.filter(|task| {
                 self.suspects.get(*task).is_none()
@@ -156,7 +156,13 @@
                         .suspect_unit(*task, spec.long_running)
                         .is_none()
             });
-            let tasks: Vec<_> = tasks.collect();
+            let mut room = self.record_room(ledger, starts.len());
+            let tasks = tasks.filter(|task| {
+                let fits = room > 0 || decided_attempts(ledger, *task) > 0;
+                room = room.saturating_sub(1);
+                fits
+            });
+            let tasks: Vec<_> = tasks.take(MAX_STEP_STARTS).collect();
             if tasks.is_empty() || !self.cap_allows(ledger, step, &spec, 1) {
                 self.ask_eligible(now, pool, step, &spec);
                 continue;
@@ -224,13 +230,17 @@
         };
         // All members of a gang have the same attempt number, so no earlier attempt of any member
         // may be left.
-        if ready.free.len() != usize::try_from(spec.tasks).unwrap_or(0) {
+        if ready.free.len() != u64::from(spec.tasks) {
             return;
         }
         if !self.cap_allows(ledger, step, spec, spec.tasks) {
             return;
         }
         let first = TaskId { step, task: 0 };
+        let room = self.record_room(ledger, starts.len());
+        if room < u64::from(spec.tasks) && decided_attempts(ledger, first) == 0 {
+            return;
+        }
         let unit = self.suspects.suspect_unit(first, spec.long_running);
         let able = self.agents_accepting_work(now, &ready.pool, spec.reservation().millicores);
         let able = able.filter(|agent| self.is_eligible(now, step, agent));
@@ -308,6 +318,15 @@
         }
     }
 
+    /// How many tasks that were never placed may be started besides those of this round.
+    fn record_room(&self, ledger: &Ledger, starts: usize) -> u64 {
+        // The starts of open rounds aren't in the ledger yet.
+        let proposed = self.open_rounds * MAX_STEP_STARTS + starts;
+        let proposed = u64::try_from(proposed).unwrap_or(u64::MAX);
+        let held = ledger.footprint().tasks.saturating_add(proposed);
+        self.settings.max_tasks.saturating_sub(held)
+    }
+
     /// The largest free amount of each resource at any agent of a pool that may get new work and
     /// has room for the task that takes the fewest cores.
     fn largest_free(&self, now: Now, pool: &PoolId) -> Resources {
@@ -497,7 +516,7 @@
     // A checkpoint of any member is one of the whole gang, and all members must continue from the
     // same one.
     let checkpoint = if spec.gang {
-        step.tasks.iter().find_map(|task| task.checkpoint.clone())
+        step.records().find_map(|(_, task)| task.checkpoint.clone())
     } else {
         job.task(task)?.checkpoint.clone()
     };
--- a/src/core/workload/scheduler/waves.rs
+++ b/src/core/workload/scheduler/waves.rs
@@ -18,7 +18,7 @@
 };
 use crate::core::{
     types::{HostId, WaveId},
-    workload::{command::WaveRecord, ledger::Ledger},
+    workload::{command::WaveRecord, ledger::Ledger, spec::TaskIx},
 };
 
 /// How long the maintenance of a host takes, including the time to notice its end; decides how soon
@@ -391,8 +391,8 @@
         let Some(step) = job.step(task.step) else {
             return true;
         };
-        let others = (0..).zip(&step.tasks).filter(|(ix, _)| *ix != task.task);
-        let away = others.filter(|(ix, other)| {
+        let others = step.records().filter(|(ix, _)| *ix != task.task);
+        let running = others.filter(|(ix, other)| {
             let id = TaskId {
                 step: task.step,
                 task: *ix,
@@ -407,10 +407,11 @@
                     && !agent.host.as_ref().is_some_and(held)
             });
             let slot = agent.and_then(|agent| agent.slots.get(&id));
-            !slot.is_some_and(|slot| slot.phase == Phase::Running && slot.fully_running)
+            slot.is_some_and(|slot| slot.phase == Phase::Running && slot.fully_running)
         });
-        let budget = disruption_budget(ledger, task.step);
-        away.count() < usize::try_from(budget).unwrap_or(usize::MAX)
+        let running = TaskIx::try_from(running.count()).unwrap_or(TaskIx::MAX);
+        let away = step.tasks().saturating_sub(1).saturating_sub(running);
+        away < disruption_budget(ledger, task.step)
     }
 
     /// Stops long-running tasks at cordoned agents, as far as the budgets of their steps allow.
--- a/src/core/workload/spec.rs
+++ b/src/core/workload/spec.rs
@@ -199,6 +199,24 @@
         }
     }
 
+    /// Whether it has any of the texts that [`JobSpec::drop_texts`] drops.
+    pub(super) fn has_texts(&self) -> bool {
+        let texts = |step: &StepSpec| {
+            step.label.is_some() || step.data_rack.is_some() || step.image.is_some()
+        };
+        !self.payload.is_empty() || self.steps.iter().any(texts)
+    }
+
+    /// Drops the texts that only a task that is to be started needs.
+    pub(super) fn drop_texts(&mut self) {
+        self.payload = Name::default();
+        for step in &mut self.steps {
+            step.label = None;
+            step.data_rack = None;
+            step.image = None;
+        }
+    }
+
     /// The estimated duration of the critical path, the chain of dependent steps that takes longest.
     pub fn critical_path(&self) -> Duration {
         let all = self.remaining(|step| step.estimate);
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -24,8 +24,10 @@
     proposals::{PendingProposals, ReplyTo},
     relays::Relays,
     request::{LeaderRequest, Refused, Reply},
+    state_memory::StateMemory,
 };
 use crate::{
+    adapters::memory::{Memory, Share},
     core::{
         consensus::{self, Index, Node, TransferProgress},
         types::{DataCentreId, Map, NodeId, Now, Set, Wall, WorkspaceId},
@@ -91,6 +93,8 @@
 pub(super) struct Queued {
     arrived_at: Instant,
     input: Input,
+    /// The memory that a request takes while it waits.
+    _share: Option<Share>,
 }
 
 impl From<Input> for Queued {
@@ -98,29 +102,54 @@
         Self {
             arrived_at: Instant::now(),
             input,
+            _share: None,
         }
     }
 }
 
 /// A handle to the control task. The task ends when all handles are dropped.
 #[derive(Clone)]
-pub struct Control(mpsc::Sender<Queued>);
+pub struct Control {
+    inbox: mpsc::Sender<Queued>,
+    /// What the requests that wait in the inbox take.
+    memory: Memory,
+}
 
 impl Control {
     /// Sends a request to the task. Refuses it as overloaded if the inbox is full.
     pub async fn ask(&self, request: LeaderRequest) -> Reply {
         let (reply, answer) = oneshot::channel();
-        match self.0.try_send(Input::Request(request, reply).into()) {
+        let bytes = request.bytes();
+        if self.enqueue(Input::Request(request, reply), bytes) {
             // If the task ends without a reply, it may have proposed the command.
-            Ok(()) => answer.await.unwrap_or(Reply::Unclear),
-            Err(_) => Reply::Refused(Refused::Overloaded),
+            answer.await.unwrap_or(Reply::Unclear)
+        } else {
+            Reply::Refused(Refused::Overloaded)
         }
     }
 
+    /// Queues an input that takes so many bytes while it waits. Returns whether there was room.
+    fn enqueue(&self, input: Input, bytes: usize) -> bool {
+        // A request that is larger than all of it has it to itself, and is answered as too large.
+        let share = (bytes > 0).then(|| self.memory.try_reserve(bytes.min(self.memory.total())));
+        if share.as_ref().is_some_and(Option::is_none) {
+            return false;
+        }
+        let queued = Queued {
+            _share: share.flatten(),
+            ..input.into()
+        };
+        self.inbox.try_send(queued).is_ok()
+    }
+
     /// Passes on a message from the mesh. Drops it if the inbox is full.
     pub fn handle_frame(&self, from: NodeId, frame: Frame) {
+        let bytes = match &frame {
+            Frame::Request(_, request) => request.bytes(),
+            _ => 0,
+        };
         // Peers repeat the messages that matter.
-        let _ = self.0.try_send(Input::Frame(from, frame).into());
+        let _ = self.enqueue(Input::Frame(from, frame), bytes);
     }
 
     /// Gives up leadership and the vote, and waits up to a limit for other nodes to take them over,
@@ -133,7 +162,7 @@
     ) {
         let free = async {
             // If the task has ended, it neither leads nor votes.
-            if self.0.send(Input::Leave.into()).await.is_err() {
+            if self.inbox.send(Input::Leave.into()).await.is_err() {
                 return;
             }
             let free = status.wait_for(|status| {
@@ -164,6 +193,9 @@
     })?;
     let epoch = Instant::now();
     let node = Node::new(Duration::ZERO, config.consensus, config.restored);
+    // As much again as the state may take, besides its tasks.
+    let most = usize::try_from(config.budget.total).unwrap_or(usize::MAX);
+    let memory = Memory::new(most);
     let known = ports.mesh.claim().cluster.is_some();
     let mut task = ControlTask {
         epoch,
@@ -175,6 +207,7 @@
         tenure: 0,
         proposals: PendingProposals::default(),
         submissions: Map::default(),
+        memory: StateMemory::new(config.budget),
         members: Members::default(),
         relay_capable: Set::default(),
         relays: Relays::default(),
@@ -212,7 +245,10 @@
     };
     task.consensus(consensus::Input::Tick);
     tokio::spawn(task.run(inbox));
-    Ok(Control(sender))
+    Ok(Control {
+        inbox: sender,
+        memory,
+    })
 }
 
 /// A job whose submission is proposed and not applied yet.
@@ -241,6 +277,7 @@
     pub(super) proposals: PendingProposals,
     /// Jobs whose submissions are proposed and not applied yet.
     pub(super) submissions: Map<u64, PendingSubmission>,
+    pub(super) memory: StateMemory,
     pub(super) members: Members,
     /// Control nodes that have announced that they execute orders as relays.
     pub(super) relay_capable: Set<NodeId>,
@@ -310,9 +347,9 @@
     /// the answers that have arrived before a tick judges its quorum.
     fn turn(&mut self, inputs: impl ExactSizeIterator<Item = Queued>, ticked: bool) {
         self.load.start_turn(inputs.len());
-        for Queued { arrived_at, input } in inputs {
-            self.load.record_wait(arrived_at);
-            self.handle_input(input);
+        for queued in inputs {
+            self.load.record_wait(queued.arrived_at);
+            self.handle_input(queued.input);
         }
         if ticked || self.node.has_unapplied() {
             self.consensus(consensus::Input::Tick);
@@ -439,6 +476,7 @@
             if self.scheduler.take().is_some() {
                 log::info!(term = self.node.term(), superseded; "this node is no longer the leader");
                 self.submissions.clear();
+                self.memory.forget_proposed();
                 for reply_to in self.proposals.drain() {
                     self.reply(reply_to, Reply::Unclear);
                 }
@@ -466,6 +504,7 @@
 
     pub(super) fn propose(&mut self, reply_to: ReplyTo, command: Command) {
         let payload = command.encode();
+        self.memory.propose(&command);
         let proposal = self.proposals.propose(reply_to, Some(command));
         self.load.record_proposal(payload.len());
         self.consensus(consensus::Input::Propose { proposal, payload });
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -5,13 +5,14 @@
     control::{ControlTask, PendingSubmission},
     proposals::ReplyTo,
     request::{Call, Heartbeat, LeaderRequest, Refused, Reply, Unknown, Verb},
+    state_memory::NoRoom,
 };
 use crate::{
     core::{
         types::Name,
         workload::{
             catalog::{PathTarget, QueueSpec},
-            command::{AgentRecord, Command, Document, Submission},
+            command::{AgentRecord, Command, Document, Submission, WaveRecord},
             job::Job,
             scheduler::JobRefusal,
             spec::JobSpec,
@@ -46,7 +47,7 @@
             }
             LeaderRequest::Heartbeat(heartbeat) => self.heartbeat(reply_to, &heartbeat),
             LeaderRequest::Leave(name) => self.agent_left(reply_to, &name),
-            LeaderRequest::BeginWave(wave) => self.propose(reply_to, Command::Wave(wave)),
+            LeaderRequest::BeginWave(wave) => self.begin_wave(reply_to, wave),
             LeaderRequest::WaveState(wave) => {
                 let record = self.ledger.wave_record(wave);
                 let none = Reply::Unknown(Unknown::Wave);
@@ -84,6 +85,20 @@
         self.propose(reply_to, Command::Declare(document));
     }
 
+    fn begin_wave(&mut self, reply_to: ReplyTo, wave: WaveRecord) {
+        let known = self.ledger.wave_record(wave.wave).is_some();
+        let room = self.memory.check_wave(self.ledger.footprint(), &wave);
+        match room {
+            Err(refused) if !known => self.refuse_for_memory(reply_to, refused),
+            _ => self.propose(reply_to, Command::Wave(wave)),
+        }
+    }
+
+    fn refuse_for_memory(&mut self, reply_to: ReplyTo, refused: Refused) {
+        self.ports.metrics.memory_refusals.inc();
+        self.reply(reply_to, Reply::Refused(refused));
+    }
+
     fn call(&mut self, reply_to: ReplyTo, call: Call) {
         let Some(catalog) = self.read_catalog() else {
             return self.reply(reply_to, Reply::Refused(Refused::NoCatalog));
@@ -152,7 +167,18 @@
             spec,
             accepted_at: wall(),
         };
-        if let Err(reason) = self.admit(&submission) {
+        let room = self
+            .memory
+            .check_job(self.now(), self.ledger.footprint(), &submission.spec);
+        let admitted = match room {
+            Err(NoRoom::TooLarge(reason)) => return self.reply(reply_to, Reply::Invalid(reason)),
+            Err(NoRoom::Full(refused)) => {
+                self.ports.metrics.memory_refusals.inc();
+                Err(refused)
+            }
+            Ok(()) => self.admit(&submission),
+        };
+        if let Err(reason) = admitted {
             let wait = reason.retry_after();
             log::info!(job:% = format_args!("{job:016x}"), queue:% = queue.name, reason = reason.label(), retry_after:? = wait; "a job is refused");
             return self.reply(reply_to, Reply::Refused(reason));
@@ -211,10 +237,16 @@
         let news = self.scheduler.as_mut().and_then(|scheduler| {
             scheduler.heartbeat(now, &self.ledger, &heartbeat.agent, heartbeat.clock)
         });
-        match news {
-            Some(news) => self.propose(reply_to, news),
-            None => self.reply(reply_to, Reply::Done),
+        let Some(news) = news else {
+            return self.reply(reply_to, Reply::Done);
+        };
+        let (record, held) = (&heartbeat.agent, self.ledger.footprint());
+        let known = self.ledger.agent(&record.id);
+        if let Err(refused) = self.memory.check_agent(held, known, record) {
+            log::warn!(agent:% = record.id; "refused a heartbeat, as there is no memory for the agent");
+            return self.refuse_for_memory(reply_to, refused);
         }
+        self.propose(reply_to, news);
     }
 
     /// Why an agent's heartbeat doesn't fit the pools, if it doesn't. An incarnation keeps its
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -114,6 +114,13 @@
     pub reservations: Gauge,
     /// Refusals of jobs that couldn't be done in their time. Only the leader counts them.
     pub refused_jobs: Counter,
+    /// Refusals of jobs, agents and waves for which there was no memory. Only the leader counts them.
+    pub memory_refusals: Counter,
+    /// Bytes that the replicated state takes by count, without its tasks, and the number of its tasks
+    /// that were placed and aren't done.
+    pub state_bytes: Gauge,
+    /// See [`Metrics::state_bytes`].
+    pub state_tasks: Gauge,
     /// Jobs that failed because one of their tasks crashes the hosts that run it. Only the leader
     /// counts them.
     pub poison_jobs: Counter,
@@ -161,6 +168,9 @@
             missing_hosts: Gauge::default(),
             reservations: Gauge::default(),
             refused_jobs: Counter::default(),
+            memory_refusals: Counter::default(),
+            state_bytes: Gauge::default(),
+            state_tasks: Gauge::default(),
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
@@ -274,6 +284,21 @@
             "Refusals of jobs that couldn't be done in their time",
             self.refused_jobs.clone(),
         );
+        registry.register(
+            "memory_refusals",
+            "Refusals of jobs, agents and waves for which there was no memory",
+            self.memory_refusals.clone(),
+        );
+        registry.register(
+            "state_bytes",
+            "Bytes that the replicated state takes by count, without its placed tasks",
+            self.state_bytes.clone(),
+        );
+        registry.register(
+            "state_tasks",
+            "Tasks that were placed and aren't done",
+            self.state_tasks.clone(),
+        );
         registry.register(
             "jobs_convicted",
             "Jobs that have failed since a task of theirs ends the hosts that run it",
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -28,3 +28,4 @@
 mod proposals;
 pub mod relays;
 pub mod request;
+mod state_memory;
--- a/src/manager/outputs.rs
+++ b/src/manager/outputs.rs
@@ -64,6 +64,9 @@
     /// Replies to all who wait for a proposal that wasn't appended.
     fn handle_rejected(&mut self, rejected: PendingProposal, leader: Option<NodeId>) {
         let PendingProposal { reply_to, command } = rejected;
+        if let Some(command) = &command {
+            self.memory.settle(command);
+        }
         // A node that stopped leading can't know why the change failed, and one whose place another
         // has taken didn't fail.
         let failed = self.node.is_leader() && self.node.joining().is_none();
@@ -99,6 +102,9 @@
         let (waiter, command) = waiter.map_or((None, None), |applied| {
             (Some((applied.reply_to, applied.matches)), applied.command)
         });
+        if let Some(command) = &command {
+            self.memory.settle(command);
+        }
         if let Content::Command(payload) = &entry.content {
             self.applied_bytes += payload.len();
             match command.map_or_else(|| Command::decode(payload), Ok) {
@@ -125,8 +131,11 @@
     }
 
     fn apply_command(&mut self, index: Index, command: &Command) {
+        let before = self.ledger.footprint().jobs;
         let changes = self.ledger.apply(index, command);
         let now = self.now();
+        let freed = before.saturating_sub(self.ledger.footprint().jobs);
+        self.memory.record_freed(now, freed);
         if changes.contains(&Change::Declared) {
             self.catalog = None;
             if self.scheduler.is_some() {
--- a/src/manager/peers.rs
+++ b/src/manager/peers.rs
@@ -220,6 +220,13 @@
         metrics
             .missing_hosts
             .set(size(scheduler.map_or(0, Scheduler::missing_hosts)));
+        let held = self.ledger.footprint();
+        metrics
+            .state_bytes
+            .set(i64::try_from(held.total()).unwrap_or(i64::MAX));
+        metrics
+            .state_tasks
+            .set(i64::try_from(held.tasks).unwrap_or(i64::MAX));
         metrics
             .reservations
             .set(size(scheduler.map_or(0, Scheduler::reservations)));
--- a/src/manager/ports.rs
+++ b/src/manager/ports.rs
@@ -15,6 +15,7 @@
         types::{DataCentreId, NodeId},
         workload::{
             catalog::Catalog,
+            footprint::Budget,
             scheduler::{Answer, Order, Settings},
         },
     },
@@ -45,6 +46,8 @@
     pub silence_limit: Duration,
     /// The time that is promised between two losses of control nodes.
     pub repair_time: Duration,
+    /// How much memory the replicated state may take.
+    pub budget: Budget,
     /// The settings of the scheduler.
     pub scheduler: Settings,
 }
--- a/src/manager/request.rs
+++ b/src/manager/request.rs
@@ -8,6 +8,7 @@
     types::{Name, NodeId, WaveId},
     workload::{
         command::{AgentRecord, CatalogText, Document, WaveRecord},
+        footprint::{agent_bytes, document_bytes, job_bytes, wave_bytes},
         job::JobState,
         scheduler::AgentTime,
         spec::JobSpec,
@@ -36,6 +37,23 @@
     WaveState(WaveId),
 }
 
+impl LeaderRequest {
+    /// About how many bytes it takes while it waits, if its sender chooses how many.
+    pub fn bytes(&self) -> usize {
+        let bytes = match self {
+            Self::Call(call) => match &call.verb {
+                Verb::Submit(spec) => job_bytes(spec),
+                Verb::Read | Verb::Cancel => 0,
+            },
+            Self::Declare(document) => document_bytes(document),
+            Self::Heartbeat(heartbeat) => agent_bytes(&heartbeat.agent),
+            Self::BeginWave(wave) => wave_bytes(wave),
+            Self::ReadCatalog | Self::Leave(_) | Self::WaveState(_) => 0,
+        };
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+}
+
 /// A caller's request.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -143,6 +161,8 @@
     Storm(Duration),
     /// The job can't be done in its time. Holds the time after which its caller should return.
     Capacity(Duration),
+    /// The control nodes have no memory to keep it. Holds the time after which its sender should return.
+    Memory(Duration),
 }
 
 impl Refused {
@@ -155,6 +175,7 @@
             Self::Overloaded => "overloaded",
             Self::Storm(_) => "storm",
             Self::Capacity(_) => "capacity",
+            Self::Memory(_) => "memory",
         }
     }
 
@@ -164,7 +185,7 @@
         match self {
             Self::NotLeader(_) | Self::NoLeader | Self::NoCatalog => Duration::from_secs(1),
             Self::Overloaded => Duration::from_millis(500),
-            Self::Storm(wait) | Self::Capacity(wait) => wait,
+            Self::Storm(wait) | Self::Capacity(wait) | Self::Memory(wait) => wait,
         }
     }
 }
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -8,4 +8,5 @@
 mod membership;
 mod relays;
 mod repair;
+mod state_memory;
 mod voter;
--- a/tests/manager/voter.rs
+++ b/tests/manager/voter.rs
@@ -18,6 +18,7 @@
         workload::{
             catalog::{Catalog, JobId, PoolSpec, QueueSpec},
             command::{AgentRecord, CatalogText, Command, Document, Placement, Round, Submission},
+            footprint::Budget,
             job::{StepId, TaskId},
             scheduler::Settings,
             spec::{JobSpec, StepSpec},
@@ -101,6 +102,7 @@
                 data_centre: "east".into(),
                 mesh_port: port,
                 target_voters: voters.len(),
+                budget: Budget::default(),
                 silence_limit: SILENCE_LIMIT,
                 repair_time: Duration::from_secs(4),
                 scheduler: self.settings,
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -14,6 +14,7 @@
 mod eligible;
 mod extremes;
 mod faults;
+mod footprint;
 mod host_orders;
 mod hosts;
 mod incarnations;
--- a/tests/workload/poison_false_positives.rs
+++ b/tests/workload/poison_false_positives.rs
@@ -350,7 +350,7 @@
     world.restart(&first);
     let second = |world: &World| {
         let job = world.ledger.job(1)?;
-        let task = &job.runs.get(&0)?.steps[0].tasks[0];
+        let task = job.runs.get(&0)?.steps[0].task(0)?;
         task.agent.clone().filter(|_| task.attempt == 2)
     };
     world.until("a second attempt is committed", ms(3000), |world| {
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -310,6 +310,8 @@
     /// The number of runs that were interrupted by orders about their hosts.
     pub(crate) interrupted_runs: usize,
     pub(crate) stop_time: Duration,
+    /// How many tasks may have been placed without being done, with the next leader.
+    pub(crate) max_tasks: u64,
     /// How long the tasks of a job take, if not as long as estimated.
     pub(crate) run_times: BTreeMap<u64, Duration>,
     /// How many ends an agent lists at a time; the others follow once these are acknowledged.
@@ -521,6 +523,7 @@
             unlisted: BTreeSet::new(),
             interrupted_runs: 0,
             stop_time: STOP_TIME,
+            max_tasks: Settings::default().max_tasks,
             run_times: BTreeMap::new(),
             max_listed_ends: MAX_LISTED_ENDS,
             commit_delay: COMMIT_DELAY,
@@ -746,6 +749,7 @@
             max_stop: self.stop_time,
             start_window: START_WINDOW,
             round_starts: self.round_starts,
+            max_tasks: self.max_tasks,
             retention: RETENTION,
             host_orders: self.order_limits,
             allocate_hosts: self.allocate_hosts,
