Correct what the stops of an underestimated task cost

The attempt before the last one may end just before it is done, so it is about as much as the task takes; the property test found that (estimate 1 ms, 11.3 s).

--- a/src/core/workload/scheduler/overruns.rs
+++ b/src/core/workload/scheduler/overruns.rs
@@ -3,8 +3,9 @@
 //! A batch task that runs for several times its estimate may run at a slow or hung agent. Then it is stopped and
 //! started elsewhere. But its estimate may be wrong as well. Then it takes as long anywhere, and each stop throws
 //! away what it has done. So the time that it may run grows by a large factor with each attempt: any task is done
-//! in the end, and what its stops threw away is a small part of what it takes. The number of its attempts is in
-//! the ledger, so this holds across leaders. The time grows by a small factor at an agent that is known to be slow.
+//! after few attempts, and what its stops threw away is hardly more than what it takes. The number of its attempts
+//! is in the ledger, so this holds across leaders. The time grows by a small factor at an agent that is known to be
+//! slow.
 //!
 //! Whether an agent is the cause is told by tasks of different jobs that run too long there. A step whose tasks do
 //! so at several agents, while none was done in time, tells of its estimate and of no agent. Until it is known, an
