Keep what a queue declared for its jobs when it is removed

Cause: what holds for a job was looked up in the configuration in force, and a constant of three attempts taken where that doesn't declare the queue any more. Its priority, stretch, target and the policy that only some agents may run its steps went the same way.

A job keeps these as of its acceptance; the configuration in force goes first while it declares the queue.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -215,6 +215,7 @@
                 queue: QUEUE.into(),
                 pool: POOL.into(),
                 workspace: None,
+                terms: None,
                 spec: JobSpec::new("payload", vec![step]),
                 accepted_at: self.wall(),
             };
--- a/src/core/workload/catalog.rs
+++ b/src/core/workload/catalog.rs
@@ -87,8 +87,38 @@
     pub eligibility: Option<Eligibility>,
 }
 
+/// What the jobs of a queue keep of it once the catalog doesn't declare it any more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct QueueTerms {
+    /// See [`QueueSpec::max_attempts`].
+    pub max_attempts: u32,
+    /// See [`QueueSpec::priority`].
+    pub priority: u32,
+    /// See [`QueueSpec::stretch`].
+    pub stretch: f64,
+    /// See [`QueueSpec::objective_offset`].
+    pub objective_offset: Duration,
+    /// See [`QueueSpec::eligibility`].
+    pub eligibility: Option<Eligibility>,
+}
+
+impl Default for QueueTerms {
+    /// The terms of jobs whose submissions don't hold any, as those of earlier releases.
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            priority: 0,
+            stretch: 1.0,
+            objective_offset: Duration::ZERO,
+            eligibility: None,
+        }
+    }
+}
+
 /// The cost of a query for the agents that may run a step.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Eligibility {
     /// The time that each query takes.
     pub per_query: Duration,
@@ -260,6 +290,17 @@
 }
 
 impl QueueSpec {
+    /// What its jobs keep of it.
+    pub fn terms(&self) -> QueueTerms {
+        QueueTerms {
+            max_attempts: self.max_attempts.max(1),
+            priority: self.priority,
+            stretch: self.stretch,
+            objective_offset: self.objective_offset,
+            eligibility: self.eligibility,
+        }
+    }
+
     /// Checks that no sum or product of its numbers with those of a job exceeds what can be represented.
     fn check_numbers(&self) -> Result<(), CatalogError> {
         let eligibility = self.eligibility.unwrap_or_default();
--- a/src/core/workload/command.rs
+++ b/src/core/workload/command.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    catalog::{CatalogVersion, JobId},
+    catalog::{CatalogVersion, JobId, QueueTerms},
     intents::OrderIntent,
     job::TaskId,
     spec::JobSpec,
@@ -99,7 +99,7 @@
 }
 
 /// A job that a caller submits.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Submission {
     /// The number that the caller chose.
@@ -111,6 +111,9 @@
     /// The workspace whose key the caller presented. Absent in log entries of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
+    /// What the job keeps of its queue. Absent in log entries of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<QueueTerms>,
     /// The specification of the job.
     pub spec: JobSpec,
     /// When the leader accepted it, by the leader's clock.
--- a/src/core/workload/job.rs
+++ b/src/core/workload/job.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    catalog::JobId,
+    catalog::{JobId, QueueTerms},
     finished::FinishedRuns,
     footprint,
     spec::{JobSpec, Occurrence, StepIx, TaskIx},
@@ -118,6 +118,10 @@
     /// The workspace that it belongs to. Absent in snapshots of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
+    /// What it keeps of its queue, as of its acceptance. Used once the catalog doesn't declare the queue any
+    /// more. Absent in snapshots of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<QueueTerms>,
     /// Its specification, without its texts once the job has ended and nothing of it runs.
     pub spec: Arc<JobSpec>,
     /// When it was accepted, by the clock of the leader at that time.
@@ -191,6 +195,7 @@
             queue,
             pool,
             workspace: None,
+            terms: None,
             spec: Arc::new(spec),
             accepted_at: accepted,
             state: JobState::Queued,
--- a/src/core/workload/ledger/mod.rs
+++ b/src/core/workload/ledger/mod.rs
@@ -22,6 +22,7 @@
 //!     queue: "alerts".into(),
 //!     pool: "soil".into(),
 //!     workspace: None,
+//!     terms: None,
 //!     spec: JobSpec::new("water", vec![StepSpec::new(2, Duration::from_secs(1))]),
 //!     accepted_at: Duration::ZERO,
 //! }));
@@ -305,6 +306,7 @@
             queue,
             pool,
             workspace,
+            terms,
             spec,
             accepted_at: accepted,
             ..
@@ -312,6 +314,7 @@
         *self.pending.entry(queue.clone()).or_default() += 1;
         let mut job = Job::new(queue, pool, spec, accepted);
         job.workspace = workspace;
+        job.terms = terms;
         self.footprint.jobs += job.bytes();
         self.jobs.insert(id, job);
         changes.push(Change::Accepted(id));
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -10,7 +10,10 @@
     Command, Job, JobId, JobState, Ledger, Now, Occurrence, PoolId, ReadyStep, Scheduler, StepId,
     StepIx, StepSpec, TaskIx, TaskTimes,
 };
-use crate::core::workload::step::all_tasks;
+use crate::core::workload::{
+    catalog::{QueueSpec, QueueTerms},
+    step::all_tasks,
+};
 
 /// The times by which the steps of a job are ordered.
 pub(super) struct JobTimes {
@@ -55,28 +58,26 @@
         let Some(spec) = job.spec.steps.get(usize::from(id.step)) else {
             return;
         };
-        let free = match job.step(id) {
-            Some(step) => step.free(),
-            None => all_tasks(spec.tasks),
-        };
-        let mut ready = self.ready_step(now, id, job, spec, free, times);
-        if let Some(before) = self.ready.get(id) {
+        let mut ready = self.ready_step(now, id, job, spec, times);
+        ready.free = match (self.ready.get(id), job.step(id)) {
             // A task that is proposed to be placed and not committed yet isn't free either.
-            ready.free = before.free.clone();
-        }
+            (Some(before), _) => before.free.clone(),
+            (None, Some(step)) => step.free(),
+            (None, None) => all_tasks(spec.tasks),
+        };
         self.ready.insert(now, id, ready);
     }
 
+    /// A step of which no task is free yet.
     fn ready_step(
         &self,
         now: Now,
         id: StepId,
         job: &Job,
         spec: &StepSpec,
-        free: RoaringBitmap,
         times: &JobTimes,
     ) -> ReadyStep {
-        let queue = self.catalog.queue(&job.queue);
+        let terms = self.terms(job);
         let accepted = self.accepted_at.get(&id.job).copied().unwrap_or(now);
         let workspace = job.workspace.clone();
         let cap = workspace.as_ref().map(|name| self.catalog.cap(name));
@@ -85,15 +86,15 @@
             workspace,
             max_parallel: cap.map_or(TaskIx::MAX, |cap| cap.max_parallel(&spec.need)),
             spec: spec.clone(),
-            free,
+            free: RoaringBitmap::new(),
             deadline: accepted + times.objective,
             remaining_time: times
                 .remaining
                 .get(usize::from(id.step))
                 .copied()
                 .unwrap_or_default(),
-            priority: queue.map_or(0, |q| q.priority),
-            eligibility: queue.and_then(|q| q.eligibility),
+            priority: terms.priority,
+            eligibility: terms.eligibility,
         }
     }
 
@@ -148,10 +149,15 @@
     /// the queue's target.
     pub(super) fn objective(&self, job: &Job) -> Duration {
         let chain = self.critical_path(&self.pool(job), job);
-        let queue = self.catalog.queue(&job.queue);
-        let (stretch, target) =
-            queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.objective_offset));
-        chain.mul_f64(stretch.max(1.0)) + target
+        let terms = self.terms(job);
+        chain.mul_f64(terms.stretch.max(1.0)) + terms.objective_offset
+    }
+
+    /// What holds for a job of its queue: as the catalog declares it, or as it was when the job was accepted if
+    /// the queue is no longer there.
+    pub(super) fn terms(&self, job: &Job) -> QueueTerms {
+        let declared = self.catalog.queue(&job.queue).map(QueueSpec::terms);
+        declared.or(job.terms).unwrap_or_default()
     }
 
     /// The pool that runs a job's tasks: the one that its queue has in the catalog, or had last if
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -187,9 +187,6 @@
 /// their agents.
 const MAX_ORDER_TRANSIT: Duration = Duration::from_millis(12_500);
 
-/// Attempts of a task whose queue is no longer in the catalog.
-const DEFAULT_MAX_ATTEMPTS: u32 = 3;
-
 /// Time limits of the agents, the provider and the scheduler itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    About, Agent, DEFAULT_MAX_ATTEMPTS, EndBatch, Ledger, MAX_STEP_STARTS, MinionId, Name, Now, OrderKind, Phase,
+    About, Agent, EndBatch, Ledger, MAX_STEP_STARTS, MinionId, Name, Now, OrderKind, Phase,
     Placement, PoolId, RENEWAL_GAP, Round, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId,
     Wall,
     place::{self, AgentRanking},
@@ -94,8 +94,7 @@
             } else {
                 job.task(*task)?.failures
             };
-            let queue = self.catalog.queue(&job.queue);
-            let most = queue.map_or(DEFAULT_MAX_ATTEMPTS, |queue| queue.max_attempts.max(1));
+            let most = self.terms(job).max_attempts;
             (!spec.long_running && before + count >= most).then_some(task.step.job)
         };
         let failed: BTreeSet<_> = counts.iter().filter_map(hopeless).collect();
--- a/src/manager/handlers.rs
+++ b/src/manager/handlers.rs
@@ -164,6 +164,7 @@
             queue: queue.name.clone(),
             pool: queue.pool.clone(),
             workspace: workspace.clone(),
+            terms: Some(queue.terms()),
             spec,
             accepted_at: wall(),
         };
--- a/tests/manager/voter.rs
+++ b/tests/manager/voter.rs
@@ -183,6 +183,7 @@
         queue: "queue".into(),
         pool: "pool".into(),
         workspace: None,
+        terms: None,
         spec: JobSpec::new("x", vec![step]),
         accepted_at: Duration::ZERO,
     };
--- a/tests/workload/admission.rs
+++ b/tests/workload/admission.rs
@@ -318,6 +318,7 @@
         queue: QUEUE.into(),
         pool: POOL.into(),
         workspace: None,
+        terms: None,
         spec: spec.clone(),
         accepted_at: world.now,
     }
--- a/tests/workload/footprint.rs
+++ b/tests/workload/footprint.rs
@@ -7,7 +7,7 @@
     workload::{
         command::{Command, Submission},
         footprint::{Budget, Footprint, job_bytes},
-        job::JobState,
+        job::{Job, JobState},
         ledger::Ledger,
         spec::{JobSpec, MAX_TASKS, Recurrence, StepSpec},
     },
@@ -106,6 +106,7 @@
         queue: QUEUE.into(),
         pool: "pool".into(),
         workspace: None,
+        terms: None,
         spec,
         accepted_at: Duration::ZERO,
     };
@@ -193,7 +194,7 @@
     world.lead();
     world.submit(1, JobSpec::new("x", vec![step(60)]));
     world.until("it is over", ms(20_000), |world| {
-        world.ledger.job(1).is_some_and(|job| job.has_ended())
+        world.ledger.job(1).is_some_and(Job::has_ended)
     });
 }
 
--- a/tests/workload/ledger.rs
+++ b/tests/workload/ledger.rs
@@ -42,6 +42,7 @@
             queue: "queue".into(),
             pool: "pool".into(),
             workspace: None,
+            terms: None,
             spec,
             accepted_at: Duration::ZERO,
         })));
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -34,6 +34,7 @@
 mod recurring;
 mod refusals;
 mod relays;
+mod removed_queues;
 mod renewals;
 mod repeated_orders;
 mod restarted_agents;
--- a/tests/workload/poison_queues.rs
+++ b/tests/workload/poison_queues.rs
@@ -142,6 +142,7 @@
         queue: QUEUE.into(),
         pool: POOL.into(),
         workspace: None,
+        terms: None,
         spec: spec.clone(),
         accepted_at: world.now,
     };
--- a/tests/workload/recurring.rs
+++ b/tests/workload/recurring.rs
@@ -146,6 +146,7 @@
         queue: QUEUE.into(),
         pool: job.pool.clone(),
         workspace: None,
+        terms: None,
         spec,
         accepted_at: job.accepted_at,
     };
--- a/tests/workload/refusals.rs
+++ b/tests/workload/refusals.rs
@@ -202,6 +202,7 @@
             queue: queue.into(),
             pool: pool.into(),
             workspace: None,
+            terms: None,
             spec: self.spec.clone(),
             accepted_at: self.world.now,
         };
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -936,12 +936,13 @@
 
     pub(crate) fn submit_to(&mut self, queue: &str, job: u64, spec: JobSpec) {
         let found = self.catalog.queue(queue).expect("the queue is declared");
-        let pool = found.pool.clone();
+        let (pool, terms) = (found.pool.clone(), found.terms());
         self.propose(Command::Submit(Box::new(Submission {
             job,
             queue: queue.into(),
             pool,
             workspace: self.workspace.clone(),
+            terms: Some(terms),
             spec,
             accepted_at: self.now,
         })));
