--- a/src/core/workload/scheduler/eligible.rs
+++ b/src/core/workload/scheduler/eligible.rs
@@ -14,7 +14,10 @@
 use super::{
     About, Agent, Answer, MinionId, Name, Now, OrderKind, PoolId, Scheduler, StepId, place,
 };
-use crate::core::workload::{catalog::JobId, spec::StepSpec};
+use crate::core::workload::{
+    catalog::JobId,
+    spec::{Occurrence, StepSpec},
+};
 
 /// Most agents in one question. The service takes time for each agent, and the objectives of jobs
 /// allow for one question about this many agents for each step.
@@ -75,6 +78,12 @@
     pub(super) fn forget(&mut self, job: JobId) {
         self.steps.retain(|step, _| step.job != job);
     }
+
+    /// Forgets an occurrence that is finished.
+    pub(super) fn forget_occurrence(&mut self, job: JobId, occurrence: Occurrence) {
+        let finished = |step: &StepId| step.job == job && step.occurrence == occurrence;
+        self.steps.retain(|step, _| !finished(step));
+    }
 }
 
 impl StepEligibility {
--- a/src/core/workload/scheduler/occurrences.rs
+++ b/src/core/workload/scheduler/occurrences.rs
@@ -111,6 +111,7 @@
     pub(super) fn close_occurrence(&mut self, id: JobId, occurrence: Occurrence) {
         self.ready.forget_occurrence(id, occurrence);
         self.overruns.forget_occurrence(id, occurrence);
+        self.eligible.forget_occurrence(id, occurrence);
         self.occurrences.stir(id);
     }
 
--- a/src/core/workload/scheduler/overruns.rs
+++ b/src/core/workload/scheduler/overruns.rs
@@ -24,14 +24,14 @@
 const PATIENCE: u32 = 16;
 /// The same at agents that are known to be slow.
 const SLOW_PATIENCE: u32 = 2;
-/// The most that the time is multiplied with either factor.
-const MAX_STEPS_OF_PATIENCE: u32 = 5;
+/// How often the time is multiplied at most.
+const MAX_POWER: u32 = 5;
 /// How many different jobs have to run too long at an agent for it to be the cause.
 const MIN_JOBS: usize = 2;
 /// How long an overrun counts against its agent. Agents are slow for some seconds.
 const MEMORY: Duration = Duration::from_secs(8);
 /// How long an agent that is the cause of overruns gets no new tasks.
-pub(super) const EXCLUSION: Duration = Duration::from_secs(2);
+const EXCLUSION: Duration = Duration::from_secs(2);
 
 /// What this leader has seen of steps whose tasks ran too long.
 #[derive(Clone, Debug, Default)]
@@ -94,7 +94,7 @@
 
 /// By how much longer than usual an attempt may run. An estimate of zero is none, and so never wrong.
 fn patience(slot: &Slot, is_slow: bool) -> u32 {
-    let earlier = slot.attempt.saturating_sub(1).min(MAX_STEPS_OF_PATIENCE);
+    let earlier = slot.attempt.saturating_sub(1).min(MAX_POWER);
     if is_slow {
         SLOW_PATIENCE.pow(earlier)
     } else {
@@ -103,9 +103,10 @@
 }
 
 impl Scheduler {
-    /// The tasks of an agent that have run for too long, of those that a report lists as running.
+    /// The tasks of an agent that are to be stopped, as they have run for too long, of those that a report lists
+    /// as running.
     ///
-    /// Notes them, and excludes the agent for a while if it is the cause.
+    /// Notes all that run longer than usual, and excludes the agent for a while if it may be the cause.
     pub(super) fn take_overruns(
         &mut self,
         now: Now,
--- a/tests/workload/recurring.rs
+++ b/tests/workload/recurring.rs
@@ -9,7 +9,7 @@
     spec::{JobSpec, Recurrence, StepSpec},
 };
 
-use super::world::{QUEUE, World, ms};
+use super::world::{QUEUE, RESTRICTED_QUEUE, World, ms};
 
 /// A job of small tasks that runs `count` times.
 pub(crate) fn recurring(first: Duration, interval: Duration, count: u32, tasks: u32) -> JobSpec {
@@ -85,6 +85,16 @@
     assert_eq!(world.starts.len(), 180);
 }
 
+/// What was known of a step's agents stayed for each occurrence, for the life of the job.
+#[test]
+fn occurrences_of_a_restricted_queue_run_only_where_they_may() {
+    let mut world = World::new(4, 9);
+    world.submit_to(RESTRICTED_QUEUE, 1, recurring(ms(0), ms(100), 40, 2));
+    world.until("it is complete", ms(20_000), |world| {
+        world.state(1) == Some(JobState::Completed)
+    });
+}
+
 /// A finished occurrence stayed in the ledger, and in each snapshot, for the life of its job.
 #[test]
 fn finished_occurrences_leave_nothing_behind() {
