Count the texts of jobs for the copies that are held of them, and recurring jobs by one occurrence

Steps count less, texts three times, and the state gets a quarter of the memory. A recurring job counts with one occurrence: while 8,192 steps of all jobs are open, no job has more than one that waits (recurring::many_overdue_jobs_have_few_occurrences_open).

A task that was done after it had run for too long made its agent look slow, so that others of its step were stopped sooner; it no longer does (overruns::a_task_that_is_done_late_does_not_make_its_agent_slow, found by the property test: estimate 150 ms, 4.66 s, two tasks, three starts more).

--- a/src/core/workload/footprint.rs
+++ b/src/core/workload/footprint.rs
@@ -27,10 +27,10 @@
 const JOB_BYTES: u64 = 900;
 /// Bytes of a step of a job that has ended.
 const ENDED_STEP_BYTES: u64 = 350;
-/// Bytes of a step with its entry among the ready steps, which has a copy of the step.
-const STEP_BYTES: u64 = 1200;
-/// Bytes of a step of an occurrence that has started.
-const RUN_BYTES: u64 = 160;
+/// Bytes of a step as it was submitted.
+const STEP_BYTES: u64 = 600;
+/// Bytes of a step of an occurrence that is open: its entry among the ready steps, and its tasks.
+const OPEN_STEP_BYTES: u64 = 1100;
 /// Bytes of a task that was placed: its record, its index, and its slot at an agent.
 pub const TASK_BYTES: u64 = 700;
 /// Bytes of a long-running task that waits: the scheduler keeps since when each is away.
@@ -41,19 +41,19 @@
 const WAVE_BYTES: u64 = 400;
 /// Bytes of a string besides its text.
 const NAME_BYTES: u64 = 40;
+/// How many times a text is in memory: in the state, in the log, and in snapshots that are made and sent. All else
+/// takes far less there than in the state.
+const TEXT_COPIES: u64 = 3;
 /// A set of tasks takes two bytes for each, and no more than this for each 65,536 of them.
 const SET_BYTES: u64 = 8 << 10;
-/// The most occurrences of a job of small steps that are open at the same time while none of them runs.
-const OPEN_OCCURRENCES: u64 = 64;
 
 /// The bytes of a job that hasn't ended, without its tasks that were placed.
+///
+/// A recurring job counts with one occurrence. Further ones wait only while few steps of all jobs do.
 pub fn job_bytes(spec: &JobSpec) -> u64 {
-    let steps: u64 = spec.steps.iter().map(step_bytes).sum();
-    let opened: u64 = spec.steps.iter().map(opened_bytes).sum();
-    let tasks = u64::from(spec.tasks()).max(1);
-    let open = OPEN_OCCURRENCES.div_ceil(tasks);
-    let open = open.min(u64::from(spec.occurrences())).max(1);
-    JOB_BYTES + name_bytes(&spec.payload) + steps + opened * open
+    let steps = spec.steps.iter();
+    let steps = steps.map(|step| step_bytes(step) + opened_bytes(step));
+    JOB_BYTES + name_bytes(&spec.payload) + steps.sum::<u64>()
 }
 
 /// The bytes of a job that has ended.
@@ -80,25 +80,25 @@
         0
     };
     // The sets of tasks that are done and that wait.
-    RUN_BYTES + STEP_BYTES + after_bytes(step) + set * 2 + away
+    OPEN_STEP_BYTES + after_bytes(step) + set * 2 + away
 }
 
 /// The bytes of an agent.
 pub fn agent_bytes(record: &AgentRecord) -> u64 {
     let names = [&record.id, &record.name, &record.pool, &record.data_centre];
     let names = names.into_iter().chain(&record.labels);
-    AGENT_BYTES + names.map(name_bytes).sum::<u64>() * 2
+    AGENT_BYTES + names.map(name_bytes).sum::<u64>()
 }
 
 /// The bytes of a wave of maintenance.
 pub fn wave_bytes(wave: &WaveRecord) -> u64 {
     let hosts = wave.remaining.iter().map(name_bytes);
-    WAVE_BYTES + hosts.sum::<u64>() * 2
+    WAVE_BYTES + hosts.sum::<u64>()
 }
 
 /// The bytes of a catalog: its text, and what it is decoded into.
 pub fn document_bytes(document: &Document) -> u64 {
-    u64::try_from(document.text.0.len()).unwrap_or(u64::MAX) * 3
+    u64::try_from(document.text.0.len()).unwrap_or(u64::MAX) * (TEXT_COPIES + 2)
 }
 
 /// The bytes of the list of steps that a step depends on.
@@ -107,7 +107,7 @@
 }
 
 fn name_bytes(name: &Name) -> u64 {
-    NAME_BYTES + u64::try_from(name.len()).unwrap_or(u64::MAX)
+    NAME_BYTES + u64::try_from(name.len()).unwrap_or(u64::MAX) * TEXT_COPIES
 }
 
 /// What the replicated state takes.
@@ -140,11 +140,13 @@
 }
 
 impl Budget {
-    /// The part of the memory that all but tasks may take, and again that tasks may take. The state is in memory
-    /// once more in the log, and up to three times while a snapshot is made and sent.
-    const PART: u64 = 10;
+    /// The part of the memory that all but tasks may take. The rest is for tasks, for the log and for snapshots
+    /// that are made and sent, which hold the state again.
+    const PART: u64 = 4;
     /// The part of that which is kept for agents, waves and the catalog.
     const RESERVED_PART: u64 = 8;
+    /// The part of the memory that tasks may take.
+    const TASKS_PART: u64 = 10;
 
     /// The budget of a process that may use so many bytes.
     pub fn of_memory(bytes: u64) -> Self {
@@ -152,7 +154,7 @@
         Self {
             total,
             jobs: total - total / Self::RESERVED_PART,
-            tasks: total / TASK_BYTES,
+            tasks: bytes / Self::TASKS_PART / TASK_BYTES,
         }
     }
 }
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -450,13 +450,14 @@
                 if slot.plain_estimate {
                     learned.note_lag(now.saturating_sub(slot.placed_at), estimate);
                 }
-                if learned.limit(estimate).is_none_or(|limit| took <= limit) {
-                    self.overruns.record_in_time(ended.task.step);
+                let in_time = learned.limit(estimate).is_none_or(|limit| took <= limit);
+                let step = ended.task.step;
+                if in_time {
+                    self.overruns.record_in_time(step);
                 }
-                // The time of a task that takes longer than estimated everywhere says nothing of
-                // the agent.
-                let ratio = learned.ratio(took, estimate);
-                let ratio = ratio.filter(|_| !self.overruns.is_underestimated(ended.task.step));
+                // The time of a task that ran for too long may be its own, and not the agent's.
+                let tells_pace = in_time && !self.overruns.is_underestimated(step);
+                let ratio = learned.ratio(took, estimate).filter(|_| tells_pace);
                 if let Some(ratio) = ratio {
                     agent.record_pace(now, ratio);
                 }
--- a/src/core/workload/scheduler/occurrences.rs
+++ b/src/core/workload/scheduler/occurrences.rs
@@ -14,6 +14,10 @@
 /// more.
 const MAX_WAITING_TASKS: u64 = ROUND_STARTS as u64;
 
+/// While so many steps of all jobs are open, no job has more than one occurrence that waits. With a kilobyte
+/// for each, they take a twentieth of the smallest leader's memory.
+const MAX_OPEN_STEPS: usize = 8192;
+
 /// The next occurrences of recurring jobs.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occurrences {
@@ -103,7 +107,9 @@
     fn has_enough_open(&self, id: JobId, job: &Job) -> bool {
         let tasks = usize::try_from(job.spec.tasks()).unwrap_or(usize::MAX);
         let most = usize::try_from(MAX_TASKS).unwrap_or(usize::MAX);
-        self.ready.waiting_tasks(id) >= MAX_WAITING_TASKS
+        let waiting = self.ready.waiting_tasks(id);
+        waiting >= MAX_WAITING_TASKS
+            || waiting > 0 && self.ready.open_steps() >= MAX_OPEN_STEPS
             || job.runs.len().saturating_mul(tasks) >= most
     }
 
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -358,6 +358,11 @@
         }
     }
 
+    /// The number of steps with ready tasks, including steps whose tasks are all placed.
+    pub(super) fn open_steps(&self) -> usize {
+        self.steps.len()
+    }
+
     /// The number of tasks of a job that wait to be started.
     pub(super) fn waiting_tasks(&self, job: JobId) -> u64 {
         self.waiting_tasks.get(&job).copied().unwrap_or_default()
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -50,6 +50,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Inputs that may wait for the task. Further ones are dropped, and their senders retry.
 const INBOX_CAPACITY: usize = 16_384;
+/// The part of what the replicated state may take that requests in the inbox may take besides.
+const INBOX_PART: u64 = 4;
 /// Inputs handled in one turn before their writes go to the disk.
 const MAX_BATCH: usize = 256;
 /// Number of applied entries after which a snapshot is taken.
@@ -193,8 +195,8 @@
     })?;
     let epoch = Instant::now();
     let node = Node::new(Duration::ZERO, config.consensus, config.restored);
-    // As much again as the state may take, besides its tasks.
-    let most = usize::try_from(config.budget.total).unwrap_or(usize::MAX);
+    let most = config.budget.total / INBOX_PART;
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
     let memory = Memory::new(most);
     let known = ports.mesh.claim().cluster.is_some();
     let mut task = ControlTask {
--- a/tests/workload/extremes.rs
+++ b/tests/workload/extremes.rs
@@ -11,7 +11,7 @@
         spec::{JobSpec, MAX_SPAN, Recurrence, SpecError, StepSpec},
     },
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use super::{
     recurring::{finished, recurring},
@@ -125,7 +125,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(60) })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::with_cases(60) })]
 
     /// Numbers of a job that can't be summed or multiplied ended each leader, again and again.
     #[test]
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -42,6 +42,7 @@
 mod scarce_hosts;
 mod spec;
 mod start_window;
+mod step;
 mod suspicion;
 mod unsent_orders;
 mod vacating;
--- a/tests/workload/overruns.rs
+++ b/tests/workload/overruns.rs
@@ -9,7 +9,7 @@
         spec::{JobSpec, StepSpec},
     },
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use super::world::{World, ms};
 
@@ -156,8 +156,20 @@
     assert!((1..=12).all(|job| most_starts(&world, job) <= 3));
 }
 
+/// What a task took that was done after it had run for too long was held against its agent, and the other tasks of its
+/// step were stopped sooner for that.
+#[test]
+fn a_task_that_is_done_late_does_not_make_its_agent_slow() {
+    for seed in 0..8 {
+        let mut world = world(2, seed);
+        submit(&mut world, 1, step(2, ms(150)), ms(4660));
+        world.until("it is complete", ms(14_000), |world| is_complete(world, 1));
+        assert!(most_starts(&world, 1) <= 2);
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(40) })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::with_cases(40) })]
 
     /// However wrong an estimate is, the stops of a task throw away hardly more than what it takes: the time grows by
     /// 16 with each attempt, so that all attempts before the last but one take a fifteenth of that one.
--- a/tests/workload/recurring.rs
+++ b/tests/workload/recurring.rs
@@ -68,6 +68,22 @@
     assert!(job.runs.len() <= 64, "{} runs are kept", job.runs.len());
 }
 
+/// After an outage all recurring jobs are overdue: the open occurrences of all of them together are bounded, too.
+#[test]
+fn many_overdue_jobs_have_few_occurrences_open() {
+    let mut world = World::new(1, 10);
+    for job in 1..=3000 {
+        world.submit(job, recurring(ms(0), ms(0), 1000, 4));
+    }
+    world.pass(ms(300));
+    world.depose();
+    world.lead();
+    world.pass(ms(300));
+    let waiting = world.scheduler.as_ref().unwrap().waiting();
+    assert!(waiting <= 4 * (8192 + 3000), "{waiting} tasks wait");
+    assert!(world.ledger.jobs().all(|(_, job)| job.runs.len() <= 16));
+}
+
 /// A new leader opened what its predecessor had opened again, or left out what it hadn't.
 #[test]
 fn each_occurrence_runs_once_across_leaders() {
