Show what a full leader's inputs cost by kind, and its visits by what they are for

The line is followed by another one with the number and time of each kind of input, and the visits for inputs, hosts, the search for tasks and agents, and orders; both are metrics as well.

--- a/src/bench/leader.rs
+++ b/src/bench/leader.rs
@@ -241,7 +241,7 @@
         self.samples.starts += starts;
         let whole = planned.as_nanos() as f64;
         self.samples.turns += whole;
-        self.samples.visits += plan.visits;
+        self.samples.visits += plan.visits.total();
         self.samples.plan.push(whole / starts.max(1) as f64);
         for order in &plan.orders {
             format!("{order:?}").hash(&mut self.digest);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -315,8 +315,36 @@
     pub answer_delays: Vec<Duration>,
     /// The agents whose renewals are overdue, if there are any; once a second at most.
     pub overdue: Option<OverdueRenewals>,
-    /// How many agents and waiting steps were visited to make this plan.
-    pub visits: usize,
+    /// How many agents and waiting steps were visited to make this plan, and since the last one.
+    pub visits: Visits,
+}
+
+/// How many agents and waiting steps were visited, by what for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Visits {
+    /// Answers, heartbeats and applied commands.
+    pub inputs: usize,
+    /// Ends of agents, and operations on hosts.
+    pub hosts: usize,
+    /// The search for tasks to start and for their agents.
+    pub search: usize,
+    /// Orders, and what is due at agents.
+    pub orders: usize,
+}
+
+impl Visits {
+    /// All of them.
+    pub fn total(self) -> usize {
+        self.inputs + self.hosts + self.search + self.orders
+    }
+
+    /// Adds those of another plan.
+    pub fn add(&mut self, other: Self) {
+        self.inputs += other.inputs;
+        self.hosts += other.hosts;
+        self.search += other.search;
+        self.orders += other.orders;
+    }
 }
 
 /// Starts that are decided and not confirmed by their agents, by what they wait for.
@@ -613,6 +641,7 @@
         if self.superseded {
             return Plan::default();
         }
+        let inputs = self.take_visits();
         self.agents.mark_due(now);
         self.open_due_occurrences(now, wall, ledger);
         self.retire_replaced(now);
@@ -627,6 +656,7 @@
         self.expire_leases(now);
         self.forget_strays(now);
         self.manage_hosts(now, wall, ledger);
+        let hosts = self.take_visits();
         if has_room && self.open_rounds < MAX_OPEN_ROUNDS {
             let round = self.build_round(now, wall, ledger);
             if !round.is_empty() {
@@ -634,6 +664,7 @@
                 commands.push(Command::Round(round));
             }
         }
+        let search = self.take_visits();
         let stirred = self.agents.dirty();
         self.send_starts(now, ledger, &stirred);
         self.send_stops(now, &stirred);
@@ -649,10 +680,20 @@
             commit_delays: std::mem::take(&mut self.commit_delays),
             answer_delays: std::mem::take(&mut self.answer_delays),
             overdue,
-            visits: self.agents.take_visits() + self.ready.take_visits(),
+            visits: Visits {
+                inputs,
+                hosts,
+                search,
+                orders: self.take_visits(),
+            },
         }
     }
 
+    /// The number of visits of agents and waiting steps since the last call.
+    fn take_visits(&self) -> usize {
+        self.agents.take_visits() + self.ready.take_visits()
+    }
+
     /// The most commands that a plan can have now.
     fn max_commands(&self) -> usize {
         self.terminated.len() + self.maintained.len() + OTHER_COMMANDS
--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -19,7 +19,7 @@
     frame::{Frame, RequestId, View},
     load::Load,
     membership::Members,
-    metrics::Phase,
+    metrics::{InputKind, Phase},
     ports::{Config, ControlStatus, Ports},
     proposals::{PendingProposals, ReplyTo},
     relays::Relays,
@@ -91,6 +91,22 @@
     Leave,
 }
 
+impl Input {
+    fn kind(&self) -> InputKind {
+        match self {
+            Self::Frame(_, Frame::Consensus(_)) | Self::Disk(_) => InputKind::Consensus,
+            Self::Frame(_, Frame::Request(_, LeaderRequest::Heartbeat(_)))
+            | Self::Request(LeaderRequest::Heartbeat(_), _) => InputKind::Heartbeat,
+            Self::Frame(_, Frame::Request(..)) | Self::Request(..) => InputKind::Request,
+            Self::Frame(_, Frame::RelayedAnswers { .. }) | Self::Answered(..) => InputKind::Answers,
+            Self::Frame(_, Frame::Orders { .. }) | Self::RelayedAnswer { .. } => InputKind::Relayed,
+            Self::Frame(_, Frame::View(_) | Frame::Reply(..))
+            | Self::ClusterSaved(_)
+            | Self::Leave => InputKind::Other,
+        }
+    }
+}
+
 /// An input and the time of its arrival.
 pub(super) struct Queued {
     arrived_at: Instant,
@@ -351,7 +367,9 @@
         self.load.start_turn(inputs.len());
         for queued in inputs {
             self.load.record_wait(queued.arrived_at);
+            let kind = queued.input.kind();
             self.handle_input(queued.input);
+            self.load.record_input(kind);
         }
         if ticked || self.node.has_unapplied() {
             self.consensus(consensus::Input::Tick);
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -12,8 +12,8 @@
 
 use tokio::{runtime::Handle, time::Instant};
 
-use super::metrics::{Metrics, Phase};
-use crate::core::workload::scheduler::{Plan, Scheduler, UnconfirmedStarts};
+use super::metrics::{InputKind, Metrics, Phase};
+use crate::core::workload::scheduler::{Plan, Scheduler, UnconfirmedStarts, Visits};
 
 /// Length of a window. Short enough to show the seconds of a burst, and long enough to bound the
 /// number of log lines.
@@ -41,7 +41,9 @@
     orders: usize,
     commands: usize,
     bytes: usize,
-    looks: usize,
+    visits: Visits,
+    /// The number of inputs of each kind, and the time that they took.
+    kinds: [(usize, Duration); InputKind::ALL.len()],
     commit_wait: Duration,
     start_wait: Duration,
     answer_wait: Duration,
@@ -59,6 +61,8 @@
     /// When this turn began, and when its last finished phase ended.
     started_at: Instant,
     phase_start: Instant,
+    /// When the handling of the current input began.
+    input_start: Instant,
     /// The longest wait of an input of this turn.
     wait: Duration,
 }
@@ -102,6 +106,7 @@
             sample: BusyMeter::new(now),
             started_at: now,
             phase_start: now,
+            input_start: now,
             wait: Duration::ZERO,
         }
     }
@@ -110,6 +115,7 @@
     pub(super) fn start_turn(&mut self, inputs: usize) {
         self.started_at = Instant::now();
         self.phase_start = self.started_at;
+        self.input_start = self.started_at;
         self.totals.turns += 1;
         self.totals.inputs += inputs;
         self.totals.batch = self.totals.batch.max(inputs);
@@ -128,6 +134,16 @@
         self.wait = self.wait.max(wait);
     }
 
+    /// Records that an input was handled, after the one before.
+    pub(super) fn record_input(&mut self, kind: InputKind) {
+        let now = Instant::now();
+        let took = now - std::mem::replace(&mut self.input_start, now);
+        let (count, time) = &mut self.totals.kinds[kind as usize];
+        *count += 1;
+        *time += took;
+        self.metrics.record_input(kind, took);
+    }
+
     /// Records the end of a phase of the turn.
     pub(super) fn end_phase(&mut self, phase: Phase) {
         let now = Instant::now();
@@ -150,12 +166,13 @@
         self.metrics.record_wait(wait);
     }
 
-    /// Records what the turn decided: the number of orders and commands, and of agents that were
-    /// examined.
-    pub(super) fn record_plan(&mut self, orders: usize, commands: usize, looks: usize) {
-        self.totals.orders += orders;
-        self.totals.commands += commands;
-        self.totals.looks += looks;
+    /// Records what the turn decided.
+    pub(super) fn record_plan(&mut self, plan: &Plan) {
+        let totals = &mut self.totals;
+        totals.orders += plan.orders.len();
+        totals.commands += plan.commands.len();
+        totals.visits.add(plan.visits);
+        self.metrics.record_visits(plan.visits);
     }
 
     /// Records how long starts waited for their commits, for being sent, and for their answers.
@@ -204,7 +221,8 @@
             orders,
             commands,
             bytes,
-            looks,
+            visits,
+            kinds,
             commit_wait,
             start_wait,
             answer_wait,
@@ -217,10 +235,24 @@
         } = scheduler.map_or_else(UnconfirmedStarts::default, Scheduler::unconfirmed_starts);
         log::warn!(
             busy = share, turns, inputs, heartbeats, batch, wait:?, turn:?, taking:?, planning:?, rest:?,
-            orders, under_way, commands, bytes, looks, uncommitted, unsent, unanswered,
+            orders, under_way, commands, bytes, looks = visits.total(), uncommitted, unsent, unanswered,
             commit_wait:?, start_wait:?, answer_wait:?;
             "the control task is falling behind"
         );
+        let inputs = InputKind::ALL.map(|kind| {
+            let (count, time) = kinds[kind as usize];
+            format!("{} {count} {time:?}", kind.label())
+        });
+        let Visits {
+            inputs: input_visits,
+            hosts,
+            search,
+            orders: order_visits,
+        } = visits;
+        log::info!(
+            inputs = inputs.join(", "), input_visits, hosts, search, order_visits;
+            "inputs and visits of a control task that falls behind"
+        );
     }
 }
 
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -17,7 +17,7 @@
 };
 
 use super::request::{Refused, Reply, Unknown};
-use crate::core::workload::scheduler::{Answer, OrderKind, Refusal};
+use crate::core::workload::scheduler::{Answer, OrderKind, Refusal, Visits};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -50,6 +50,59 @@
     part: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct InputLabel {
+    input: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct StageLabel {
+    stage: &'static str,
+}
+
+/// The kinds of inputs of the control task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InputKind {
+    /// A message of consensus between control nodes, or a write that the disk has finished.
+    Consensus,
+    /// A heartbeat of an agent.
+    Heartbeat,
+    /// Any other request of a caller, an agent or an operator.
+    Request,
+    /// Answers to the leader's orders.
+    Answers,
+    /// Orders that this node executes as a relay, and their answers.
+    Relayed,
+    /// All else.
+    Other,
+}
+
+impl InputKind {
+    /// All kinds, in the order of their numbers.
+    pub const ALL: [Self; 6] = [
+        Self::Consensus,
+        Self::Heartbeat,
+        Self::Request,
+        Self::Answers,
+        Self::Relayed,
+        Self::Other,
+    ];
+
+    /// The kind's label value.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Consensus => "consensus",
+            Self::Heartbeat => "heartbeat",
+            Self::Request => "request",
+            Self::Answers => "answers",
+            Self::Relayed => "relayed",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// The phases of a turn of the control task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -137,6 +190,8 @@
     input_wait: Histogram,
     batch: Histogram,
     turn_time: Family<PhaseLabel, Histogram>,
+    input_time: Family<InputLabel, Histogram>,
+    visits: Family<StageLabel, Counter>,
     heartbeat_age: Histogram,
     start_delay: Histogram,
     start_commit: Histogram,
@@ -180,6 +235,8 @@
             input_wait: duration_histogram(),
             batch: Histogram::new(exponential_buckets(1.0, 2.0, 9)),
             turn_time: Family::new_with_constructor(duration_histogram),
+            input_time: Family::new_with_constructor(input_histogram),
+            visits: Family::default(),
             heartbeat_age: duration_histogram(),
             start_delay: duration_histogram(),
             start_commit: duration_histogram(),
@@ -196,6 +253,11 @@
     Histogram::new(exponential_buckets(0.001, 2.0, 14))
 }
 
+/// A histogram of the times of inputs, from four microseconds to a second.
+fn input_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_004, 4.0, 10))
+}
+
 impl Metrics {
     fn register(&mut self) {
         for outcome in OUTCOMES {
@@ -344,6 +406,16 @@
             "How long the parts of a turn of the control task took",
             self.turn_time.clone(),
         );
+        registry.register(
+            "input_seconds",
+            "How long the control task took to handle an input",
+            self.input_time.clone(),
+        );
+        registry.register(
+            "plan_visits",
+            "Agents and waiting steps that were visited to plan, by what for",
+            self.visits.clone(),
+        );
         registry.register(
             "heard_age_seconds",
             "How long ago an agent was heard when something was placed there",
@@ -410,6 +482,33 @@
         time.observe(took.as_secs_f64());
     }
 
+    /// Records how long the control task took to handle an input.
+    pub fn record_input(&self, kind: InputKind, took: Duration) {
+        let input = kind.label();
+        let time = self.input_time.get_or_create(&InputLabel { input });
+        time.observe(took.as_secs_f64());
+    }
+
+    /// Counts the agents and waiting steps that were visited for a plan.
+    pub fn record_visits(&self, visits: Visits) {
+        let Visits {
+            inputs,
+            hosts,
+            search,
+            orders,
+        } = visits;
+        let stages = [
+            ("inputs", inputs),
+            ("hosts", hosts),
+            ("search", search),
+            ("orders", orders),
+        ];
+        for (stage, count) in stages {
+            let visits = self.visits.get_or_create(&StageLabel { stage });
+            visits.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+        }
+    }
+
     /// Records the age of an agent's last heartbeat when a task was placed there.
     pub fn record_heartbeat_age(&self, age: Duration) {
         self.heartbeat_age.observe(age.as_secs_f64());
--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -37,8 +37,7 @@
         }
         let share = scheduler.relay_share();
         let plan = scheduler.plan(now, wall(), &self.ledger, self.node.room());
-        self.load
-            .record_plan(plan.orders.len(), plan.commands.len(), plan.visits);
+        self.load.record_plan(&plan);
         for age in &plan.agent_ages {
             self.ports.metrics.record_heartbeat_age(*age);
         }
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -1299,7 +1299,7 @@
         self.commit_delays.extend(&plan.commit_delays);
         self.start_delays.extend(&plan.start_delays);
         self.answer_delays.extend(&plan.answer_delays);
-        let (visits, orders) = (plan.visits, plan.orders.len());
+        let (visits, orders) = (plan.visits.total(), plan.orders.len());
         self.visits += visits;
         self.plans += 1;
         for command in plan.commands {
