Search the waiting steps of a pool at a bounded cost, those in time first

Cause: steps were indexed by what their tasks take, for a few sizes. Jobs size their tasks as they like, so a backlog of a thousand steps has a thousand sizes. Once a task found no agent, each next step was looked up in all sizes, and each size was checked against the agents: the square of the backlog in each plan.

Sizes are now in classes, four for each power of two; classes without room are passed over whole, at most 64 steps one by one, and a plan visits at most 8,192 agents and steps of a pool. What was not reached is where the next search goes on, so that nothing is passed over for good.

Late steps are started after those in time of all pools, and while there are such, a full leader gives them an eighth of what is left of a round: late work of one pool took half of the starts from the next one's surge.

The first answer of a new agent visited all agents to find others at its address; agents are found by their addresses now. With some 40 moves of hosts a second that were most of the visits of inputs.

--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -15,9 +15,10 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
 };
 
-use super::{agent::Agent, domains::DataCentres};
+use super::{agent::Agent, domains::DataCentres, size_classes::OpenRoom};
 use crate::core::{
     types::{DataCentreId, Map, MinionId, Name, Now, PoolId, Resources},
     workload::command::AgentRecord,
@@ -31,6 +32,8 @@
     ids: BTreeSet<MinionId>,
     /// The known incarnations of each agent.
     by_name: Map<Name, Vec<MinionId>>,
+    /// The agents at each address.
+    by_address: Map<SocketAddr, Vec<MinionId>>,
     /// The agents of each pool by what they have free, as of the last
     /// [`Agents::update_indexes`].
     pools: BTreeMap<PoolId, Pool>,
@@ -93,18 +96,21 @@
         self.0.is_empty()
     }
 
-    /// The ids of the agents that run something and have room for `room`, by what they have free.
-    fn busy(&self, room: Resources) -> impl DoubleEndedIterator<Item = &BTreeSet<MinionId>> {
+    /// The ids of the agents that run something and have room for `room`, by what they have free,
+    /// those with the fewest cores first.
+    fn busy(
+        &self,
+        room: Resources,
+    ) -> impl DoubleEndedIterator<Item = (Resources, &BTreeSet<MinionId>)> {
         let least = Resources {
             millicores: room.millicores,
             ..Resources::default()
         };
         let found = self.0.range(Free::Part(least)..Free::All);
-        let found = found.filter(move |(free, _)| match free {
-            Free::Part(free) => free.fits(&room),
-            Free::All => false,
-        });
-        found.map(|(_, ids)| ids)
+        found.filter_map(move |(free, ids)| match free {
+            Free::Part(free) => free.fits(&room).then_some((*free, ids)),
+            Free::All => None,
+        })
     }
 
     /// The ids of the agents that run nothing.
@@ -297,6 +303,8 @@
         }
         let names = self.by_name.entry(agent.record.name().clone());
         names.or_default().push(id.clone());
+        let there = self.by_address.entry(agent.record.address);
+        there.or_default().push(id.clone());
         let entry = Entry {
             agent,
             dirty: true,
@@ -327,6 +335,7 @@
                 self.by_name.remove(agent.record.name());
             }
         }
+        self.remove_address(id, agent.record.address);
         let centre = self.by_centre.then_some(&agent.record.data_centre);
         if let Some(pool) = self.pools.get_mut(&agent.record.pool) {
             pool.remove(id, standing, centre);
@@ -341,6 +350,41 @@
         self.renewals.replace(id, renewal, None);
     }
 
+    /// Replaces the record of a known agent, whose address may have changed.
+    pub(super) fn set_record(&mut self, record: &AgentRecord) {
+        let id = &record.id;
+        let Some(agent) = self.get_mut(id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut agent.record, record.clone());
+        agent.record.capacity = record.capacity.clamped();
+        if before.address != record.address {
+            self.remove_address(id, before.address);
+            let there = self.by_address.entry(record.address);
+            there.or_default().push(id.clone());
+        }
+    }
+
+    fn remove_address(&mut self, id: &MinionId, address: SocketAddr) {
+        if let Some(there) = self.by_address.get_mut(&address) {
+            there.retain(|other| other != id);
+            if there.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+    }
+
+    /// The agents that are known at an address or by a name, in the order of their ids.
+    pub(super) fn at_or_named(&self, address: SocketAddr, name: &Name) -> Vec<&Agent> {
+        let there = self.by_address.get(&address).into_iter().flatten();
+        let there = there.filter_map(|id| self.get(id));
+        let mut agents: Vec<_> = there.chain(self.incarnations(name)).collect();
+        agents.sort_unstable_by(|one, other| one.record.id.cmp(&other.record.id));
+        agents.dedup_by(|one, other| one.record.id == other.record.id);
+        self.visits.set(self.visits.get() + agents.len());
+        agents
+    }
+
     /// The incarnation of an agent that is running, as far as is known: one that hasn't been
     /// replaced and has answered is preferred, then the one that became known last.
     pub(super) fn current(&self, name: &Name) -> Option<&Agent> {
@@ -401,7 +445,8 @@
         room: Resources,
     ) -> impl Iterator<Item = &Agent> {
         let index = self.index(pool, centre).into_iter();
-        let ids = index.flat_map(move |index| index.busy(room)).flatten();
+        let ids = index.flat_map(move |index| index.busy(room));
+        let ids = ids.flat_map(|(_, ids)| ids);
         self.visited(ids)
     }
 
@@ -419,21 +464,29 @@
             .filter(move |agent| agent.free().fits(&room))
     }
 
-    /// One agent that `able` accepts for each different free amount among the agents of a pool that
-    /// have at least `least` thousandths of a core free.
-    pub(super) fn one_of_each(
+    /// The largest free amounts at those agents of a pool that `able` accepts and that have at least
+    /// `least` thousandths of a core free.
+    pub(super) fn open_room(
         &self,
         pool: &PoolId,
         least: u64,
         able: impl Fn(&Agent) -> bool,
-    ) -> impl Iterator<Item = &Agent> {
+    ) -> OpenRoom {
         let room = millicores(least);
-        let idle = self.idle(pool, None, room).filter(|agent| able(agent));
-        let idle: Vec<_> = idle.collect();
+        let mut open = OpenRoom::default();
+        for agent in self.idle(pool, None, room) {
+            if !open.fits(&agent.free()) && able(agent) {
+                open.add(agent.free());
+            }
+        }
         let index = self.index(pool, None).into_iter();
-        let groups = index.flat_map(move |index| index.busy(room));
-        let busy = groups.filter_map(move |ids| self.visited(ids.iter()).find(|agent| able(agent)));
-        busy.chain(idle)
+        // The agents with the most cores come first, so that most of the others add nothing.
+        for (free, ids) in index.flat_map(|index| index.busy(room)).rev() {
+            if !open.fits(&free) && self.visited(ids.iter()).any(|agent| able(agent)) {
+                open.add(free);
+            }
+        }
+        open
     }
 
     fn index(&self, pool: &PoolId, centre: Option<&DataCentreId>) -> Option<&FreeIndex> {
@@ -601,6 +654,11 @@
         })
     }
 
+    /// The number of visits since [`Agents::take_visits`] was called.
+    pub(super) fn visits(&self) -> usize {
+        self.visits.get()
+    }
+
     /// The number of visits since the last call.
     pub(super) fn take_visits(&self) -> usize {
         self.visits.take()
--- a/src/core/workload/scheduler/changes.rs
+++ b/src/core/workload/scheduler/changes.rs
@@ -154,8 +154,7 @@
                 if record.leaving && !agent.record.leaving {
                     agent.log_leaving(ledger.applied());
                 }
-                agent.record = record.clone();
-                agent.record.capacity = record.capacity.clamped();
+                self.agents.set_record(record);
             }
             None => {
                 let mut agent = Agent::new(record.clone(), now);
@@ -191,10 +190,9 @@
             return;
         }
         let (address, name) = (seen.record.address, seen.record.name().clone());
-        let former = self.agents.iter().filter(|(other, agent)| {
-            let there = agent.record.address == address || *agent.record.name() == name;
-            *other != id && there && agent.known_since <= sent
-        });
+        let known = self.agents.at_or_named(address, &name).into_iter();
+        let former = known.map(|agent| (&agent.record.id, agent.known_since));
+        let former = former.filter(|(other, since)| *other != id && *since <= sent);
         let former: Vec<_> = former.map(|(other, _)| other.clone()).collect();
         let (same, others): (Vec<_>, Vec<_>) = former.into_iter().partition(|other| {
             let agent = self.agents.get(other);
--- a/src/core/workload/scheduler/ready.rs
+++ b/src/core/workload/scheduler/ready.rs
@@ -18,13 +18,16 @@
 
 use roaring::RoaringBitmap;
 
-use super::owner_queue::OwnerQueue;
+use super::{
+    owner_queue::OwnerQueue,
+    size_classes::{Found, OpenRoom, SizeIndex},
+};
 use crate::core::{
-    types::{Map, Now, PoolId, Resources, WorkspaceId},
+    types::{Map, Now, PoolId, WorkspaceId},
     workload::{
         catalog::{Eligibility, JobId},
         job::{StepId, TaskId},
-        spec::{Occurrence, StepSpec, TaskIx},
+        spec::{Occurrence, StepIx, StepSpec, TaskIx},
         workspace_shares::Owner,
     },
 };
@@ -120,9 +123,35 @@
 }
 
 impl Rank {
+    /// A position behind all steps that can still be in time, and before the others.
+    pub(super) const BEFORE_LATE: Self = Self {
+        class: Class::BeyondShare,
+        priority: u32::MAX,
+        deadline: Now::MAX,
+        step: StepId {
+            job: JobId::MAX,
+            occurrence: Occurrence::MAX,
+            step: StepIx::MAX,
+        },
+    };
+
     pub(super) fn step(&self) -> StepId {
         self.step
     }
+
+    /// Whether the job of the step can no longer be in time.
+    pub(super) fn is_late(&self) -> bool {
+        self.class == Class::Late
+    }
+}
+
+/// Which of the waiting steps of a pool are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Served {
+    /// Long-running steps and those whose jobs can still be in time.
+    Timely,
+    /// Those whose jobs can't.
+    Late,
 }
 
 /// All steps with tasks that may be started.
@@ -156,7 +185,10 @@
 struct PoolQueue {
     ranks: BTreeSet<Rank>,
     /// The same by what each of their tasks takes.
-    sizes: BTreeMap<Resources, BTreeSet<Rank>>,
+    sizes: SizeIndex,
+    /// Where the searches for steps that have room go on, if the last one had to stop: of steps that
+    /// can still be in time, and of late ones.
+    resume: [Option<Rank>; 2],
     /// The number of steps by how many hosts each needs, including steps without free tasks.
     spreads: BTreeMap<usize, usize>,
     waiting: WaitingLoad,
@@ -412,33 +444,48 @@
         line.ranks.range((from, Bound::Unbounded)).next().copied()
     }
 
-    /// The fewest thousandths of a core that a free task of a pool takes.
+    /// A number of thousandths of a core that is at most what any free task of a pool takes.
     pub(super) fn min_millicores(&self, pool: &PoolId) -> Option<u64> {
-        let (least, _) = self.pools.get(pool)?.sizes.first_key_value()?;
-        Some(least.millicores)
+        self.pools.get(pool)?.sizes.min_millicores()
     }
 
-    /// The different amounts that a free task of a pool takes.
-    pub(super) fn sizes(&self, pool: &PoolId) -> impl Iterator<Item = &Resources> {
-        let line = self.pools.get(pool).into_iter();
-        line.flat_map(|line| line.sizes.keys())
-    }
-
-    /// The step of a pool to be served next after another whose tasks take one of these amounts.
-    pub(super) fn next_of_sizes(
+    /// The next steps of a pool after another whose tasks have room, `most` at most, found with about
+    /// `limit` visits at most.
+    pub(super) fn find(
         &self,
         pool: &PoolId,
         after: Option<Rank>,
-        sizes: &[Resources],
-    ) -> Option<Rank> {
-        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let line = self.pools.get(pool)?;
-        let steps = sizes.iter().filter_map(|size| line.sizes.get(size));
-        let next = steps.filter_map(|ranks| {
-            self.count_visit();
-            ranks.range((from, Bound::Unbounded)).next()
-        });
-        next.min().copied()
+        room: &OpenRoom,
+        most: usize,
+        limit: usize,
+    ) -> Found {
+        let line = self.pools.get(pool);
+        let found = line.map(|line| line.sizes.find(after, room, most, limit));
+        let found = found.unwrap_or_default();
+        self.visits.set(self.visits.get() + found.visits);
+        found
+    }
+
+    /// Takes where the last search of these steps of a pool had to stop, if it did.
+    pub(super) fn take_resume(&mut self, pool: &PoolId, served: Served) -> Option<Rank> {
+        self.pools.get_mut(pool)?.resume[served as usize].take()
+    }
+
+    /// Sets where the next search of these steps of a pool goes on.
+    pub(super) fn set_resume(&mut self, pool: &PoolId, served: Served, resume: Option<Rank>) {
+        if let Some(line) = self.pools.get_mut(pool) {
+            line.resume[served as usize] = resume;
+        }
+    }
+
+    /// Whether a pool has late steps with free tasks.
+    pub(super) fn has_late(&self, pool: &PoolId) -> bool {
+        self.backlogs(pool).1.steps > 0
+    }
+
+    /// The number of visits since [`ReadyQueue::take_visits`] was called.
+    pub(super) fn visits(&self) -> usize {
+        self.visits.get()
     }
 
     /// The pools with free tasks.
@@ -530,8 +577,7 @@
         *self.waiting_tasks.entry(rank.step.job).or_default() += ready.free.len();
         let line = self.pools.entry(ready.pool.clone()).or_default();
         line.ranks.insert(rank);
-        let size = line.sizes.entry(ready.spec.reservation()).or_default();
-        size.insert(rank);
+        line.sizes.insert(ready.spec.reservation(), rank);
         line.waiting.add(ready);
         if let Some(backlog) = line.backlog(rank.class) {
             backlog.steps += 1;
@@ -565,13 +611,7 @@
                 waiting.remove();
             }
         }
-        let size = ready.spec.reservation();
-        if let Some(ranks) = line.sizes.get_mut(&size) {
-            ranks.remove(&rank);
-            if ranks.is_empty() {
-                line.sizes.remove(&size);
-            }
-        }
+        line.sizes.remove(&ready.spec.reservation(), &rank);
         line.waiting.take(ready);
         if let Some(backlog) = line.backlog(rank.class) {
             backlog.steps -= 1;
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -14,22 +14,30 @@
     Placement, PoolId, RENEWAL_GAP, Round, Scheduler, Slot, StartOrder, StepId, StepSpec, TaskId,
     Wall,
     place::{self, AgentRanking},
+    poison_queues::SharingLimits,
+    ready::Served,
+    search::KnownRoom,
 };
-use crate::core::{
-    types::Resources,
-    workload::{catalog::JobId, command::Ending, job::JobState},
-};
+use crate::core::workload::{catalog::JobId, command::Ending, job::JobState};
 
 /// A start that is sent later than this after its decision is logged. A commit and a plan take a
 /// tenth of this time.
 const LATE_START_DELAY: Duration = Duration::from_millis(500);
 
-/// What waiting tasks of a pool may take to find an agent.
-struct OpenSizes {
-    sizes: Vec<Resources>,
-    /// The number of starts in the round when this was determined; `None` if something else than a
-    /// start may change it.
-    starts: Option<usize>,
+/// The least part of a round that late tasks get beside those that can still be in time, so that
+/// their jobs are done some time.
+const MIN_LATE_PART: f64 = 0.125;
+
+/// Which waiting tasks of a pool are started in a round.
+struct PoolFilling {
+    pool: PoolId,
+    served: Served,
+    /// Which jobs may run beside each other.
+    apart: SharingLimits,
+    /// What agents have free, once a task has found none.
+    open: Option<KnownRoom>,
+    /// The most starts that the round may have.
+    most: usize,
 }
 
 impl Scheduler {
@@ -57,7 +65,8 @@
         round
     }
 
-    /// Starts ready tasks of all pools while there is room in the round.
+    /// Starts ready tasks of all pools while there is room in the round: first those that can still be
+    /// in time, whichever pool they are of, and then late ones.
     ///
     /// A pool with a large backlog can fill one round after the other. So the pool that filled a
     /// round is the last to be visited in the next one.
@@ -65,19 +74,44 @@
         let mut pools = self.ready.pools();
         let next = pools.partition_point(|pool| Some(pool) <= self.last_filled.as_ref());
         pools.rotate_left(next);
-        for pool in pools {
-            let before = starts.len();
-            self.fill_pool(now, ledger, &pool, starts);
-            let count = starts.len() - before;
-            *self.hosts.starts.entry(pool.clone()).or_default() += count;
-            self.starts.count += count;
-            if starts.len() >= self.settings.round_starts {
-                self.last_filled = Some(pool);
-                return;
+        let mut fillings: Vec<_> = pools
+            .into_iter()
+            .map(|pool| PoolFilling {
+                served: Served::Timely,
+                apart: self.sharing_limits(ledger, &pool),
+                open: None,
+                most: self.settings.round_starts,
+                pool,
+            })
+            .collect();
+        for filling in &mut fillings {
+            self.start_on_probes(now, ledger, &filling.pool, starts);
+            self.fill_pool(now, ledger, filling, starts);
+        }
+        let most = self.late_limit(starts.len());
+        for filling in &mut fillings {
+            if self.ready.has_late(&filling.pool) {
+                (filling.served, filling.most) = (Served::Late, most);
+                self.fill_pool(now, ledger, filling, starts);
             }
         }
     }
 
+    /// How many starts a round may have with late ones, given those that can still be in time.
+    ///
+    /// All that a start costs a full leader, until its end is committed, is missing for the next ones
+    /// that could be in time. So as long as there are such, late ones get a small part of what is
+    /// left.
+    fn late_limit(&self, timely: usize) -> usize {
+        let most = self.settings.round_starts;
+        if timely == 0 {
+            return most;
+        }
+        let left = most.saturating_sub(timely) as f64;
+        let part = 1.0 - (1.0 - MIN_LATE_PART) * self.pressure.level();
+        timely + (left * part).ceil() as usize
+    }
+
     /// The jobs that fail for good because of these ends.
     pub(super) fn failed_jobs(&self, ledger: &Ledger, ends: &[EndBatch]) -> Vec<JobId> {
         let mut counts: BTreeMap<TaskId, u32> = BTreeMap::new();
@@ -101,30 +135,45 @@
         failed.into_iter().collect()
     }
 
-    /// Starts ready tasks of a pool while its agents have room.
-    pub(super) fn fill_pool(
+    /// Starts waiting tasks of a pool while its agents have room.
+    fn fill_pool(
         &mut self,
         now: Now,
         ledger: &Ledger,
-        pool: &PoolId,
+        filling: &mut PoolFilling,
         starts: &mut Vec<Placement>,
     ) {
-        self.start_on_probes(now, ledger, pool, starts);
-        // What waiting tasks may take to find an agent, set once a task found none. Under overload
-        // hundreds of steps wait and no agent has room. Visiting each agent for each of them took
-        // two thirds of the leader's time with 300 agents (profiled in a test run).
-        let mut open: Option<OpenSizes> = None;
-        let mut last = None;
-        let mut apart = self.sharing_limits(ledger, pool);
-        while starts.len() < self.settings.round_starts {
-            let next = match &open {
-                Some(open) => self.ready.next_of_sizes(pool, last, &open.sizes),
-                None => self.ready.next(pool, last),
-            };
-            let Some(rank) = next else {
+        let before = starts.len();
+        self.start_waiting(now, ledger, filling, starts);
+        let count = starts.len() - before;
+        let total = self.hosts.starts.entry(filling.pool.clone()).or_default();
+        *total += count;
+        self.starts.count += count;
+        if count > 0 && starts.len() >= filling.most {
+            self.last_filled = Some(filling.pool.clone());
+        }
+    }
+
+    /// Starts waiting tasks of a pool, in the order of their steps.
+    fn start_waiting(
+        &mut self,
+        now: Now,
+        ledger: &Ledger,
+        filling: &mut PoolFilling,
+        starts: &mut Vec<Placement>,
+    ) {
+        let PoolFilling {
+            pool,
+            served,
+            apart,
+            open,
+            most,
+        } = filling;
+        let mut search = self.start_search(pool, *served, apart.is_none(), open);
+        while starts.len() < *most {
+            let Some(rank) = self.next_step(pool, &mut search) else {
                 return;
             };
-            last = Some(rank);
             let Some(ready) = self.ready.get(rank.step()) else {
                 continue;
             };
@@ -173,7 +222,7 @@
             let able = |agent: &&Agent| {
                 self.may_get_work(now, agent)
                     && (!asked || self.is_eligible(now, step, agent))
-                    && (spec.long_running || self.may_share(ledger, &apart, agent, job))
+                    && (spec.long_running || self.may_share(ledger, apart, agent, job))
             };
             let room = spec.reservation();
             let order = self.search_order(pool, job, &spec);
@@ -192,10 +241,7 @@
                     break;
                 }
                 let Some(agent) = choice.take() else {
-                    let count = Some(starts.len());
-                    let known = open.take().filter(|open| open.starts == count);
-                    let new = || self.open_sizes(now, pool, starts.len(), apart.is_none());
-                    open = Some(known.unwrap_or_else(new));
+                    self.note_full(now, pool, &mut search, starts.len());
                     if let Some(job) = found {
                         apart.record_full(job);
                     }
@@ -294,29 +340,6 @@
         starts.push(placed);
     }
 
-    /// What a task may take to find an agent, of the amounts that waiting tasks of a pool take.
-    /// Free room only shrinks while a round is filled, so other tasks fit nowhere.
-    ///
-    /// `alike` says whether all jobs may run beside each other.
-    fn open_sizes(&self, now: Now, pool: &PoolId, starts: usize, alike: bool) -> OpenSizes {
-        let widest = self.largest_free(now, pool);
-        // A step of a suspect chooses its probe, and one whose job is kept apart from others makes
-        // the rest of its queue wait, even if no agent has room.
-        let plain = alike && self.suspects.all().next().is_none();
-        let has_agent = |size: Resources| {
-            let mut busy = self.agents.busy_with_room(pool, None, size);
-            let mut idle = self.agents.idle(pool, None, size);
-            let able = |agent: &Agent| self.may_get_work(now, agent);
-            busy.any(able) || idle.any(able)
-        };
-        let sizes = self.ready.sizes(pool).copied();
-        let sizes = sizes.filter(|size| widest.fits(size) && (!plain || has_agent(*size)));
-        OpenSizes {
-            sizes: sizes.collect(),
-            starts: plain.then_some(starts),
-        }
-    }
-
     /// How many tasks that were never placed may be started besides those of this round.
     fn record_room(&self, ledger: &Ledger, starts: usize) -> u64 {
         // The starts of open rounds aren't in the ledger yet.
@@ -326,21 +349,6 @@
         self.settings.max_tasks.saturating_sub(held)
     }
 
-    /// The largest free amount of each resource at any agent of a pool that may get new work and
-    /// has room for the task that takes the fewest cores.
-    fn largest_free(&self, now: Now, pool: &PoolId) -> Resources {
-        let Some(least) = self.ready.min_millicores(pool) else {
-            return Resources::default();
-        };
-        let able = |agent: &Agent| self.may_get_work(now, agent);
-        let able = self.agents.one_of_each(pool, least, able).map(Agent::free);
-        able.fold(Resources::default(), |widest, free| Resources {
-            millicores: widest.millicores.max(free.millicores),
-            memory: widest.memory.max(free.memory),
-            accelerators: widest.accelerators.max(free.accelerators),
-        })
-    }
-
     /// The agents of a pool that may get new work and have at least `least` thousandths of a core
     /// free.
     pub(super) fn agents_accepting_work(
@@ -354,7 +362,7 @@
     }
 
     /// Whether an agent may get new work and isn't a probe.
-    fn may_get_work(&self, now: Now, agent: &Agent) -> bool {
+    pub(super) fn may_get_work(&self, now: Now, agent: &Agent) -> bool {
         self.can_accept_work(now, agent) && !self.probes.contains(&agent.record.id)
     }
 
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod allocation;
+mod backlog_sizes;
 mod budgets;
 mod cancelled;
 mod caps;
--- a/tests/workload/world.rs
+++ b/tests/workload/world.rs
@@ -462,6 +462,8 @@
     /// The number of visits of the leader to agents and waiting steps, and of calls of
     /// [`Scheduler::plan`].
     pub(crate) visits: usize,
+    /// The most visits of a plan.
+    pub(crate) peak_visits: usize,
     pub(crate) plans: usize,
     /// When each leaving agent was notified that its leaving is known.
     leaving_acks: BTreeMap<MinionId, Now>,
@@ -603,6 +605,7 @@
             hosts_killed: BTreeMap::new(),
             host_losses: BTreeMap::new(),
             visits: 0,
+            peak_visits: 0,
             plans: 0,
             leaving_acks: BTreeMap::new(),
             completions: BTreeMap::new(),
@@ -1301,6 +1304,7 @@
         self.answer_delays.extend(&plan.answer_delays);
         let (visits, orders) = (plan.visits.total(), plan.orders.len());
         self.visits += visits;
+        self.peak_visits = self.peak_visits.max(visits);
         self.plans += 1;
         for command in plan.commands {
             self.propose(command);
