Bound a pool's need by what a full leader can fill

Pools took in hundreds of hosts that stood empty, as the leader couldn't start enough tasks: 475 to 577 of 690 in a surge. Where its processor is the limit, a pool now asks for no more cores than the leader's rate of starts keeps in use (rate times the mean work of its tasks), or than are in use.

Hosts are looked at only if a pool is short of any, and a full leader checks waves ten times a second instead of fifty.

--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -217,9 +217,13 @@
                 (pool, Feed { capacity, overhead })
             })
             .collect();
+        self.admission.update(feeds, self.max_start_rate());
+    }
+
+    /// How many tasks per second the leader can start; `None` unless its processor is the limit.
+    pub(super) fn max_start_rate(&self) -> Option<f64> {
         let is_limit = self.pressure.level() > 0.0 && self.starts.mean > 0.0;
-        let rate = is_limit.then(|| self.starts.mean / self.pressure.busy());
-        self.admission.update(feeds, rate);
+        is_limit.then(|| self.starts.mean / self.pressure.busy())
     }
 
     /// The hosts of a pool: those that are there, those on their way, and those that the balance of pools
--- a/src/core/workload/scheduler/balance.rs
+++ b/src/core/workload/scheduler/balance.rs
@@ -50,7 +50,12 @@
         self.check_vacating(now, &present, &mut have);
         let kept: HostCounts = needs.iter().map(|(p, n)| (p.clone(), n.keep)).collect();
         let spares = spare.as_ref();
-        let mut free = self.empty_hosts_by_pool(now);
+        // These visit all hosts, ten times per second.
+        let mut free = if is_any_short(&present, &have) || is_any_short(&kept, &have) {
+            self.empty_hosts_by_pool(now)
+        } else {
+            BTreeMap::new()
+        };
         let mut room = self.hosts.orders.room(now, Priority::Needed);
         self.fill_pools(
             now,
@@ -62,7 +67,7 @@
             },
         );
         // While empty hosts wait for their turn, no busy ones are emptied.
-        if room > 0 {
+        if room > 0 && is_any_short(&present, &have) {
             let mut soon = self.hosts_empty_soon(now);
             self.fill_pools(
                 now,
@@ -378,6 +383,12 @@
     have.saturating_sub(needs.get(pool).copied().unwrap_or_default())
 }
 
+/// Whether any pool has fewer hosts than it needs.
+fn is_any_short(needs: &HostCounts, have: &HostCounts) -> bool {
+    let has = |pool| have.get(pool).copied().unwrap_or_default();
+    needs.iter().any(|(pool, need)| has(pool) < *need)
+}
+
 /// The pool of `among` that has the smallest part of what it needs, if any of them lacks hosts.
 fn neediest(needs: &HostCounts, have: &HostCounts, among: &BTreeSet<PoolId>) -> Option<PoolId> {
     let part = |pool: &PoolId| {
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -80,6 +80,8 @@
     all: u64,
     /// Thousandths of a core of batch tasks, which finish by themselves.
     batch: u64,
+    /// The part of them that are placed.
+    placed: u64,
     /// The part of them that can't be in time any more.
     late: u64,
     /// The number of hosts on which long-running tasks run.
@@ -105,6 +107,7 @@
         Self {
             all: 0,
             batch: 0,
+            placed: 0,
             late: 0,
             occupied: 0,
             spread: 0,
@@ -137,8 +140,9 @@
         let mut needs = BTreeMap::new();
         for name in names {
             let load = loads.get(&name).copied().unwrap_or_default();
+            let fillable = self.fillable_millicores(&name, load.placed);
             let demand = self.hosts.demands.entry(name.clone()).or_default();
-            let short = demand.update(&load, span);
+            let short = demand.update(&load, span).min(fillable);
             let ahead = demand.expected_timely(load.open);
             // The growth of a few jobs varies from check to check. Without this, hosts would move
             // back and forth between it and the late work of others.
@@ -149,6 +153,7 @@
             demand.need = short.max(demand.need * decline);
             let expected = expected.as_ref().filter(|(pool, _)| *pool == name);
             let kept = demand.need.max(expected.map_or(0.0, |(_, need)| *need));
+            let kept = kept.min(fillable);
             let sizes = Sizes { size, load };
             let need = Need {
                 now: sizes.hosts(short),
@@ -160,6 +165,18 @@
         needs
     }
 
+    /// Thousandths of a core that the leader can keep filled with batch tasks of a pool, however many
+    /// wait there; infinite unless its processor is the limit. Further hosts would stand empty.
+    fn fillable_millicores(&self, pool: &PoolId, placed: u64) -> f64 {
+        let total = self.outstanding.total(pool);
+        let Some(rate) = self.max_start_rate().filter(|_| total.tasks > 0) else {
+            return f64::INFINITY;
+        };
+        // As many cores are in use as are started in the time that a task takes.
+        let task = total.work as f64 / 1000.0 / total.tasks as f64;
+        (rate * task).max(placed as f64)
+    }
+
     /// Sums up the agents and the waiting tasks. Tasks that wait for a cap don't count, as they
     /// can't use a host.
     fn fleet(&self, ledger: &Ledger) -> Fleet {
@@ -171,10 +188,11 @@
                 size = size.max(agent.record.capacity.millicores);
                 busy += usize::from(!agent.slots.is_empty());
                 load.all += agent.used.millicores;
-                load.batch += agent.batch_millicores();
+                load.placed += agent.batch_millicores();
                 load.late += agent.late_millicores();
                 load.occupied += usize::from(agent.long_running() > 0);
             }
+            load.batch = load.placed;
         }
         for (pool, waiting) in self.ready.waiting() {
             let startable = self.startable(ledger, pool, waiting);
--- a/src/core/workload/scheduler/hosts.rs
+++ b/src/core/workload/scheduler/hosts.rs
@@ -25,10 +25,11 @@
 const LIST_DELAY: (Duration, Duration) = (Duration::from_millis(900), Duration::from_secs(4));
 /// A list that was asked for at least this long after an order shows the order's result.
 pub(super) const SETTLE_DELAY: Duration = Duration::from_millis(300);
-/// Delay between checks of operations and waves. A busy leader plans a thousand times a second, and
-/// a check visits each host of a wave. This delay is a hundredth of what a maintenance takes, so it
-/// delays none.
-const OPERATION_CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Delay between checks of operations and waves, of an idle leader and of a full one. A busy leader plans
+/// a thousand times a second, and a check visits each host of a wave and all that runs there. The longer
+/// delay is a thirtieth of what a maintenance takes.
+const OPERATION_CHECK_DELAY: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(100));
 
 /// What is known about the hosts, and what is being done with them.
 #[derive(Clone, Debug, Default)]
@@ -109,7 +110,9 @@
         if self.hosts.listed_at.is_none() || self.intents.is_blind(now) {
             return;
         }
-        if now >= self.hosts.checked_at + OPERATION_CHECK_DELAY {
+        let (idle, full) = OPERATION_CHECK_DELAY;
+        let delay = idle + (full - idle).mul_f64(self.pressure.level());
+        if now >= self.hosts.checked_at + delay {
             self.hosts.checked_at = now;
             self.check_operations(now, wall, ledger);
         }
