Never let messages of consensus wait behind other inputs

Messages of peers waited for up to 1.4 s in the inbox of control nodes, behind heartbeats and answers, so that peers elected another leader. They and the events of the disk have a channel of their own, which is emptied before each other input. A turn takes in inputs for 20 ms at most.

--- a/src/manager/control.rs
+++ b/src/manager/control.rs
@@ -52,8 +52,11 @@
 const INBOX_CAPACITY: usize = 16_384;
 /// The part of what the replicated state may take that requests in the inbox may take besides.
 const INBOX_PART: u64 = 4;
-/// Inputs handled in one turn before their writes go to the disk.
+/// Inputs handled in one turn before their writes go to the disk. Messages of consensus may exceed it.
 const MAX_BATCH: usize = 256;
+/// How long a turn takes in inputs before it decides; the rest follows in the next turn. Together with
+/// a plan this stays well below the interval of heartbeats between control nodes.
+const MAX_TAKING: Duration = Duration::from_millis(20);
 /// Number of applied entries after which a snapshot is taken.
 const SNAPSHOT_ENTRIES: Index = 8192;
 /// Size of the applied entries after which a snapshot is taken, however few there are. An eighth of
@@ -128,6 +131,9 @@
 /// A handle to the control task. The task ends when all handles are dropped.
 #[derive(Clone)]
 pub struct Control {
+    /// Messages of consensus and events of the disk. They never wait behind other inputs: a node that
+    /// answers its peers late loses its office, or elects another leader.
+    consensus: mpsc::Sender<Queued>,
     inbox: mpsc::Sender<Queued>,
     /// What the requests that wait in the inbox take.
     memory: Memory,
@@ -157,7 +163,12 @@
             _share: share.flatten(),
             ..input.into()
         };
-        self.inbox.try_send(queued).is_ok()
+        let lane = if queued.input.kind() == InputKind::Consensus {
+            &self.consensus
+        } else {
+            &self.inbox
+        };
+        lane.try_send(queued).is_ok()
     }
 
     /// Passes on a message from the mesh. Drops it if the inbox is full.
@@ -202,7 +213,8 @@
 /// The disk thread can't be started.
 pub fn spawn(config: Config, ports: Ports) -> std::io::Result<Control> {
     let (sender, inbox) = mpsc::channel(INBOX_CAPACITY);
-    let weak = sender.downgrade();
+    let (consensus, consensus_inbox) = mpsc::channel(INBOX_CAPACITY);
+    let weak = consensus.downgrade();
     let disk = disk::spawn(config.disk, move |event| {
         if let Some(inbox) = weak.upgrade() {
             // The send fails only when the task has ended.
@@ -262,8 +274,9 @@
         ports,
     };
     task.consensus(consensus::Input::Tick);
-    tokio::spawn(task.run(inbox));
+    tokio::spawn(task.run(consensus_inbox, inbox));
     Ok(Control {
+        consensus,
         inbox: sender,
         memory,
     })
@@ -339,38 +352,61 @@
 }
 
 impl ControlTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Queued>) {
+    async fn run(
+        mut self,
+        mut consensus: mpsc::Receiver<Queued>,
+        mut inbox: mpsc::Receiver<Queued>,
+    ) {
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut inputs = Vec::with_capacity(MAX_BATCH);
         while !self.failed {
             let mut ticked = false;
-            tokio::select! {
+            let first = tokio::select! {
                 biased;
-                count = inbox.recv_many(&mut inputs, MAX_BATCH) => {
-                    if count == 0 {
-                        return;
-                    }
+                first = consensus.recv() => match first {
+                    None => return,
+                    first => first,
+                },
+                first = inbox.recv() => match first {
+                    None => return,
+                    first => first,
+                },
+                _ = tick.tick() => {
+                    ticked = true;
+                    None
                 }
-                _ = tick.tick() => ticked = true,
                 // Lets the links send and receive between two batches of entries.
-                () = yield_now(), if self.node.has_unapplied() => {}
-            }
+                () = yield_now(), if self.node.has_unapplied() => None,
+            };
             ticked |= tick.tick().now_or_never().is_some();
-            self.turn(inputs.drain(..), ticked);
+            self.turn(first, &mut consensus, &mut inbox, ticked);
+            if !inbox.is_empty() {
+                yield_now().await;
+            }
         }
     }
 
-    /// Handles the inputs, then the tick, and lets the leader decide once. A leader must have read
-    /// the answers that have arrived before a tick judges its quorum.
-    fn turn(&mut self, inputs: impl ExactSizeIterator<Item = Queued>, ticked: bool) {
-        self.load.start_turn(inputs.len());
-        for queued in inputs {
-            self.load.record_wait(queued.arrived_at);
-            let kind = queued.input.kind();
-            self.handle_input(queued.input);
-            self.load.record_input(kind);
+    /// Handles inputs, then the tick, and lets the leader decide once. A leader must have read the
+    /// answers that have arrived before a tick judges its quorum.
+    fn turn(
+        &mut self,
+        first: Option<Queued>,
+        consensus: &mut mpsc::Receiver<Queued>,
+        inbox: &mut mpsc::Receiver<Queued>,
+        ticked: bool,
+    ) {
+        self.load.start_turn();
+        first.into_iter().for_each(|queued| self.take(queued));
+        loop {
+            let has_time = self.load.batch() < MAX_BATCH && self.load.elapsed() < MAX_TAKING;
+            let next = consensus.try_recv().ok();
+            let next = next.or_else(|| has_time.then(|| inbox.try_recv().ok()).flatten());
+            let Some(queued) = next else {
+                break;
+            };
+            self.take(queued);
         }
+        self.load.record_batch();
         if ticked || self.node.has_unapplied() {
             self.consensus(consensus::Input::Tick);
         }
@@ -384,6 +420,14 @@
         self.load.close_window(self.scheduler.as_ref());
     }
 
+    /// Handles an input that has waited for its turn.
+    fn take(&mut self, queued: Queued) {
+        self.load.record_wait(queued.arrived_at);
+        let kind = queued.input.kind();
+        self.handle_input(queued.input);
+        self.load.record_input(kind);
+    }
+
     pub(super) fn now(&self) -> Now {
         self.epoch.elapsed()
     }
--- a/src/manager/load.rs
+++ b/src/manager/load.rs
@@ -63,6 +63,8 @@
     phase_start: Instant,
     /// When the handling of the current input began.
     input_start: Instant,
+    /// The number of inputs of this turn.
+    batch: usize,
     /// The longest wait of an input of this turn.
     wait: Duration,
 }
@@ -107,19 +109,35 @@
             started_at: now,
             phase_start: now,
             input_start: now,
+            batch: 0,
             wait: Duration::ZERO,
         }
     }
 
-    /// Starts a turn with a number of inputs.
-    pub(super) fn start_turn(&mut self, inputs: usize) {
+    /// Starts a turn.
+    pub(super) fn start_turn(&mut self) {
         self.started_at = Instant::now();
         self.phase_start = self.started_at;
         self.input_start = self.started_at;
+        self.batch = 0;
         self.totals.turns += 1;
-        self.totals.inputs += inputs;
-        self.totals.batch = self.totals.batch.max(inputs);
-        self.metrics.record_batch(inputs);
+    }
+
+    /// The number of inputs that the turn has handled so far.
+    pub(super) fn batch(&self) -> usize {
+        self.batch
+    }
+
+    /// How long the turn has taken when its last input was handled.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.input_start - self.started_at
+    }
+
+    /// Records that all inputs of the turn are taken in.
+    pub(super) fn record_batch(&mut self) {
+        self.totals.inputs += self.batch;
+        self.totals.batch = self.totals.batch.max(self.batch);
+        self.metrics.record_batch(self.batch);
     }
 
     /// Records a message with heartbeats of agents.
@@ -141,6 +159,7 @@
         let (count, time) = &mut self.totals.kinds[kind as usize];
         *count += 1;
         *time += took;
+        self.batch += 1;
         self.metrics.record_input(kind, took);
     }
 
