--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -34,6 +34,10 @@
 /// How many hosts beyond its usual need a pool has to need at least for a surge.
 const MIN_SURGE_HOSTS: f64 = 1.5;
 
+/// A pool with more than one in this many of its hosts empty, while tasks wait, has more than a full
+/// leader can fill.
+const MAX_IDLE_DIVISOR: usize = 10;
+
 /// How much work a pool has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Demand {
@@ -86,6 +90,9 @@
     late: u64,
     /// The number of hosts on which long-running tasks run.
     occupied: usize,
+    /// The number of hosts, and of those that could run something and run nothing.
+    hosts: usize,
+    idle: usize,
     /// The number of hosts that a long-running step needs to keep its tasks apart.
     spread: usize,
     /// The part of the waiting batch tasks that no cap keeps from starting.
@@ -110,6 +117,8 @@
             placed: 0,
             late: 0,
             occupied: 0,
+            hosts: 0,
+            idle: 0,
             spread: 0,
             open: 1.0,
         }
@@ -140,7 +149,7 @@
         let mut needs = BTreeMap::new();
         for name in names {
             let load = loads.get(&name).copied().unwrap_or_default();
-            let fillable = self.fillable_millicores(&name, load.placed);
+            let fillable = self.fillable_millicores(&name, &load);
             let demand = self.hosts.demands.entry(name.clone()).or_default();
             let short = demand.update(&load, span).min(fillable);
             let ahead = demand.expected_timely(load.open);
@@ -166,15 +175,19 @@
     }
 
     /// Thousandths of a core that the leader can keep filled with batch tasks of a pool, however many
-    /// wait there; infinite unless its processor is the limit. Further hosts would stand empty.
-    fn fillable_millicores(&self, pool: &PoolId, placed: u64) -> f64 {
+    /// wait there; infinite unless its processor is the limit and leaves hosts of the pool empty.
+    ///
+    /// The leader's rate of starts alone doesn't show the limit: at the beginning of a surge a pool
+    /// with few hosts has few starts.
+    fn fillable_millicores(&self, pool: &PoolId, load: &Load) -> f64 {
         let total = self.outstanding.total(pool);
-        let Some(rate) = self.max_start_rate().filter(|_| total.tasks > 0) else {
+        let is_unfilled = total.tasks > 0 && load.idle * MAX_IDLE_DIVISOR > load.hosts;
+        let Some(rate) = self.max_start_rate().filter(|_| is_unfilled) else {
             return f64::INFINITY;
         };
         // As many cores are in use as are started in the time that a task takes.
         let task = total.work as f64 / 1000.0 / total.tasks as f64;
-        (rate * task).max(placed as f64)
+        (rate * task).max(load.placed as f64)
     }
 
     /// Sums up the agents and the waiting tasks. Tasks that wait for a cap don't count, as they
@@ -191,6 +204,9 @@
                 load.placed += agent.batch_millicores();
                 load.late += agent.late_millicores();
                 load.occupied += usize::from(agent.long_running() > 0);
+                load.hosts += 1;
+                let idle = agent.slots.is_empty() && agent.is_healthy();
+                load.idle += usize::from(idle && !agent.unconfirmed && !agent.cordoned);
             }
             load.batch = load.placed;
         }
