Bound a pool's need by the most that its leader was seen to start

The rate of starts tells the leader's limit only where hosts aren't the limit. So the most that a leader started counts, once it has left hosts empty, and a pool whose hosts are filled may grow by half beyond what is placed.

--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -58,6 +58,11 @@
     pub(super) count: usize,
     /// Starts per second, averaged.
     mean: f64,
+    /// The most of them in this leader's term.
+    pub(super) peak: f64,
+    /// Whether the leader has left hosts empty because its processor was the limit, so that the peak
+    /// tells how many tasks it can start.
+    pub(super) is_limit_known: bool,
 }
 
 impl StartRate {
@@ -66,6 +71,7 @@
         let rate = std::mem::take(&mut self.count) as f64 / seconds;
         let weight = 1.0 - (-seconds / START_WINDOW.as_secs_f64()).exp();
         self.mean += (rate - self.mean) * weight;
+        self.peak = self.peak.max(self.mean);
     }
 }
 
@@ -217,13 +223,9 @@
                 (pool, Feed { capacity, overhead })
             })
             .collect();
-        self.admission.update(feeds, self.max_start_rate());
-    }
-
-    /// How many tasks per second the leader can start; `None` unless its processor is the limit.
-    pub(super) fn max_start_rate(&self) -> Option<f64> {
         let is_limit = self.pressure.level() > 0.0 && self.starts.mean > 0.0;
-        is_limit.then(|| self.starts.mean / self.pressure.busy())
+        let rate = is_limit.then(|| self.starts.mean / self.pressure.busy());
+        self.admission.update(feeds, rate);
     }
 
     /// The hosts of a pool: those that are there, those on their way, and those that the balance of pools
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -37,6 +37,9 @@
 /// A pool with more than one in this many of its hosts empty, while tasks wait, has more than a full
 /// leader can fill.
 const MAX_IDLE_DIVISOR: usize = 10;
+/// By how much a pool may grow in the time of a move beyond what its leader is known to fill, if its
+/// hosts are filled.
+const FILLED_GROWTH: f64 = 1.5;
 
 /// How much work a pool has.
 #[derive(Clone, Copy, Debug, Default)]
@@ -175,19 +178,24 @@
     }
 
     /// Thousandths of a core that the leader can keep filled with batch tasks of a pool, however many
-    /// wait there; infinite unless its processor is the limit and leaves hosts of the pool empty.
+    /// wait there; infinite until it has left hosts empty because its processor was the limit.
     ///
-    /// The leader's rate of starts alone doesn't show the limit: at the beginning of a surge a pool
-    /// with few hosts has few starts.
-    fn fillable_millicores(&self, pool: &PoolId, load: &Load) -> f64 {
+    /// As many cores are in use as are started in the time that a task takes. How many tasks the leader
+    /// can start shows only where hosts aren't the limit, so the most that it has started counts, and a
+    /// pool whose hosts are filled may grow beyond it.
+    fn fillable_millicores(&mut self, pool: &PoolId, load: &Load) -> f64 {
         let total = self.outstanding.total(pool);
-        let is_unfilled = total.tasks > 0 && load.idle * MAX_IDLE_DIVISOR > load.hosts;
-        let Some(rate) = self.max_start_rate().filter(|_| is_unfilled) else {
+        if total.tasks == 0 || self.pressure.level() == 0.0 {
             return f64::INFINITY;
-        };
-        // As many cores are in use as are started in the time that a task takes.
+        }
+        let is_unfilled = load.idle * MAX_IDLE_DIVISOR > load.hosts;
+        self.starts.is_limit_known |= is_unfilled;
+        if !self.starts.is_limit_known {
+            return f64::INFINITY;
+        }
         let task = total.work as f64 / 1000.0 / total.tasks as f64;
-        (rate * task).max(load.placed as f64)
+        let growth = if is_unfilled { 1.0 } else { FILLED_GROWTH };
+        (self.starts.peak * task).max(load.placed as f64 * growth)
     }
 
     /// Sums up the agents and the waiting tasks. Tasks that wait for a cap don't count, as they
