--- a/src/core/workload/scheduler/agents.rs
+++ b/src/core/workload/scheduler/agents.rs
@@ -482,7 +482,7 @@
         let index = self.index(pool, None).into_iter();
         // The agents with the most cores come first, so that most of the others add nothing.
         for (free, ids) in index.flat_map(|index| index.busy(room)).rev() {
-            if !open.fits(&free) && self.visited(ids.iter()).any(|agent| able(agent)) {
+            if !open.fits(&free) && self.visited(ids.iter()).any(&able) {
                 open.add(free);
             }
         }
