--- a/src/manager/orders.rs
+++ b/src/manager/orders.rs
@@ -19,11 +19,6 @@
     node::clock::wall,
 };
 
-/// The most orders of a plan that the leader may execute itself. Relays execute the orders to agents
-/// of larger plans, such as the first one of a term, however idle the leader was before: hundreds of
-/// exchanges would keep its thread from answering its peers.
-const MAX_OWN_ORDERS: usize = 64;
-
 impl ControlTask {
     /// Lets the scheduler plan, proposes its commands and sends its orders.
     pub(super) fn plan(&mut self) {
@@ -73,11 +68,6 @@
             return;
         }
         let tenure = self.tenure;
-        let share = if plan.orders.len() > MAX_OWN_ORDERS {
-            1.0
-        } else {
-            share
-        };
         for order in plan.orders {
             let relay = self.relays.choose(now, share, &order.kind);
             match relay {
