--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -24,8 +24,8 @@
 /// tenth of this time.
 const LATE_START_DELAY: Duration = Duration::from_millis(500);
 
-/// The least part of a round that late tasks get beside those that can still be in time, so that
-/// their jobs are done some time.
+/// The least part of what is left of a round that late tasks get beside those that can still be in
+/// time. Where these fill each round, late tasks wait until they no longer do.
 const MIN_LATE_PART: f64 = 0.125;
 
 /// Which waiting tasks of a pool are started in a round.
