--- a/src/core/workload/scheduler/admission.rs
+++ b/src/core/workload/scheduler/admission.rs
@@ -58,11 +58,6 @@
     pub(super) count: usize,
     /// Starts per second, averaged.
     mean: f64,
-    /// The most of them in this leader's term.
-    pub(super) peak: f64,
-    /// Whether the leader has left hosts empty because its processor was the limit, so that the peak
-    /// tells how many tasks it can start.
-    pub(super) is_limit_known: bool,
 }
 
 impl StartRate {
@@ -71,7 +66,6 @@
         let rate = std::mem::take(&mut self.count) as f64 / seconds;
         let weight = 1.0 - (-seconds / START_WINDOW.as_secs_f64()).exp();
         self.mean += (rate - self.mean) * weight;
-        self.peak = self.peak.max(self.mean);
     }
 }
 
--- a/src/core/workload/scheduler/demand.rs
+++ b/src/core/workload/scheduler/demand.rs
@@ -34,13 +34,6 @@
 /// How many hosts beyond its usual need a pool has to need at least for a surge.
 const MIN_SURGE_HOSTS: f64 = 1.5;
 
-/// A pool with more than one in this many of its hosts empty, while tasks wait, has more than a full
-/// leader can fill.
-const MAX_IDLE_DIVISOR: usize = 10;
-/// By how much a pool may grow in the time of a move beyond what its leader is known to fill, if its
-/// hosts are filled.
-const FILLED_GROWTH: f64 = 1.5;
-
 /// How much work a pool has.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Demand {
@@ -87,15 +80,10 @@
     all: u64,
     /// Thousandths of a core of batch tasks, which finish by themselves.
     batch: u64,
-    /// The part of them that are placed.
-    placed: u64,
     /// The part of them that can't be in time any more.
     late: u64,
     /// The number of hosts on which long-running tasks run.
     occupied: usize,
-    /// The number of hosts, and of those that could run something and run nothing.
-    hosts: usize,
-    idle: usize,
     /// The number of hosts that a long-running step needs to keep its tasks apart.
     spread: usize,
     /// The part of the waiting batch tasks that no cap keeps from starting.
@@ -117,11 +105,8 @@
         Self {
             all: 0,
             batch: 0,
-            placed: 0,
             late: 0,
             occupied: 0,
-            hosts: 0,
-            idle: 0,
             spread: 0,
             open: 1.0,
         }
@@ -152,9 +137,8 @@
         let mut needs = BTreeMap::new();
         for name in names {
             let load = loads.get(&name).copied().unwrap_or_default();
-            let fillable = self.fillable_millicores(&name, &load);
             let demand = self.hosts.demands.entry(name.clone()).or_default();
-            let short = demand.update(&load, span).min(fillable);
+            let short = demand.update(&load, span);
             let ahead = demand.expected_timely(load.open);
             // The growth of a few jobs varies from check to check. Without this, hosts would move
             // back and forth between it and the late work of others.
@@ -165,7 +149,6 @@
             demand.need = short.max(demand.need * decline);
             let expected = expected.as_ref().filter(|(pool, _)| *pool == name);
             let kept = demand.need.max(expected.map_or(0.0, |(_, need)| *need));
-            let kept = kept.min(fillable);
             let sizes = Sizes { size, load };
             let need = Need {
                 now: sizes.hosts(short),
@@ -177,27 +160,6 @@
         needs
     }
 
-    /// Thousandths of a core that the leader can keep filled with batch tasks of a pool, however many
-    /// wait there; infinite until it has left hosts empty because its processor was the limit.
-    ///
-    /// As many cores are in use as are started in the time that a task takes. How many tasks the leader
-    /// can start shows only where hosts aren't the limit, so the most that it has started counts, and a
-    /// pool whose hosts are filled may grow beyond it.
-    fn fillable_millicores(&mut self, pool: &PoolId, load: &Load) -> f64 {
-        let total = self.outstanding.total(pool);
-        if total.tasks == 0 || self.pressure.level() == 0.0 {
-            return f64::INFINITY;
-        }
-        let is_unfilled = load.idle * MAX_IDLE_DIVISOR > load.hosts;
-        self.starts.is_limit_known |= is_unfilled;
-        if !self.starts.is_limit_known {
-            return f64::INFINITY;
-        }
-        let task = total.work as f64 / 1000.0 / total.tasks as f64;
-        let growth = if is_unfilled { 1.0 } else { FILLED_GROWTH };
-        (self.starts.peak * task).max(load.placed as f64 * growth)
-    }
-
     /// Sums up the agents and the waiting tasks. Tasks that wait for a cap don't count, as they
     /// can't use a host.
     fn fleet(&self, ledger: &Ledger) -> Fleet {
@@ -209,14 +171,10 @@
                 size = size.max(agent.record.capacity.millicores);
                 busy += usize::from(!agent.slots.is_empty());
                 load.all += agent.used.millicores;
-                load.placed += agent.batch_millicores();
+                load.batch += agent.batch_millicores();
                 load.late += agent.late_millicores();
                 load.occupied += usize::from(agent.long_running() > 0);
-                load.hosts += 1;
-                let idle = agent.slots.is_empty() && agent.is_healthy();
-                load.idle += usize::from(idle && !agent.unconfirmed && !agent.cordoned);
             }
-            load.batch = load.placed;
         }
         for (pool, waiting) in self.ready.waiting() {
             let startable = self.startable(ledger, pool, waiting);
