--- a/review/11/case.py
+++ b/review/11/case.py
@@ -62,13 +62,14 @@
         wave = {"wave": 1, "machines": ["m-%d" % i for i in range(1, 8)], "finishByS": 40, "cap": CAP}
         status, _ = await world.operator("POST", "/wave-start", wave)
         record("the operator's wave gets", status)
+        # Planned work, with and without the disruption: the leader is stopped and started again.
         if trouble:
             await world.until("a call for an upkeep is held up", lambda: state["held"], 10)
-            await asyncio.sleep(0.3)
-            leader = await world.until("a control node leads", world.leader, 5)
-            world.signal(leader, "SIGKILL")
-            await asyncio.sleep(0.5)
-            world.launch(leader)
+        await asyncio.sleep(0.3)
+        leader = await world.until("a control node leads", world.leader, 5)
+        world.signal(leader, "SIGTERM")
+        await world.until("it has ended", lambda: world.processes[leader].poll() is not None, 7)
+        world.launch(leader)
         end = record.now() + 45
         while record.now() < end and len(provider.done) < 7:
             await asyncio.sleep(0.2)
--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -375,6 +375,8 @@
         return await self.act(path, value)
 
     async def act(self, path, value):
+        if not self.up:
+            return None  # it has crashed meanwhile
         token = value.get("fencingToken", 0)
         if token < self.token:
             self.record("minion", self.id, "refuses", path, "of the lower fence", token)
