--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -270,7 +270,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def config(version, services=("work",), attempts=3, timeout=3000):
+def config(version, services=("soilsvc",), attempts=3, timeout=3000):
     return {
         "version": version,
         "routes": [{"name": "r-" + s, "host": HOST, "pathPrefix": "/%s/" % s, "kind": "unsafe", "timeoutMs": timeout,
