Tests: crowds of clients that keep back the end of what they send

Clients that send legal requests and never end them fill the memory and the descriptors of a process, or shut out ordinary callers. The tests start the real programs with lowered limits and check that the process lives, that its peak of memory is within limits.memoryMb and its descriptors within limits.maxFds, and that an ordinary request is answered while the crowd stands and after it. The bounds are those of the settings; nothing checked depends on speed.

--- a/tests/process/world.rs
+++ b/tests/process/world.rs
@@ -98,6 +98,8 @@
     folder: TempDir,
     pub(crate) nodes: Vec<Option<Process>>,
     standins: Vec<Process>,
+    /// Further text of all nodes' settings, such as their limits.
+    pub(crate) extra: String,
     pub(crate) platform: SocketAddr,
     // The last fields, so that they are given back when the processes are gone.
     _claim: Claim,
@@ -115,7 +117,13 @@
 impl World {
     /// Starts three nodes and the platform, and applies the declaration.
     pub(crate) fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// The same, with further text in all nodes' settings.
+    pub(crate) fn start_with(extra: &str) -> Self {
         let mut world = Self::bare();
+        world.extra = extra.to_owned();
         for node in 1..=3 {
             world.launch(node, true);
         }
@@ -155,6 +163,7 @@
             folder: tempfile::tempdir().unwrap(),
             nodes: vec![None, None, None],
             standins: Vec::new(),
+            extra: String::new(),
             platform: SocketAddr::from(([127, 0, 0, 1], 1)),
             _claim: claim,
             _place: place,
@@ -209,6 +218,7 @@
             )
             .unwrap();
         }
+        text.push_str(&self.extra);
         let path = self.folder.path().join(format!("node-{node}.yaml"));
         fs::write(&path, text).unwrap();
         path
