One server and one budget for all that clients make a process hold

Clients that send legal requests and keep back their end filled the memory of a process, on each of its ports: what it held was the crowd times the body. 300 of them took an entry node to 88,868 KiB where limits.memoryMb allowed 65,536, 40 with chunks of one byte to 375,296, and eight a control node's ports to some 134,000. Idle ones took its descriptors. The daemon had a budget, but reserved stated lengths before a byte had come and accepted nobody at its bound on connections, so that a few clients shut its door.

There were two servers, one without any bound on the whole, and what was counted wasn't what was held: a small frame of a body keeps alive the buffer that it was read into. Now there is one server (adapters::server), for the daemon and for the platform's program, and one budget (adapters::budget) for all listeners of a process. It counts connections, heads, bodies by their buffers, what bodies are decoded into, and pages of metrics, as they are allocated. Frames are copied. Where there is no room, those make room that hold most for longest; a request that is whole and being served is never broken off; who holds most itself is refused at once with 503 and when to come back. Listeners take turns for places, so that a crowd at the callers' port doesn't shut readiness. Receive buffers have a bound.

The budget of the platform's program comes from limits.memoryMb and limits.maxFds, less what the role needs, and is never less than one request at the limits in force. Refusals are counted in metrics, and logged once a second at most.

--- a/src/adapters/accept.rs
+++ b/src/adapters/accept.rs
@@ -2,6 +2,7 @@
 //!
 //! A process may have no descriptor left for the next connection. Then nothing is accepted until one is
 //! free, which is looked for a few times a second, and the log says so once and not with each try.
+//! Meanwhile a connection that is idle makes place for the next one.
 //! Connections that close one after the other make many short shortages of one; the log names one a
 //! second at most.
 
@@ -12,6 +13,8 @@
     time::{Instant, sleep},
 };
 
+use super::budget::Budget;
+
 /// From one try to the next where none could be accepted: short beside what a peer waits for.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -22,6 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct Acceptor {
     listener: TcpListener,
+    budget: Budget,
     /// Tries that failed since the log last said that connections are accepted.
     failed: u64,
     /// When the log last said that none can be accepted.
@@ -32,9 +36,10 @@
 
 impl Acceptor {
     /// Takes the connections of a listener in.
-    pub(crate) fn new(listener: TcpListener) -> Self {
+    pub(crate) fn new(listener: TcpListener, budget: Budget) -> Self {
         Self {
             listener,
+            budget,
             failed: 0,
             logged: None,
             short: false,
@@ -57,6 +62,7 @@
 
     fn note_failure(&mut self, error: &io::Error) {
         self.failed += 1;
+        self.budget.make_place();
         let recent = self.logged.is_some_and(|at| at.elapsed() < LOG_INTERVAL);
         if self.short || recent {
             return;
--- a/src/adapters/callers/limits.rs
+++ b/src/adapters/callers/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::adapters::server;
+
 /// Bounds on what one caller, and all callers together, may hold of a node.
 ///
 /// ```
@@ -48,6 +50,20 @@
 }
 
 impl Limits {
+    /// What one connection may ask.
+    pub(super) fn of_connection(&self) -> server::Limits {
+        server::Limits {
+            head: self.head,
+            headers: self.headers,
+            body: self.body,
+            answer: 0,
+            idle: self.read,
+            read: self.read,
+            write: self.write,
+            linger: self.linger,
+        }
+    }
+
     /// Sets the bytes of one body.
     #[must_use]
     pub fn body(mut self, bytes: usize) -> Self {
--- a/src/adapters/callers/mod.rs
+++ b/src/adapters/callers/mod.rs
@@ -25,9 +25,7 @@
 //! # std::io::Result::Ok(()) }).unwrap();
 //! ```
 
-mod body;
 mod call;
-mod connection;
 mod limits;
 mod open;
 mod parse;
@@ -36,7 +34,6 @@
 mod reply;
 mod server;
 mod service;
-mod stream;
 
 pub use self::{
     call::{Answer, Call},
--- a/src/adapters/callers/port.rs
+++ b/src/adapters/callers/port.rs
@@ -3,7 +3,10 @@
 use std::{fmt, net::IpAddr, sync::Arc};
 
 use super::recall::Recall;
-use crate::core::{dispatch::Input, outcome::NotRun, types::Version};
+use crate::{
+    adapters::budget::Budget,
+    core::{dispatch::Input, outcome::NotRun, types::Version},
+};
 
 /// How far a planned stop has come.
 ///
@@ -42,11 +45,13 @@
     pub(super) refused: Box<dyn Fn(NotRun) + Send + Sync>,
     /// Names requests and remembers those that weren't answered.
     pub(super) recall: Arc<Recall>,
+    /// What the listeners of a process share.
+    pub(super) budget: Option<Budget>,
 }
 
 impl Port {
     /// A port to the core; everything else keeps its default: version 0, ready, no peers, no
-    /// counter, a memory of its own.
+    /// counter, a memory and a budget of its own.
     pub fn new(input: impl Fn(Input) -> bool + Send + Sync + 'static) -> Self {
         Self {
             input: Box::new(input),
@@ -55,6 +60,7 @@
             peer: Box::new(|_| false),
             refused: Box::new(|_| ()),
             recall: Arc::new(Recall::new("0")),
+            budget: None,
         }
     }
 
@@ -92,6 +98,14 @@
         self.recall = recall;
         self
     }
+
+    /// Sets the bound on what all listeners of the process hold, in place of the one that the limits
+    /// give a listener of its own.
+    #[must_use]
+    pub fn budget(mut self, budget: Budget) -> Self {
+        self.budget = Some(budget);
+        self
+    }
 }
 
 impl fmt::Debug for Port {
--- a/src/adapters/callers/server.rs
+++ b/src/adapters/callers/server.rs
@@ -1,22 +1,33 @@
-//! Accepting connections.
+//! Serving a listener.
 
 use std::sync::Arc;
 
-use tokio::{
-    net::TcpListener,
-    select,
-    sync::{Semaphore, watch},
-    task::JoinSet,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 use super::{
-    connection,
     limits::Limits,
     open::Open,
     port::{Port, Stage},
-    service::Shared,
+    service::{Shared, reply},
+};
+use crate::{
+    adapters::{
+        budget::Budget,
+        server::{self, Broken, Service},
+    },
+    core::outcome::NotRun,
 };
-use crate::adapters::{accept::Acceptor, memory::Memory};
+
+/// Told to a caller whose head took too long; hyper would close without a word.
+const SLOW_HEAD: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
+    connection: close\r\ncontent-length: 0\r\n\
+    egretpin-outcome: not-run\r\negretpin-reason: slow_caller\r\n\
+    retry-after: 1\r\negretpin-retry-after-ms: 1000\r\n\r\n";
+/// Told to a caller for whose head there is no room.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    connection: close\r\ncontent-length: 0\r\n\
+    egretpin-outcome: not-run\r\negretpin-reason: queue_full\r\n\
+    retry-after: 1\r\negretpin-retry-after-ms: 1000\r\n\r\n";
 
 /// Serves callers until `stage` says [`Stage::Closing`] (or its sender is dropped) and every
 /// request in flight has finished.
@@ -25,39 +36,37 @@
     port: Port,
     open: Arc<Open>,
     limits: Limits,
-    stage: watch::Receiver<Stage>,
+    mut stage: watch::Receiver<Stage>,
 ) {
-    let room = Arc::new(Semaphore::new(limits.connections));
+    let own = || Budget::new(limits.memory, limits.connections);
+    let budget = port.budget.clone().unwrap_or_else(own);
+    let each = limits.of_connection();
     let shared = Arc::new(Shared {
-        memory: Memory::new(limits.memory),
         port,
         open,
-        limits,
         stage: stage.clone(),
     });
-    let mut connections = JoinSet::new();
-    let mut acceptor = Acceptor::new(listener);
-    let accepting = async {
-        loop {
-            // At the limit nobody is accepted: callers wait in the kernel's backlog, and the
-            // read limits free a place within seconds.
-            let Ok(place) = room.clone().acquire_owned().await else {
-                return;
+    let told = Arc::clone(&shared);
+    let service = Service {
+        budget,
+        limits: Box::new(move || each),
+        open: Box::new(|_| ()),
+        broken: Box::new(move |broken| {
+            let (reason, last) = match broken {
+                Broken::SlowHead => (NotRun::SlowCaller, SLOW_HEAD),
+                Broken::BadHead => (NotRun::BadRequest, &b""[..]),
+                Broken::NoRoom => (NotRun::QueueFull, NO_ROOM),
             };
-            let (stream, from) = acceptor.accept().await;
-            while connections.try_join_next().is_some() {}
-            let shared = shared.clone();
-            connections.spawn(async move {
-                connection::run(shared, stream, from).await;
-                drop(place);
-            });
-        }
+            (told.port.refused)(reason);
+            last
+        }),
+        handle: move |peer, request| reply(Arc::clone(&shared), peer, request),
+    };
+    let (stop, stopped) = watch::channel(false);
+    let closing = async move {
+        // A sender that was dropped counts as closing, too.
+        let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+        drop(stop);
     };
-    let mut stage = stage;
-    select! {
-        () = accepting => {}
-        _ = stage.wait_for(|s| *s == Stage::Closing) => {}
-    }
-    drop(acceptor);
-    while connections.join_next().await.is_some() {}
+    tokio::join!(server::serve(listener, service, stopped), closing);
 }
--- a/src/adapters/callers/service.rs
+++ b/src/adapters/callers/service.rs
@@ -1,11 +1,7 @@
 //! One request of one connection, from its head to its reply.
 
 use std::{
-    net::IpAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -19,9 +15,7 @@
 use tokio::sync::{oneshot, watch};
 
 use super::{
-    body::{self, Unread},
     call::Call,
-    limits::Limits,
     open::{Finish, Open},
     parse::{self, Head},
     port::{Port, Stage},
@@ -29,7 +23,10 @@
     reply::{self, Reply, Told},
 };
 use crate::{
-    adapters::{announce, headers, memory::Memory},
+    adapters::{
+        announce, headers,
+        server::{Peer, Unread},
+    },
     core::{
         dispatch::{Arrival, Input, RequestId},
         outcome::{NotRun, Outcome},
@@ -47,8 +44,6 @@
 pub(super) struct Shared {
     pub(super) port: Port,
     pub(super) open: Arc<Open>,
-    pub(super) limits: Limits,
-    pub(super) memory: Memory,
     pub(super) stage: watch::Receiver<Stage>,
 }
 
@@ -82,19 +77,18 @@
     }
 }
 
-/// Replies to one request. `unread` is set if part of it was left on the connection.
+/// Replies to one request.
 pub(super) async fn reply(
     shared: Arc<Shared>,
-    from: IpAddr,
-    unread: Arc<AtomicBool>,
+    peer: Arc<Peer>,
     request: Request<Incoming>,
 ) -> Result<Reply, Gone> {
     let (parts, body) = request.into_parts();
     let mut reply = match parts.uri.path() {
         READY => ready(&shared),
-        announce::PATH => announced(&shared, &parts, body).await?,
+        announce::PATH => announced(&shared, &peer, &parts, body).await?,
         path if path.starts_with(RESERVED) => shared.refuse(NotRun::NoService),
-        _ => called(&shared, from, &parts, body).await?,
+        _ => called(&shared, &peer, &parts, body).await?,
     };
     let echo = parse::echo(&parts.headers);
     if let Some(id) = match reply.extensions_mut().remove::<Told>() {
@@ -104,7 +98,7 @@
         reply.headers_mut().insert(headers::REQUEST, id);
     }
     if reply.headers().contains_key(CONNECTION) {
-        unread.store(true, Ordering::Relaxed);
+        peer.leave_unread();
     } else if shared.stage() != Stage::Serving {
         close(&mut reply);
     }
@@ -147,18 +141,21 @@
 }
 
 /// A minion's announcement.
-async fn announced(shared: &Shared, parts: &Parts, body: Incoming) -> Result<Reply, Gone> {
+async fn announced(
+    shared: &Shared,
+    peer: &Peer,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Reply, Gone> {
     if parts.method != Method::POST {
         return Ok(reply::plain(
             StatusCode::METHOD_NOT_ALLOWED,
             "announcements are POSTed",
         ));
     }
-    let limits = shared.limits.clone().body(announce::LARGEST);
-    let body = match body::read(body, &limits, &shared.memory).await {
-        Ok(body) => body,
-        Err(Unread::Refused(reason)) => return Ok(closing(shared.refuse(reason))),
-        Err(Unread::Gone) => return Err(Gone),
+    let (body, _share) = match peer.read(body, announce::LARGEST).await {
+        Ok(held) => held,
+        Err(unread) => return refused(shared, &unread),
     };
     Ok(match announce::parse(&body) {
         Ok(announcement) => match (shared.port.input)(Input::Announce(announcement)) {
@@ -172,19 +169,19 @@
 /// A caller's request to a service.
 async fn called(
     shared: &Shared,
-    from: IpAddr,
+    peer: &Peer,
     parts: &Parts,
     body: Incoming,
 ) -> Result<Reply, Gone> {
-    let peer = || (shared.port.peer)(parse::plain(from));
-    let head = match parse::head(&parts.method, &parts.uri, &parts.headers, peer) {
+    let is_node = || (shared.port.peer)(parse::plain(peer.from.ip()));
+    let head = match parse::head(&parts.method, &parts.uri, &parts.headers, is_node) {
         Ok(head) => head,
         Err(reason) => return Ok(closing(shared.refuse(reason))),
     };
-    let body = match body::read(body, &shared.limits, &shared.memory).await {
-        Ok(body) => body,
-        Err(Unread::Refused(reason)) => return Ok(closing(shared.refuse(reason))),
-        Err(Unread::Gone) => return Err(Gone),
+    let body = match peer.read(body, peer.limits.body).await {
+        // It may be held by a sending after its caller has gone.
+        Ok((body, share)) => share.hold(body),
+        Err(unread) => return refused(shared, &unread),
     };
     let (arrival, call) = split(head, parts, body);
     let (request, finished) = shared.open.insert(call);
@@ -197,6 +194,17 @@
     Ok(reply)
 }
 
+/// The reply to a request whose body was not read.
+fn refused(shared: &Shared, unread: &Unread) -> Result<Reply, Gone> {
+    let reason = match unread {
+        Unread::TooLarge => NotRun::BodyTooLarge,
+        Unread::TooSlow => NotRun::SlowCaller,
+        Unread::NoRoom => NotRun::QueueFull,
+        Unread::Gone(_) => return Err(Gone),
+    };
+    Ok(closing(shared.refuse(reason)))
+}
+
 /// What the core is told of a request, and what is kept for sending it.
 fn split(head: Head, parts: &Parts, body: Bytes) -> (Arrival, Call) {
     let arrival = Arrival {
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -9,5 +9,6 @@
 
 pub use self::{
     client::{Client, Failure, Place, post, send},
-    server::{Limits, Replied, json, serve, text},
+    server::{Listening, Replied, json, largest_request, serve, serve_within, text},
 };
+pub use super::server::Limits;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -1,172 +1,146 @@
-//! The server.
+//! The server of whole requests.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
-    header::{CONNECTION, CONTENT_TYPE, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    select,
-    sync::watch,
-    task::JoinSet,
-    time::timeout,
-};
+use tokio::{net::TcpListener, sync::watch};
 
-use crate::adapters::accept::Acceptor;
+use crate::adapters::{
+    budget::Budget,
+    server::{self, Broken, Limits, Peer, Service, Unread},
+};
 
-/// The smallest buffer that hyper takes for a request's head.
-const LEAST_HEAD: usize = 8192;
+/// What a body takes besides, in parts of it, while its request is answered: what it is decoded into.
+const DECODED_PARTS: usize = 1;
+/// Told to a client for whose head there is no room.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    connection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n";
 
 /// A response; an error closes the connection without a word.
 pub type Replied = io::Result<Response<Full<Bytes>>>;
 
-/// What a caller may send, and how slowly.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// Bytes of a request's head.
-    pub head: usize,
-    /// Bytes of a body.
-    pub body: usize,
-    /// How long a connection may be idle, its request's head included.
-    pub idle: Duration,
-    /// How long a body may take.
-    pub read: Duration,
-}
-
-impl Default for Limits {
-    /// For peers that are ours or stand in for somebody: wide enough never to be met.
-    fn default() -> Self {
-        Self {
-            head: 64 * 1024,
-            body: 16 * 1024 * 1024,
-            idle: Duration::from_secs(60),
-            read: Duration::from_secs(10),
-        }
-    }
+/// The most bytes that a request takes with the largest body.
+pub fn largest_request(limits: &Limits) -> usize {
+    limits.body.saturating_mul(1 + DECODED_PARTS)
 }
 
 /// Serves until `stop` is true or its sender is dropped, and all replies are out.
 ///
 /// The limits are read anew for each connection. `open` is told whenever a connection is opened
-/// (1) or closed (-1).
+/// (1) or closed (-1). The budget is one of its own; a process that strangers reach has one for all
+/// its listeners ([`serve_within`]).
 pub async fn serve<F, R>(
     listener: TcpListener,
-    limits: impl Fn() -> Limits,
-    mut stop: watch::Receiver<bool>,
-    open: impl Fn(i64) + Clone + Send + 'static,
+    limits: impl Fn() -> Limits + Send + Sync + 'static,
+    stop: watch::Receiver<bool>,
+    open: impl Fn(i64) + Send + Sync + 'static,
     handler: F,
 ) where
     F: Fn(Request<Bytes>) -> R + Send + Sync + 'static,
     R: Future<Output = Replied> + Send + 'static,
 {
-    let handler = Arc::new(handler);
-    let mut connections = JoinSet::new();
-    let mut acceptor = Acceptor::new(listener);
-    loop {
-        let stream = select! {
-            (stream, _) = acceptor.accept() => stream,
-            _ = stop.wait_for(|s| *s) => break,
-        };
-        let (handler, open, stop, limits) = (handler.clone(), open.clone(), stop.clone(), limits());
-        connections.spawn(async move {
-            open(1);
-            connection(stream, limits, stop, handler).await;
-            open(-1);
-        });
-        while connections.try_join_next().is_some() {}
+    let listening = Listening {
+        budget: Budget::default(),
+        limits: Box::new(limits),
+        open: Box::new(open),
+    };
+    serve_within(listener, listening, stop, handler).await;
+}
+
+/// What connections of a listener may ask, and who is told of them.
+pub struct Listening {
+    /// What all listeners of the process share.
+    pub budget: Budget,
+    /// Read anew for each connection.
+    pub limits: Box<dyn Fn() -> Limits + Send + Sync>,
+    /// Told whenever a connection is opened (1) or closed (-1).
+    pub open: Box<dyn Fn(i64) + Send + Sync>,
+}
+
+impl Listening {
+    /// Connections with these limits, of which nobody is told.
+    pub fn new(budget: Budget, limits: impl Fn() -> Limits + Send + Sync + 'static) -> Self {
+        Self {
+            budget,
+            limits: Box::new(limits),
+            open: Box::new(|_| ()),
+        }
     }
-    drop(acceptor);
-    while connections.join_next().await.is_some() {}
 }
 
-async fn connection<F, R>(
-    stream: TcpStream,
-    limits: Limits,
-    mut stop: watch::Receiver<bool>,
-    handler: Arc<F>,
+/// Serves within a budget until `stop` is true or its sender is dropped, and all replies are out.
+pub async fn serve_within<F, R>(
+    listener: TcpListener,
+    listening: Listening,
+    stop: watch::Receiver<bool>,
+    handler: F,
 ) where
     F: Fn(Request<Bytes>) -> R + Send + Sync + 'static,
     R: Future<Output = Replied> + Send + 'static,
 {
-    // Replies are small and whole; waiting to fill a segment only delays them.
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request: Request<Incoming>| {
-        let handler = handler.clone();
-        async move {
-            let (parts, body) = request.into_parts();
-            match read(body, limits).await {
-                Ok(body) => handler(Request::from_parts(parts, body)).await,
-                Err(unread) => unread.reply(),
-            }
-        }
-    });
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head.max(LEAST_HEAD))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut served = std::pin::pin!(served);
-    let mut stopping = false;
-    loop {
-        select! {
-            _ = &mut served => return,
-            _ = stop.wait_for(|s| *s), if !stopping => {
-                stopping = true;
-                served.as_mut().graceful_shutdown();
-            }
-        }
-    }
+    let handler = Arc::new(handler);
+    let service = Service {
+        budget: listening.budget,
+        limits: listening.limits,
+        open: listening.open,
+        broken: Box::new(|broken| match broken {
+            Broken::NoRoom => NO_ROOM,
+            Broken::SlowHead | Broken::BadHead => b"",
+        }),
+        handle: move |peer, request| answer(Arc::clone(&handler), peer, request),
+    };
+    server::serve(listener, service, stop).await;
 }
 
-/// Why a body was not read.
-enum Unread {
-    TooLarge,
-    TooSlow,
-    Gone(io::Error),
+async fn answer<F, R>(handler: Arc<F>, peer: Arc<Peer>, request: Request<Incoming>) -> Replied
+where
+    F: Fn(Request<Bytes>) -> R,
+    R: Future<Output = Replied>,
+{
+    let (parts, body) = request.into_parts();
+    let limits = peer.limits;
+    let read = async {
+        let (body, share) = peer.read(body, limits.body).await?;
+        let decoded = peer.reserve(body.len() * DECODED_PARTS).await?;
+        peer.reserve_answer(limits.answer).await?;
+        Ok::<_, Unread>((body, share, decoded))
+    };
+    match read.await {
+        // The shares are given back when the request has been answered.
+        Ok((body, _share, _decoded)) => handler(Request::from_parts(parts, body)).await,
+        Err(unread) => unread.reply(),
+    }
 }
 
 impl Unread {
     /// The rest of the body is not wanted, so the connection closes.
     fn reply(self) -> Replied {
-        let (status, why) = match self {
+        let (status, why) = match &self {
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
             Self::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
-            Self::Gone(error) => return Err(error),
+            Self::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "there is no room now"),
+            Self::Gone(_) => (StatusCode::BAD_REQUEST, "the body was broken off"),
         };
+        if let Self::Gone(error) = self {
+            return Err(error);
+        }
         let mut response = text(status, why);
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        if matches!(self, Self::NoRoom) {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
         Ok(response)
     }
 }
 
-async fn read(body: Incoming, limits: Limits) -> Result<Bytes, Unread> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    // One that states too great a length is refused before any of it is read.
-    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if stated > limits.body {
-        return Err(Unread::TooLarge);
-    }
-    let whole = Limited::new(body, limits.body).collect();
-    match timeout(limits.read, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Unread::TooLarge),
-        Ok(Err(error)) => Err(Unread::Gone(io::Error::other(error))),
-        Err(_) => Err(Unread::TooSlow),
-    }
-}
-
 /// A JSON response.
 pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
     let text = serde_json::to_vec(value).unwrap_or_default();
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -13,7 +13,7 @@
     MeshError, QUEUE, STALL, Shared,
     link::{self, Greeted},
 };
-use crate::adapters::accept::Acceptor;
+use crate::adapters::{accept::Acceptor, budget::Budget};
 
 /// Accepts peers until `stopped` closes.
 pub(super) async fn run(
@@ -22,7 +22,7 @@
     mut stopped: mpsc::Receiver<()>,
 ) {
     let mut links = JoinSet::new();
-    let mut acceptor = Acceptor::new(listener);
+    let mut acceptor = Acceptor::new(listener, Budget::default());
     loop {
         tokio::select! {
             _ = stopped.recv() => return,
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 pub mod announce;
+pub mod budget;
 pub mod callers;
 pub mod disk;
 pub mod headers;
@@ -14,3 +15,4 @@
 pub mod minions;
 pub mod panics;
 pub mod platform;
+mod server;
--- a/src/manager/metrics.rs
+++ b/src/manager/metrics.rs
@@ -17,7 +17,10 @@
 };
 
 use super::request::{Refused, Reply, Unknown};
-use crate::core::workload::scheduler::{Answer, OrderKind, Refusal, Visits};
+use crate::{
+    adapters::budget::{Budget, Counts},
+    core::workload::scheduler::{Answer, OrderKind, Refusal, Visits},
+};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -181,6 +184,11 @@
     pub joined: Gauge,
     /// Links refused or dropped because the peer belongs to another cluster.
     pub links_refused: Counter,
+    /// What clients hold, and what was closed or refused for want of room.
+    client_bytes: Gauge,
+    client_connections: Gauge,
+    clients_closed: Counter,
+    clients_refused: Counter,
     /// Messages with heartbeats of agents that this node took in as the leader.
     pub heartbeat_messages: Counter,
     /// Pages of the provider's list of hosts that this node decoded.
@@ -229,6 +237,10 @@
             poison_jobs: Counter::default(),
             joined: Gauge::default(),
             links_refused: Counter::default(),
+            client_bytes: Gauge::default(),
+            client_connections: Gauge::default(),
+            clients_closed: Counter::default(),
+            clients_refused: Counter::default(),
             heartbeat_messages: Counter::default(),
             list_pages: Counter::default(),
             busy_ratio: Gauge::default(),
@@ -371,6 +383,26 @@
             "Links refused or dropped, as the peer is of another cluster",
             self.links_refused.clone(),
         );
+        registry.register(
+            "client_bytes",
+            "Bytes that clients' requests hold, besides their connections",
+            self.client_bytes.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Connections of clients, and of nodes that aren't known yet",
+            self.client_connections.clone(),
+        );
+        registry.register(
+            "client_connections_closed",
+            "Connections that were closed to make room for others",
+            self.clients_closed.clone(),
+        );
+        registry.register(
+            "client_requests_refused",
+            "Requests refused for want of room",
+            self.clients_refused.clone(),
+        );
         registry.register(
             "heartbeat_messages",
             "Messages with heartbeats of agents that this node took in as the leader",
@@ -489,6 +521,21 @@
         time.observe(took.as_secs_f64());
     }
 
+    /// Records what clients hold, and what was closed and refused for want of room.
+    pub fn record_clients(&self, budget: &Budget) {
+        let (bytes, connections) = budget.used();
+        let gauge = |n| i64::try_from(n).unwrap_or(i64::MAX);
+        self.client_bytes.set(gauge(bytes));
+        self.client_connections.set(gauge(connections));
+        let Counts { closed, refused } = budget.counts();
+        for (counter, count) in [
+            (&self.clients_closed, closed),
+            (&self.clients_refused, refused),
+        ] {
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Counts the agents and waiting steps that were visited for a plan.
     pub fn record_visits(&self, visits: Visits) {
         let Visits {
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -31,6 +31,7 @@
 };
 use crate::{
     adapters::{
+        budget::Budget,
         callers::{self, Open, Recall, Stage},
         disk::{Disk, DiskError, Restored},
         mesh::{self, Mesh},
@@ -194,10 +195,15 @@
         let stopping = Arc::new(AtomicBool::new(false));
         let (stage, stages) = watch::channel(Stage::Serving);
         let mut served = Vec::new();
+        let budget = Budget::new(
+            size(settings.limits.memory),
+            size(settings.limits.connections.into()),
+        );
         for (what, address) in [("callers", settings.callers), ("minions", settings.minions)] {
             let listener = listen(what, address).await?;
             let port = port(&settings, &inputs, &versions, &metrics, &publications)
-                .recall(Arc::clone(&recall));
+                .recall(Arc::clone(&recall))
+                .budget(budget.clone());
             let limits = caller_limits(&settings.limits);
             let serve = callers::serve(listener, port, Arc::clone(&open), limits, stages.clone());
             served.push(tokio::spawn(serve));
