Bound what a node takes in from a peer that it doesn't know yet

A stranger that connects to the port for connections among nodes could send a first message of 16 MiB, and as many strangers as there are descriptors could do so. Eight of them took a control node to 132,220 KiB where limits.memoryMb allowed 65,536, and 400 silent ones held 421 descriptors where 300 were allowed.

The bound on a message held for known peers and strangers alike. A connection now reads 16 KiB until its other end has introduced itself and was admitted, which takes some hundred bytes, and counts in the budget of the process until then: a crowd of strangers makes room like any other clients.

--- a/src/adapters/mesh/dial.rs
+++ b/src/adapters/mesh/dial.rs
@@ -8,6 +8,7 @@
 
 use super::{
     MeshError, STALL, Shared,
+    gate::Gate,
     link::{self, Greeted},
 };
 use crate::core::types::NodeId;
@@ -103,6 +104,7 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{address}/mesh");
+        let stream = Gate::new(stream);
         let (mut socket, _) = client_async_with_config(url, stream, Some(link::config())).await?;
         let ours = link::introduce(&mut socket, shared).await?;
         let peer = link::greet(&mut socket).await?;
@@ -111,6 +113,7 @@
             return Err(MeshError::Handshake { what });
         }
         shared.admit(&peer)?;
+        socket.get_mut().open();
         Ok(Greeted { socket, ours, peer })
     };
     link::within(STALL, dial).await
--- a/src/adapters/mesh/link.rs
+++ b/src/adapters/mesh/link.rs
@@ -17,7 +17,6 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
-    net::TcpStream,
     select,
     sync::{mpsc, watch},
     task::{unconstrained, yield_now},
@@ -30,6 +29,7 @@
 
 use super::{
     LARGEST, MeshError, PING, PROTOCOL, STALL, Shared,
+    gate::Gate,
     pulse::{Half, Pulse},
 };
 use crate::core::{
@@ -48,7 +48,7 @@
 const BACKLOG: usize = 8 << 20;
 
 /// A websocket between two nodes.
-pub(super) type Socket = WebSocketStream<TcpStream>;
+pub(super) type Socket = WebSocketStream<Gate>;
 
 /// What comes from a websocket.
 type Arrival = Result<Message, tungstenite::Error>;
--- a/src/adapters/mesh/mod.rs
+++ b/src/adapters/mesh/mod.rs
@@ -23,6 +23,7 @@
 
 mod dial;
 mod faults;
+mod gate;
 mod link;
 mod listen;
 mod pulse;
@@ -48,9 +49,12 @@
 
 pub use self::{faults::Faults, traffic::Traffic};
 use self::{pulse::Stall, strangers::Strangers};
-use crate::core::{
-    cluster::{Claim, Cluster, FolderId},
-    types::{Map, NodeId, Set},
+use crate::{
+    adapters::budget::Budget,
+    core::{
+        cluster::{Claim, Cluster, FolderId},
+        types::{Map, NodeId, Set},
+    },
 };
 
 /// The version of the mesh's handshake; peers of another one are refused.
@@ -82,6 +86,8 @@
     pub cluster: Option<Cluster>,
     /// Counts links that were refused or dropped, as the peer is of another cluster.
     pub refused: Counter,
+    /// What connections count in whose other end isn't known yet.
+    pub budget: Budget,
 }
 
 /// What is called with each message that comes in, on the task of its connection.
@@ -269,7 +275,12 @@
             faults: Faults::default(),
             traffic: Traffic::default(),
         });
-        tokio::spawn(listen::run(listener, Arc::clone(&shared), stopped));
+        tokio::spawn(listen::run(
+            listener,
+            Arc::clone(&shared),
+            config.budget,
+            stopped,
+        ));
         let mesh = Self {
             shared,
             dialled: RwLock::default(),
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -124,7 +124,11 @@
         let (inputs, input) = mpsc::unbounded_channel();
         let (heard, heard_by_fleet) = mpsc::unbounded_channel();
         let (frames, received) = mpsc::channel(FRAMES);
-        let mesh = start_mesh(&settings, listener, frames);
+        let budget = Budget::new(
+            size(settings.limits.memory),
+            size(settings.limits.connections.into()),
+        );
+        let mesh = start_mesh(&settings, listener, budget.clone(), frames);
 
         let acting = activation::Node::new(boot, activation::Settings::default());
         let acting = Arc::new(Mutex::new(acting));
@@ -195,10 +199,6 @@
         let stopping = Arc::new(AtomicBool::new(false));
         let (stage, stages) = watch::channel(Stage::Serving);
         let mut served = Vec::new();
-        let budget = Budget::new(
-            size(settings.limits.memory),
-            size(settings.limits.connections.into()),
-        );
         for (what, address) in [("callers", settings.callers), ("minions", settings.minions)] {
             let listener = listen(what, address).await?;
             let port = port(&settings, &inputs, &versions, &metrics, &publications)
@@ -345,6 +345,7 @@
 fn start_mesh(
     settings: &Settings,
     listener: TcpListener,
+    budget: Budget,
     frames: mpsc::Sender<(NodeId, Bytes)>,
 ) -> Arc<Mesh> {
     let config = mesh::Config {
@@ -354,6 +355,7 @@
             .iter()
             .map(|peer| (peer.node, peer.mesh))
             .collect(),
+        budget,
         ..mesh::Config::default()
     };
     let receive = Arc::new(move |from, bytes| {
