Count requests on their way to the leader until they are written

An entry node encodes a request for each try to ask the leader. While the link to the leader stands still, each encoded copy waits in the link's queue, which is bounded by its number of messages alone: 4,096, of up to the size of a body each. The request itself may have been answered by then.

--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::{
     sync::{oneshot, watch},
     time::{Instant, timeout_at},
@@ -22,7 +23,7 @@
     request::{LeaderRequest, Refused, Reply},
 };
 use crate::{
-    adapters::mesh::Mesh,
+    adapters::{memory::Memory, mesh::Mesh},
     core::{
         consensus::Term,
         types::{Map, NodeId},
@@ -42,6 +43,9 @@
 const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Time between two checks for a reachable leader.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// A message to the leader of this many bytes or less isn't counted: requests that are open at once
+/// have a bound of their own.
+const SMALL_FRAME: usize = 16 << 10;
 /// Pause before the same node is asked again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -61,6 +65,8 @@
     mesh: Arc<Mesh>,
     mesh_port: u16,
     metrics: Arc<Metrics>,
+    /// What large messages take until they have been written.
+    forwarded: Memory,
     state: Mutex<State>,
     info: watch::Sender<LeaderInfo>,
 }
@@ -77,11 +83,18 @@
 
 impl LeaderClient {
     /// Creates the client of an entry node. All control nodes' meshes listen on `mesh_port`.
-    pub fn new(mesh: Arc<Mesh>, mesh_port: u16, metrics: Arc<Metrics>) -> Arc<Self> {
+    /// Requests on their way take `forwarded`; those that don't fit are refused.
+    pub fn new(
+        mesh: Arc<Mesh>,
+        mesh_port: u16,
+        metrics: Arc<Metrics>,
+        forwarded: Memory,
+    ) -> Arc<Self> {
         Arc::new(Self {
             mesh,
             mesh_port,
             metrics,
+            forwarded,
             state: Mutex::default(),
             info: watch::Sender::default(),
         })
@@ -168,6 +181,8 @@
                 AskOutcome::Answered(Reply::Refused(Refused::NoLeader)) => {}
                 AskOutcome::Answered(Reply::Unclear) | AskOutcome::TimedOut => asked = true,
                 AskOutcome::NotSent => {}
+                AskOutcome::NoRoom if asked => return Reply::Unclear,
+                AskOutcome::NoRoom => return Reply::Refused(Refused::Overloaded),
                 // An earlier try may have been accepted even though this one is refused.
                 AskOutcome::Answered(Reply::Refused(_)) if asked => return Reply::Unclear,
                 AskOutcome::Answered(reply) => return reply,
@@ -188,16 +203,17 @@
     }
 
     async fn ask_node(&self, node: NodeId, request: &LeaderRequest, until: Instant) -> AskOutcome {
-        let (sender, answer) = oneshot::channel();
         let id = {
             let mut state = self.lock();
             state.last_id += 1;
-            let id = state.last_id;
-            state.pending.insert(id, sender);
-            id
+            state.last_id
+        };
+        let Some(frame) = self.hold(Frame::Request(id, request.clone()).encode()) else {
+            return AskOutcome::NoRoom;
         };
-        let frame = Frame::Request(id, request.clone());
-        if !self.mesh.send(node, frame.encode()) {
+        let (sender, answer) = oneshot::channel();
+        self.lock().pending.insert(id, sender);
+        if !self.mesh.send(node, frame) {
             self.lock().pending.remove(&id);
             return AskOutcome::NotSent;
         }
@@ -210,6 +226,17 @@
         }
     }
 
+    /// Counts a message until it has been written; nothing if there is no room for it.
+    fn hold(&self, frame: Bytes) -> Option<Bytes> {
+        if frame.len() <= SMALL_FRAME {
+            return Some(frame);
+        }
+        // One that is larger than all of the room has it to itself.
+        let bytes = frame.len().min(self.forwarded.total());
+        let share = self.forwarded.try_reserve(bytes)?;
+        Some(share.hold(frame))
+    }
+
     fn handle_view(&self, from: NodeId, view: &View) {
         for (node, _) in &view.controls {
             self.mesh.dial(address(*node, self.mesh_port));
@@ -267,4 +294,6 @@
     TimedOut,
     /// There is no link to the node.
     NotSent,
+    /// Too much is on its way to the leader.
+    NoRoom,
 }
