Serve operators by the server of all listeners

Four operators that kept back the end of their bodies held all threads of the daemon's operators' interface for good, metrics and readiness among them: it was served by tiny_http, which has no limit on the time of a read and starts a thread for each connection. Bodies of 32 MiB weren't counted in any budget.

The interface is served by the same server as callers and minions now, within the node's budget. Whole requests are answered by four blocking handlers at a time, as before. The budget holds at least one operator's largest request.

--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -1,24 +1,32 @@
 //! The operators' HTTP interface: operations, views, metrics and readiness.
 //!
-//! Operators are few and their requests small, so blocking handlers on a handful of threads are
-//! enough; `tiny_http` has no read time limit, and the callers' interface, where that matters, is
-//! another one.
+//! Requests are read by the server of all listeners, within the node's budget, so that nobody who keeps
+//! back the end of a request holds up others. Operators are few, so a handful of whole requests at a time
+//! are answered by blocking handlers on threads of the runtime.
 
 use std::{
-    io::{self, Read},
-    net::SocketAddr,
+    io,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    thread,
     time::Duration,
 };
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
 use serde::Serialize;
 use serde_json::json;
-use tiny_http::{Header, Method, Request as HttpRequest, Response};
-use tokio::runtime::Handle;
+use tokio::{
+    net::TcpListener,
+    runtime::Handle,
+    sync::{Semaphore, watch},
+    task::spawn_blocking,
+};
 
 use super::{
     clock::{Clock, wall},
@@ -26,7 +34,13 @@
     fleet::Insight,
 };
 use crate::{
-    adapters::{callers::Recall, mesh::Mesh, metrics::Metrics},
+    adapters::{
+        budget::Budget,
+        callers::Recall,
+        http::{self, Limits, Listening, Replied, largest_request},
+        mesh::Mesh,
+        metrics::Metrics,
+    },
     api::{
         self, Failure, Operation, Route, Trouble,
         view::{self, Explanation, Local, Measures, NodeStatus, Plan, Proposal, Status},
@@ -39,19 +53,17 @@
     settings::SettingsError,
 };
 
-/// Threads that answer operators.
+/// Requests that are answered at a time.
 const THREADS: usize = 4;
 /// The largest body, in bytes: a declaration of a large fleet.
-const LARGEST: u64 = 32 << 20;
+const LARGEST: usize = 32 << 20;
 /// How long a command may take to be committed.
 const PATIENCE: Duration = Duration::from_secs(10);
-/// How long a thread waits for a request before it looks whether to end.
-const POLL: Duration = Duration::from_millis(200);
 
 /// What the interface speaks to.
 pub(crate) struct Ports {
-    /// Where it listens.
-    pub(crate) address: SocketAddr,
+    /// What all listeners of this node share.
+    pub(crate) budget: Budget,
     /// This node.
     pub(crate) node: NodeId,
     /// This node's data centre.
@@ -78,41 +90,26 @@
     pub(crate) runtime: Handle,
 }
 
-/// The running interface.
+/// The running interface. It ends when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Server {
-    end: Arc<AtomicBool>,
+    _stop: watch::Sender<bool>,
 }
 
 impl Server {
-    /// Starts the threads.
-    pub(crate) fn start(ports: Ports) -> io::Result<Self> {
-        let server = tiny_http::Server::http(ports.address).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        let ports = Arc::new(ports);
-        let end = Arc::new(AtomicBool::new(false));
-        for _ in 0..THREADS {
-            let (server, ports, end) = (server.clone(), ports.clone(), end.clone());
-            thread::Builder::new()
-                .name("operators".into())
-                .spawn(move || run(&server, &ports, &end))?;
-        }
-        Ok(Self { end })
-    }
-
-    /// Lets the threads end after what they are at.
-    pub(crate) fn stop(&self) {
-        self.end.store(true, Ordering::Relaxed);
-    }
-}
-
-fn run(server: &tiny_http::Server, ports: &Ports, end: &AtomicBool) {
-    while !end.load(Ordering::Relaxed) {
-        match server.recv_timeout(POLL) {
-            Ok(Some(request)) => serve(request, ports),
-            Ok(None) => {}
-            Err(error) => log::warn!(error:%; "an operator's request was not received"),
-        }
+    /// Starts to serve.
+    pub(crate) fn start(listener: TcpListener, ports: Ports) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let limits = Limits {
+            body: LARGEST,
+            ..Limits::default()
+        };
+        ports.budget.fit(largest_request(&limits));
+        let listening = Listening::new(ports.budget.clone(), move || limits);
+        let (ports, threads) = (Arc::new(ports), Arc::new(Semaphore::new(THREADS)));
+        let handler = move |request| serve(request, Arc::clone(&ports), Arc::clone(&threads));
+        tokio::spawn(http::serve_within(listener, listening, stopped, handler));
+        Self { _stop: stop }
     }
 }
 
@@ -141,42 +138,42 @@
     }
 }
 
-fn serve(mut request: HttpRequest, ports: &Ports) {
-    let answer = answer(&mut request, ports).unwrap_or_else(|answer| answer);
-    let header = Header::from_bytes("content-type", answer.kind).expect("a constant header");
-    let response = Response::from_string(answer.body)
-        .with_status_code(answer.status)
-        .with_header(header);
-    if let Err(error) = request.respond(response) {
-        log::debug!(error:%; "an operator went away before the answer");
-    }
+async fn serve(request: Request<Bytes>, ports: Arc<Ports>, threads: Arc<Semaphore>) -> Replied {
+    let thread = threads.acquire_owned().await.map_err(io::Error::other)?;
+    let answered = spawn_blocking(move || {
+        let answered = answer(&request, &ports).unwrap_or_else(|answer| answer);
+        drop(thread);
+        answered
+    });
+    let answer = answered.await.map_err(io::Error::other)?;
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    let status = StatusCode::from_u16(answer.status);
+    *response.status_mut() = status.map_err(io::Error::other)?;
+    let kind = HeaderValue::from_static(answer.kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
 }
 
-fn answer(request: &mut HttpRequest, ports: &Ports) -> Result<Answer, Answer> {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    match (request.method(), path.as_str()) {
-        (Method::Get, "/metrics") => metrics(ports),
-        (Method::Get, "/ready") => Ok(ready(ports)),
-        (Method::Get, "/v1/node") => node(ports),
-        (Method::Post, "/v1/voters") => voters(&read(request)?, ports),
-        (Method::Post, "/v1/trial/cut") if ports.trial => cut(&read(request)?, ports),
-        (Method::Post, _) => match Route::parse(&path) {
-            Some(Route::Operations) => operation(&read(request)?, ports),
-            Some(Route::Plan) => plan(&read(request)?, ports),
-            _ => Err(unknown(&path)),
+fn answer(request: &Request<Bytes>, ports: &Ports) -> Result<Answer, Answer> {
+    let (path, body) = (request.uri().path(), request.body());
+    match (request.method(), path) {
+        (&Method::GET, "/metrics") => metrics(ports),
+        (&Method::GET, "/ready") => Ok(ready(ports)),
+        (&Method::GET, "/v1/node") => node(ports),
+        (&Method::POST, "/v1/voters") => voters(body, ports),
+        (&Method::POST, "/v1/trial/cut") if ports.trial => cut(body, ports),
+        (&Method::POST, _) => match Route::parse(path) {
+            Some(Route::Operations) => operation(body, ports),
+            Some(Route::Plan) => plan(body, ports),
+            _ => Err(unknown(path)),
         },
-        (Method::Get, _) => match Route::parse(&path) {
+        (&Method::GET, _) => match Route::parse(path) {
             Some(route @ (Route::ExplainJob(_) | Route::ExplainHost(_))) => explain(&route, ports),
             Some(Route::ExplainRequest(id)) => recalled(id, ports),
             Some(route) => look(route, ports),
-            None => Err(unknown(&path)),
+            None => Err(unknown(path)),
         },
-        _ => Err(unknown(&path)),
+        _ => Err(unknown(path)),
     }
 }
 
@@ -188,19 +185,6 @@
     Answer::trouble(Trouble::Unavailable, "this node is stopping; ask another")
 }
 
-fn read(request: &mut HttpRequest) -> Result<Vec<u8>, Answer> {
-    let mut body = Vec::new();
-    let read = request.as_reader().take(LARGEST + 1).read_to_end(&mut body);
-    if let Err(error) = read {
-        return Err(Answer::trouble(Trouble::BadRequest, error.to_string()));
-    }
-    if body.len() as u64 > LARGEST {
-        let message = format!("the body has more than {LARGEST} bytes");
-        return Err(Answer::trouble(Trouble::BadRequest, message));
-    }
-    Ok(body)
-}
-
 fn parse<'a, T: serde::Deserialize<'a>>(body: &'a [u8]) -> Result<T, Answer> {
     serde_json::from_slice(body)
         .map_err(|error| Answer::trouble(Trouble::BadRequest, error.to_string()))
--- a/src/node/running.rs
+++ b/src/node/running.rs
@@ -223,8 +223,9 @@
             told: minions_heard,
             insight: insight.clone(),
         });
-        let operators = operators::Server::start(operators::Ports {
-            address: settings.operators,
+        let listener = listen("operators", settings.operators).await?;
+        let ports = operators::Ports {
+            budget,
             node: settings.node,
             data_centre: settings.data_centre.clone(),
             nodes,
@@ -237,11 +238,8 @@
             recall,
             trial: settings.trial,
             runtime: tokio::runtime::Handle::current(),
-        })
-        .context(ListenSnafu {
-            what: "operators",
-            address: settings.operators,
-        })?;
+        };
+        let operators = operators::Server::start(listener, ports);
         log::info!(node = settings.node, boot; "node started");
         Ok(Self {
             control,
@@ -282,7 +280,7 @@
             // A listener that failed has nothing left to finish.
             let _ = timeout(FINISHING, served).await;
         }
-        self.operators.stop();
+        drop(self.operators);
         log::info!("node stopped");
     }
 }
