Tests: who gets room of a budget, and who makes it

The policy by itself, on the paused clock: a stalled request makes room, one that is served doesn't, small requests have room of their own, the largest fits after limits were raised; and over sockets, that two listeners share a budget and give all back, and that a head in small pieces isn't charged for a buffer with each.

--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -1,5 +1,6 @@
 //! The HTTP adapters over real loopback sockets.
 
+mod budget;
 mod callers;
 mod client;
 mod headers;
