Reserve a body's decoded copy as it is read; bound the last reply of a closed connection

What a body is decoded into was reserved when it was whole, so that a crowd of whole bodies could take all the room and be refused one by one after all had been read. It is reserved with the buffer now, so the refusal comes as early as the room is short. A connection that was told to close while its body was read waited for its peer to read the refusal, up to the limit for readers, and no other was closed meanwhile; it gets 100 ms.

Both found by reading the change. No test shows either alone: a draft for the first passed on too, as the first refusal gives room to the next, and was left out; the one for the second passes on, as its connection isn't reading a body.

Names: clients in place of strangers.

--- a/src/adapters/budget.rs
+++ b/src/adapters/budget.rs
@@ -1,4 +1,4 @@
-//! One bound on all that a process holds for strangers, on all its listeners.
+//! One bound on all that a process holds for its clients, on all its listeners.
 //!
 //! Each connection has an [`Account`]. What it makes the process hold (a long head, a body, an answer that
 //! isn't read) is reserved as it is allocated, and is given back when the [`Share`] for it is dropped.
@@ -50,7 +50,8 @@
 const IDLE_GRACE: Duration = Duration::from_millis(50);
 /// How many times as much as another one a request takes that makes room for it though it is young.
 const FAR_MORE: usize = 2;
-/// How long a connection that was told to close may take. It takes one turn of the runtime.
+/// How long to wait for connections that were told to close before looking again. They take a tenth of a
+/// second at most, and as a rule one turn of the runtime.
 const CLOSE_LIMIT: Duration = Duration::from_secs(1);
 /// The least time between two lines in the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -59,7 +60,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoom;
 
-/// What a process may hold for strangers. A clone speaks of the same.
+/// What a process may hold for its clients. A clone speaks of the same.
 #[derive(Clone, Debug)]
 pub struct Budget {
     shared: Arc<Shared>,
@@ -67,7 +68,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    books: Mutex<Books>,
+    state: Mutex<State>,
     /// Told whenever room has become free.
     freed: Notify,
     /// Held by the listener whose connection gets the next place. Listeners take turns, so that a crowd at
@@ -76,7 +77,7 @@
 }
 
 #[derive(Debug)]
-struct Books {
+struct State {
     /// The bytes that may be held, besides what each connection takes.
     bytes: usize,
     /// The connections that may be open.
@@ -144,7 +145,7 @@
 impl Budget {
     /// So many bytes, besides [`CONNECTION_BYTES`] for each of so many connections.
     pub fn new(bytes: usize, connections: usize) -> Self {
-        let books = Books {
+        let state = State {
             bytes,
             connections: connections.max(1),
             used: 0,
@@ -154,7 +155,7 @@
             logged: None,
         };
         let shared = Shared {
-            books: Mutex::new(books),
+            state: Mutex::new(state),
             freed: Notify::new(),
             turn: tokio::sync::Mutex::new(()),
         };
@@ -172,9 +173,9 @@
 
     /// Makes sure that a request that takes so many bytes fits while nothing else is held.
     pub fn fit(&self, request: usize) {
-        let mut books = self.lock();
+        let mut state = self.lock();
         let needed = request.saturating_add(request / (SMALL_PART - 1) + SMALL_PART);
-        books.bytes = books.bytes.max(needed);
+        state.bytes = state.bytes.max(needed);
     }
 
     /// What was closed or refused so far.
@@ -184,8 +185,8 @@
 
     /// The bytes that are held and the connections that are open.
     pub fn used(&self) -> (usize, usize) {
-        let books = self.lock();
-        (books.used, books.entries.len())
+        let state = self.lock();
+        (state.used, state.entries.len())
     }
 
     /// Has the connection closed that has held most for longest, for one that couldn't be accepted.
@@ -216,10 +217,10 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Books> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         // Each change under the lock is complete in itself, so a poisoned lock is safe to use.
-        let books = self.shared.books.lock();
-        books.unwrap_or_else(PoisonError::into_inner)
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -231,7 +232,7 @@
     }
 }
 
-impl Books {
+impl State {
     /// Opens an account, or says when to try again.
     fn open(&mut self) -> Result<(u64, watch::Receiver<bool>), Duration> {
         if self.entries.len() >= self.connections {
@@ -354,7 +355,7 @@
         let closed = self.counts.closed - before.closed;
         let refused = self.counts.refused - before.refused;
         let (bytes, connections) = (self.used, self.entries.len());
-        log::warn!(closed, refused, bytes, connections; "no room for all that strangers send");
+        log::warn!(closed, refused, bytes, connections; "no room for all that clients send");
         self.logged = Some((Instant::now(), self.counts));
     }
 }
@@ -473,12 +474,12 @@
         if self.bytes == 0 {
             return;
         }
-        let mut books = self.budget.lock();
-        books.used = books.used.saturating_sub(self.bytes);
-        if let Some(entry) = books.entries.get_mut(&self.id) {
+        let mut state = self.budget.lock();
+        state.used = state.used.saturating_sub(self.bytes);
+        if let Some(entry) = state.entries.get_mut(&self.id) {
             entry.held = entry.held.saturating_sub(self.bytes);
         }
-        drop(books);
+        drop(state);
         self.budget.shared.freed.notify_waiters();
     }
 }
--- a/src/adapters/callers/limits.rs
+++ b/src/adapters/callers/limits.rs
@@ -56,6 +56,8 @@
             head: self.head,
             headers: self.headers,
             body: self.body,
+            // It is passed on as it came.
+            copies: 1,
             answer: 0,
             idle: self.read,
             read: self.read,
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -9,6 +9,6 @@
 
 pub use self::{
     client::{Client, Failure, Place, post, send},
-    server::{Listening, Replied, json, largest_request, serve, serve_within, text},
+    server::{Listening, Replied, json, serve, serve_within, text},
 };
 pub use super::server::Limits;
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -17,8 +17,6 @@
     server::{self, Broken, Limits, Peer, Service, Unread},
 };
 
-/// What a body takes besides, in parts of it, while its request is answered: what it is decoded into.
-const DECODED_PARTS: usize = 1;
 /// Told to a client for whose head there is no room.
 const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     connection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n";
@@ -26,11 +24,6 @@
 /// A response; an error closes the connection without a word.
 pub type Replied = io::Result<Response<Full<Bytes>>>;
 
-/// The most bytes that a request takes with the largest body.
-pub fn largest_request(limits: &Limits) -> usize {
-    limits.body.saturating_mul(1 + DECODED_PARTS)
-}
-
 /// Serves until `stop` is true or its sender is dropped, and all replies are out.
 ///
 /// The limits are read anew for each connection. `open` is told whenever a connection is opened
@@ -108,13 +101,12 @@
     let limits = peer.limits;
     let read = async {
         let (body, share) = peer.read(body, limits.body).await?;
-        let decoded = peer.reserve(body.len() * DECODED_PARTS).await?;
         peer.reserve_answer(limits.answer).await?;
-        Ok::<_, Unread>((body, share, decoded))
+        Ok::<_, Unread>((body, share))
     };
     match read.await {
-        // The shares are given back when the request has been answered.
-        Ok((body, _share, _decoded)) => handler(Request::from_parts(parts, body)).await,
+        // The share is given back when the request has been answered.
+        Ok((body, _share)) => handler(Request::from_parts(parts, body)).await,
         Err(unread) => unread.reply(),
     }
 }
--- a/src/adapters/mesh/listen.rs
+++ b/src/adapters/mesh/listen.rs
@@ -19,7 +19,7 @@
     budget::{Account, Budget},
 };
 
-/// Accepts peers until `stopped` closes. They count as strangers until they are admitted.
+/// Accepts peers until `stopped` closes. They count in the budget until they are admitted.
 pub(super) async fn run(
     listener: TcpListener,
     shared: Arc<Shared>,
--- a/src/adapters/server/body.rs
+++ b/src/adapters/server/body.rs
@@ -60,7 +60,7 @@
             return Err(Unread::TooLarge);
         }
         let collected = async {
-            let collected = timeout(limits.read, collect(body, limits.body, &self.account));
+            let collected = timeout(limits.read, collect(body, limits, &self.account));
             collected.await.unwrap_or(Err(Unread::TooSlow))
         };
         let held = select! {
@@ -73,14 +73,16 @@
     }
 }
 
-async fn collect(mut body: Incoming, limit: usize, account: &Account) -> Result<Held, Unread> {
+async fn collect(mut body: Incoming, limits: &Limits, account: &Account) -> Result<Held, Unread> {
     let mut share = account.share(0);
     if body.is_end_stream() {
         return Ok((Bytes::new(), share));
     }
     let exact = body.size_hint().exact();
     // Within the limit, as the caller of this function has checked.
-    let expected = exact.and_then(|n| usize::try_from(n).ok()).unwrap_or(limit);
+    let expected = exact
+        .and_then(|n| usize::try_from(n).ok())
+        .unwrap_or(limits.body);
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Unread::Gone(io::Error::other(error)))?;
@@ -88,14 +90,15 @@
             continue;
         };
         let length = whole.len() + data.len();
-        if length > limit {
+        if length > limits.body {
             return Err(Unread::TooLarge);
         }
         if length > whole.capacity() {
             // Room is taken as the body comes: a stated length costs its sender nothing.
             let doubled = whole.capacity().saturating_mul(2).max(FIRST_BUFFER);
             let capacity = doubled.min(expected).max(length);
-            share.merge(account.reserve(capacity - whole.capacity()).await?);
+            let more = (capacity - whole.capacity()).saturating_mul(limits.copies);
+            share.merge(account.reserve(more).await?);
             whole.reserve_exact(capacity - whole.len());
         }
         // The frame is copied, as it keeps alive the whole buffer that it was read into.
--- a/src/adapters/server/connection.rs
+++ b/src/adapters/server/connection.rs
@@ -9,6 +9,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
@@ -18,7 +19,7 @@
     net::TcpStream,
     select,
     sync::watch,
-    time::timeout,
+    time::{Instant, sleep_until, timeout},
 };
 
 use super::{Broken, Limits, Reply, Service, stream::Metered};
@@ -27,6 +28,9 @@
 /// The smallest buffer that hyper takes for a request's head.
 const LEAST_HEAD: usize = 8192;
 
+/// How long a connection that was told to close may take for its last reply.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
 /// What a connection and its requests share.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -168,7 +172,7 @@
     let io = TokioIo::new(Metered::new(stream, Arc::clone(&peer)));
     let mut connection = builder(&peer.limits).serve_connection(io, answer);
     let mut closing = pin!(peer.account.closing());
-    let (mut stopping, mut told) = (false, false);
+    let (mut stopping, mut told, mut deadline) = (false, false, None);
     let ended = loop {
         select! {
             ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Ended::Served(ended),
@@ -181,8 +185,13 @@
                 if peer.reads_head() {
                     break Ended::Closed;
                 }
-                // A request whose body is being read is refused by whoever reads it.
+                // A request whose body is being read is refused by whoever reads it. Whether the refusal is
+                // read isn't waited for.
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
+                deadline = Some(Instant::now() + CLOSE_TIME);
+            }
+            () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
+                break Ended::Closed;
             }
         }
     };
--- a/src/adapters/server/limits.rs
+++ b/src/adapters/server/limits.rs
@@ -18,6 +18,8 @@
     pub headers: usize,
     /// Bytes of a body.
     pub body: usize,
+    /// How many times a body counts: as it came, and as what it is decoded into.
+    pub copies: usize,
     /// Bytes that a handler allocates for an answer, beyond what is small or shared.
     pub answer: usize,
     /// How long a connection may be idle, its request's head included.
@@ -31,6 +33,13 @@
     pub linger: Duration,
 }
 
+impl Limits {
+    /// The most bytes that a request takes besides its head.
+    pub fn largest_request(&self) -> usize {
+        self.body.saturating_mul(self.copies)
+    }
+}
+
 impl Default for Limits {
     /// For peers that are ours or stand in for somebody: wide enough never to be met.
     fn default() -> Self {
@@ -38,6 +47,7 @@
             head: 64 * 1024,
             headers: 100,
             body: 16 * 1024 * 1024,
+            copies: 2,
             answer: 0,
             idle: Duration::from_secs(60),
             read: Duration::from_secs(10),
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -37,7 +37,7 @@
     adapters::{
         budget::Budget,
         callers::Recall,
-        http::{self, Limits, Listening, Replied, largest_request},
+        http::{self, Limits, Listening, Replied},
         mesh::Mesh,
         metrics::Metrics,
     },
@@ -104,7 +104,7 @@
             body: LARGEST,
             ..Limits::default()
         };
-        ports.budget.fit(largest_request(&limits));
+        ports.budget.fit(limits.largest_request());
         let listening = Listening::new(ports.budget.clone(), move || limits);
         let (ports, threads) = (Arc::new(ports), Arc::new(Semaphore::new(THREADS)));
         let handler = move |request| serve(request, Arc::clone(&ports), Arc::clone(&threads));
--- a/tests/http/budget.rs
+++ b/tests/http/budget.rs
@@ -187,3 +187,25 @@
     assert_eq!(caller.response().await.unwrap().status, 200);
     assert_eq!(budget.counts().refused, 0);
 }
+
+/// A connection whose answers nobody reads must not hold its place when another one needs it.
+#[tokio::test]
+async fn a_connection_that_is_told_to_close_does_not_wait_for_its_reader() {
+    let budget = Budget::new(1 << 20, 1);
+    let limits = Limits {
+        write: Duration::from_secs(600),
+        ..Limits::default()
+    };
+    let (address, _stop) = server(&budget, limits).await;
+    let mut deaf = Raw::connect(address).await;
+    // Replies that nobody reads fill the sockets, until no more requests are taken in.
+    let many = "GET / HTTP/1.1\r\nhost: x\r\n\r\n".repeat(1000);
+    let fill = async {
+        loop {
+            deaf.write(&many).await;
+        }
+    };
+    assert!(timeout(Duration::from_secs(2), fill).await.is_err());
+    let mut next = Raw::connect(address).await;
+    assert_eq!(next.get("/").await.status, 200);
+}
