--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,4 @@
   echo "$stand isn't built; run review/build-3.sh" >&2
   exit 2
 fi
-exec "$stand" innocent "$PWD/review/12"
+exec "$stand" dropped "$PWD/review/12"
--- a/review/stand-4/src/agent.rs
+++ b/review/stand-4/src/agent.rs
@@ -60,8 +60,30 @@
     run: u64,
     began: Instant,
     length: Duration,
-    /// Whether its minion fails it.
-    fails: bool,
+    /// After which time it fails, if it does.
+    fails: Option<Duration>,
+}
+
+/// What a job's `spec` tells the stand-in: for how many milliseconds a run works, and, after a
+/// colon each, how many runs fail by a fault of their own and after how many milliseconds.
+struct Spec {
+    length: Duration,
+    fails: Option<(u64, Duration)>,
+}
+
+impl Spec {
+    fn read(text: &str) -> Self {
+        let numbers: Vec<u64> = text.split(':').filter_map(|n| n.parse().ok()).collect();
+        let length = numbers.first().copied().unwrap_or(100);
+        let fails = match numbers[..] {
+            [_, runs, age] => Some((runs, Duration::from_millis(age))),
+            _ => None,
+        };
+        Self {
+            length: Duration::from_millis(length),
+            fails,
+        }
+    }
 }
 
 struct State {
@@ -103,8 +125,6 @@
     gangs: Arc<Gangs>,
     /// Until when it fails all that it starts.
     failing_until: Mutex<Option<Instant>>,
-    /// Until when its process is down.
-    down_until: Mutex<Option<Instant>>,
 }
 
 impl Agent {
@@ -123,10 +143,9 @@
             record,
             gangs,
             failing_until: Mutex::default(),
-            down_until: Mutex::default(),
         });
         let server = Arc::clone(&agent);
-        http::serve(listener, move |request| server.receive(request));
+        http::serve(listener, move |request| Some(server.handle(request)));
         let worker = Arc::clone(&agent);
         thread::spawn(move || worker.work());
         let beater = Arc::clone(&agent);
@@ -146,12 +165,6 @@
 
     /// Its machine, as the provider lists it.
     pub fn machine(&self) -> String {
-        if self.is_down() {
-            return format!(
-                r#"{{"machine":"m-{}","pool":"{}","state":"down","zone":"ikeja","labels":["a","{}"],"capacity":{{"cpu":32000,"memMb":131072,"gpu":0}}}}"#,
-                self.name, self.service, self.rack
-            );
-        }
         format!(
             r#"{{"machine":"m-{}","pool":"{}","state":"up","zone":"ikeja","labels":["a","{}"],"capacity":{{"cpu":32000,"memMb":131072,"gpu":0}},"id":"{}"}}"#,
             self.name,
@@ -161,33 +174,6 @@
         )
     }
 
-    fn is_down(&self) -> bool {
-        let until = *self.down_until.lock().expect("no panic");
-        until.is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Crashes, and is down for so long. The next boot has another id and knows nothing.
-    pub fn crash(&self, down: Duration) {
-        *self.down_until.lock().expect("no panic") = Some(Instant::now() + down);
-        let mut state = self.lock();
-        self.record.crashed(&self.id_of(state.boot));
-        for (task, run) in &state.running {
-            if self.gangs.size(task).is_some() {
-                self.gangs.change(task, run.run, |gang| {
-                    gang.ended.get_or_insert_with(Instant::now);
-                });
-            }
-        }
-        let boot = state.boot + 1;
-        *state = State::new(boot);
-        self.changed.notify_all();
-    }
-
-    /// Nothing if its process is down.
-    fn receive(&self, request: &Request) -> Option<(u16, String)> {
-        (!self.is_down()).then(|| self.handle(request))
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no panic under the lock")
     }
@@ -200,11 +186,6 @@
     fn beat(&self, controls: &[SocketAddr]) {
         let mut sequence = 0;
         loop {
-            if self.is_down() {
-                sequence = 0;
-                thread::sleep(Duration::from_millis(50));
-                continue;
-            }
             sequence += 1;
             let (clock, id) = {
                 let state = self.lock();
@@ -245,8 +226,8 @@
     /// How a run has ended, if it has.
     fn outcome(&self, task: &str, run: &Run) -> Option<&'static str> {
         let age = run.began.elapsed();
-        if run.fails {
-            return (age >= FAIL_DELAY).then_some("failed");
+        if let Some(limit) = run.fails {
+            return (age >= limit).then_some("failed");
         }
         let Some(size) = self.gangs.size(task) else {
             return (age >= run.length).then_some("done");
@@ -346,14 +327,21 @@
             return refuse(state, "old");
         }
         let failing = *self.failing_until.lock().expect("no panic");
+        let spec = Spec::read(body.get("spec").text());
         let fails = failing.is_some_and(|until| Instant::now() < until);
-        let length = body.get("spec").text().parse().unwrap_or(100);
+        let fails = if fails {
+            Some(FAIL_DELAY)
+        } else {
+            spec.fails
+                .filter(|(runs, _)| run <= *runs)
+                .map(|(_, age)| age)
+        };
         state.running.insert(
             task.clone(),
             Run {
                 run,
                 began: Instant::now(),
-                length: Duration::from_millis(length),
+                length: spec.length,
                 fails,
             },
         );
--- a/review/stand-4/src/main.rs
+++ b/review/stand-4/src/main.rs
@@ -8,12 +8,11 @@
 mod dropped;
 mod gang;
 mod http;
-mod innocent;
 mod json;
 mod provider;
 mod proxy;
 mod same;
-mod starved;
+mod withheld;
 mod world;
 
 use std::{env, path::PathBuf, process::ExitCode};
@@ -31,8 +30,7 @@
     let record = Record::new(&PathBuf::from(folder).join("record.txt"));
     let outcome = match case.as_str() {
         "dropped" => dropped::run(&root, &record, trouble),
-        "innocent" => innocent::run(&root, &record, trouble),
-        "starved" => starved::run(&root, &record, trouble),
+        "withheld" => withheld::run(&root, &record, trouble),
         "same" => same::run(&root, &record, trouble),
         "gang" => gang::run(&root, &record, trouble),
         _ => Err("no such case".to_owned()),
--- a/review/stand-4/src/world.rs
+++ b/review/stand-4/src/world.rs
@@ -38,6 +38,10 @@
     starts: BTreeMap<String, Vec<(String, u64)>>,
     /// For each subtask, its ends: run and how.
     ends: BTreeMap<String, Vec<(u64, &'static str)>>,
+    /// For each subtask, when it last ended.
+    last_end: BTreeMap<String, Instant>,
+    /// The longest time from an end of each subtask to its next start.
+    pauses: BTreeMap<String, Duration>,
     /// The subtasks that run now, with their minion.
     running: BTreeMap<String, (String, u64)>,
 }
@@ -49,6 +53,8 @@
             file: File::create(path).expect("record.txt can be written"),
             starts: BTreeMap::new(),
             ends: BTreeMap::new(),
+            last_end: BTreeMap::new(),
+            pauses: BTreeMap::new(),
             running: BTreeMap::new(),
         };
         Self {
@@ -68,6 +74,10 @@
         starts.push((agent.to_owned(), run));
         let here = (agent.to_owned(), run);
         inner.running.insert(task.to_owned(), here);
+        if let Some(end) = inner.last_end.remove(task) {
+            let longest = inner.pauses.entry(task.to_owned()).or_default();
+            *longest = end.elapsed().max(*longest);
+        }
         drop(inner);
         self.note(&format!("minion {agent} started {task} run {run}"));
     }
@@ -82,19 +92,12 @@
             .is_some_and(|(a, r)| a == agent && *r == run)
         {
             inner.running.remove(task);
+            inner.last_end.insert(task.to_owned(), Instant::now());
         }
         drop(inner);
         self.note(&format!("minion {agent} ended {task} run {run}: {how}"));
     }
 
-    /// A minion has crashed: nothing of it runs.
-    pub fn crashed(&self, agent: &str) {
-        let mut inner = self.inner.lock().expect("no panic");
-        inner.running.retain(|_, (a, _)| a != agent);
-        drop(inner);
-        self.note(&format!("minion {agent} has crashed"));
-    }
-
     /// The minions on which subtasks of a job run now.
     pub fn running(&self, job: &str) -> Vec<String> {
         let inner = self.inner.lock().expect("no panic");
@@ -105,6 +108,17 @@
         running.map(|(_, (agent, _))| agent.clone()).collect()
     }
 
+    /// For each subtask that has ended, the longest time for which it hasn't run since then.
+    pub fn pauses(&self) -> BTreeMap<String, Duration> {
+        let inner = self.inner.lock().expect("no panic");
+        let mut pauses = inner.pauses.clone();
+        for (task, end) in &inner.last_end {
+            let longest = pauses.entry(task.clone()).or_default();
+            *longest = end.elapsed().max(*longest);
+        }
+        pauses
+    }
+
     pub fn ends(&self) -> BTreeMap<String, Vec<(u64, &'static str)>> {
         self.inner.lock().expect("no panic").ends.clone()
     }
