--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -493,8 +493,10 @@
         if self.failed_jobs.len() < MAX_FAILED_JOBS {
             return false;
         }
-        self.failed_jobs.clear();
-        self.excluded_until = now + EXCLUSION * 2_u32.pow(self.exclusions.min(3));
+        let jobs = std::mem::take(&mut self.failed_jobs);
+        let span = EXCLUSION * 2_u32.pow(self.exclusions.min(3));
+        log::info!(agent:% = self.record.id, jobs:?, span:?, before = self.exclusions; "different jobs failed in a row at an agent");
+        self.excluded_until = now + span;
         self.exclusions += 1;
         true
     }
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -422,6 +422,7 @@
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
+        let mut newly_excluded = false;
         for ended in &report.ended {
             if ended.number <= agent.proposed_end {
                 let slot = agent.slots.get(&ended.task);
@@ -468,7 +469,7 @@
             match ended.how {
                 Ending::Done => agent.task_succeeded(),
                 Ending::Failed if agent.task_failed(now, ended.task.step.job) => {
-                    log::info!(agent:% = id; "an agent is excluded, as several jobs failed there");
+                    newly_excluded = true;
                 }
                 _ => {}
             }
@@ -485,6 +486,22 @@
                 checkpoint: ended.checkpoint.clone(),
             });
         }
+        if newly_excluded {
+            self.log_exclusion(now, id);
+        }
+    }
+
+    fn log_exclusion(&self, now: Now, id: &MinionId) {
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let pool = &agent.record.pool;
+        let agents = self
+            .agents
+            .values()
+            .filter(|other| other.record.pool == *pool);
+        let excluded = agents.filter(|other| other.excluded_until > now).count();
+        log::info!(agent:% = id, excluded, agents = self.agents.pool_size(pool); "an agent is excluded, as several jobs failed there");
     }
 
     /// Learns the agent's clock from an answer. Returns whether the agent is still there.
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -129,7 +129,12 @@
                 job.task(*task)?.failures
             };
             let most = self.terms(job).max_attempts;
-            (!spec.long_running && before + count >= most).then_some(task.step.job)
+            let fails = !spec.long_running && before + count >= most;
+            if fails {
+                let attempt = step.task(task.task).map(|task| task.attempt);
+                log::info!(task:%, gang = spec.gang, attempt:?, before, count, max_attempts = most; "a job fails, as attempts have failed too often");
+            }
+            fails.then_some(task.step.job)
         };
         let failed: BTreeSet<_> = counts.iter().filter_map(hopeless).collect();
         failed.into_iter().collect()
--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -185,7 +185,12 @@
                 AskOutcome::NoRoom => return Reply::Refused(Refused::Overloaded),
                 // An earlier try may have been accepted even though this one is refused.
                 AskOutcome::Answered(Reply::Refused(_)) if asked => return Reply::Unclear,
-                AskOutcome::Answered(reply) => return reply,
+                AskOutcome::Answered(reply) => {
+                    if asked && reply != Reply::Done {
+                        log::info!(reply:?; "a later try of a request is answered, and an earlier one got no reply");
+                    }
+                    return reply;
+                }
             }
             self.metrics.record_retry();
             if hint.is_none() {
