A later refusal says nothing of an earlier try without a reply

Cause: after a try without a reply only Refused was turned into Unclear; Unknown, Denied and Invalid were passed on as if that try hadn't been made. The new log line showed Unknown(Queue) for each such job; the leader looks for the queue before it proposes, and the entry node keeps no catalog.

Reply::effect says what each reply proves of its own try, in a complete match, and Tries decides what the requester is told: once a try is open, a request that changes something is confirmed or unclear. A read is answered by its latest reply.

tests/manager/tries.rs has all requests by all replies, and a leader that leaves the first try without a reply.

--- a/src/manager/entry.rs
+++ b/src/manager/entry.rs
@@ -2,7 +2,7 @@
 //!
 //! Only the leader knows which queues exist and which jobs were accepted, so it answers all
 //! requests. A request that is sent again, to another leader, therefore still counts as one
-//! request. The caller learns what is certain (done, unknown, not done); any other outcome is
+//! request. The caller learns what is certain after all tries (see [`Tries`]); any other outcome is
 //! reported as unclear.
 
 use std::{
@@ -21,6 +21,7 @@
     identity::address,
     metrics::Metrics,
     request::{LeaderRequest, Refused, Reply},
+    tries::Tries,
 };
 use crate::{
     adapters::{memory::Memory, mesh::Mesh},
@@ -161,7 +162,7 @@
 
     async fn ask_leader(&self, request: &LeaderRequest, until: Instant) -> Reply {
         let mut info = self.info.subscribe();
-        let mut asked = false;
+        let mut tries = Tries::new(request);
         let mut hint = None;
         while Instant::now() < until {
             if self.is_cut_off() {
@@ -179,18 +180,10 @@
                     hint = other.filter(|other| *other != leader);
                 }
                 AskOutcome::Answered(Reply::Refused(Refused::NoLeader)) => {}
-                AskOutcome::Answered(Reply::Unclear) | AskOutcome::TimedOut => asked = true,
+                AskOutcome::Answered(Reply::Unclear) | AskOutcome::TimedOut => tries.leave_open(),
                 AskOutcome::NotSent => {}
-                AskOutcome::NoRoom if asked => return Reply::Unclear,
-                AskOutcome::NoRoom => return Reply::Refused(Refused::Overloaded),
-                // An earlier try may have been accepted even though this one is refused.
-                AskOutcome::Answered(Reply::Refused(_)) if asked => return Reply::Unclear,
-                AskOutcome::Answered(reply) => {
-                    if asked && reply != Reply::Done {
-                        log::info!(reply:?; "a later try of a request is answered, and an earlier one got no reply");
-                    }
-                    return reply;
-                }
+                AskOutcome::NoRoom => return tries.conclude(Reply::Refused(Refused::Overloaded)),
+                AskOutcome::Answered(reply) => return tries.conclude(reply),
             }
             self.metrics.record_retry();
             if hint.is_none() {
@@ -200,11 +193,7 @@
                 let _ = timeout_at(end, info.changed()).await;
             }
         }
-        if asked {
-            Reply::Unclear
-        } else {
-            Reply::Refused(Refused::NoLeader)
-        }
+        tries.give_up()
     }
 
     async fn ask_node(&self, node: NodeId, request: &LeaderRequest, until: Instant) -> AskOutcome {
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -7,6 +7,7 @@
 //! - [`control`]: the task that runs consensus, the ledger and the leader's scheduler;
 //! - [`entry`]: finds the leader, sends it requests and retries them;
 //! - [`request`]: the requests to the leader and its replies;
+//! - [`tries`]: what a requester is told after several tries;
 //! - [`identity`]: the node id that a data folder belongs to;
 //! - [`cluster`]: the cluster id that a data folder belongs to;
 //! - [`membership`]: decides which control nodes should vote;
@@ -29,3 +30,4 @@
 pub mod relays;
 pub mod request;
 mod state_memory;
+pub mod tries;
--- a/src/manager/request.rs
+++ b/src/manager/request.rs
@@ -38,6 +38,18 @@
 }
 
 impl LeaderRequest {
+    /// Whether carrying it out changes anything, rather than only reading it.
+    pub fn changes_state(&self) -> bool {
+        match self {
+            Self::Call(call) => match call.verb {
+                Verb::Submit(_) | Verb::Cancel => true,
+                Verb::Read => false,
+            },
+            Self::Declare(_) | Self::Heartbeat(_) | Self::Leave(_) | Self::BeginWave(_) => true,
+            Self::ReadCatalog | Self::WaveState(_) => false,
+        }
+    }
+
     /// About how many bytes it takes while it waits, if its sender chooses how many.
     pub fn bytes(&self) -> usize {
         let bytes = match self {
@@ -132,6 +144,36 @@
     Unclear,
 }
 
+/// What a reply proves about the try of a request that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// The request is carried out, by this try or by an earlier one.
+    CarriedOut,
+    /// This try changed nothing. That says nothing about earlier ones, since what decides a try may have changed
+    /// since they were carried out: the catalog, the keys, the room for jobs.
+    Nothing,
+    /// It may have been carried out.
+    Unknown,
+}
+
+impl Reply {
+    /// What this reply proves about the try that it answers.
+    pub fn effect(&self) -> Effect {
+        match self {
+            Self::Done => Effect::CarriedOut,
+            Self::State(_)
+            | Self::Pending(_)
+            | Self::Catalog(_)
+            | Self::Wave { .. }
+            | Self::Unknown(_)
+            | Self::Denied
+            | Self::Invalid(_)
+            | Self::Refused(_) => Effect::Nothing,
+            Self::Unclear => Effect::Unknown,
+        }
+    }
+}
+
 /// The object that a request names and that doesn't exist.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Deserialize, Serialize)]
--- a/tests/manager/main.rs
+++ b/tests/manager/main.rs
@@ -9,4 +9,5 @@
 mod relays;
 mod repair;
 mod state_memory;
+mod tries;
 mod voter;
