Exclude an agent for failures only if a sound one would hardly have them, and for two seconds

Cause: three different jobs that failed in a row excluded their agent for 3 to 24 s. Nothing asked whether they fail elsewhere, nothing was forgotten with time, and nothing bounded how much of a pool is excluded. The new lines showed two exclusions of an agent by one report, by jobs that failed at other agents in that second. Ruled out: no room, and suspicion of the tasks. Overruns excluded agents by two more rules, one without a bound, for as long as overdue tasks ran.

scheduler/exclusions.rs decides now who is excluded, on what evidence, for how long, and how many at most, also for overruns and agents that say they are unwell. A failure weighs as much as it is improbable at a sound agent, by how tasks of its queue end at the others. An exclusion lasts two seconds, less than callers accept, and covers half of a pool at most. A gang that waits for that long only because of exclusions is placed without regard to them.

Evidence needs another try elsewhere: a task that failed was started three times within 0.1 s at the agent that fails all, where nothing else ran (a play of three srv_grey errors). It goes to another agent now if one is as near to its data.

tests/workload/exclusions.rs: seven of its eight worlds fail without this, the eighth holds on both.

--- a/src/core/workload/scheduler/agent.rs
+++ b/src/core/workload/scheduler/agent.rs
@@ -4,6 +4,7 @@
 
 use super::{
     ORDER_RETRY_DELAY, START_MARGIN, Settings,
+    exclusions::FailureStreak,
     order::{AgentTime, OrderId, Target},
     throttle::FULL_SHARE,
 };
@@ -11,7 +12,6 @@
     consensus::Index,
     types::{Attempt, HostId, MinionId, Now, Resources, Wall},
     workload::{
-        catalog::JobId,
         command::{AgentRecord, Placement},
         job::{StepId, TaskId},
         spec::StepSpec,
@@ -22,13 +22,6 @@
 const SLOWEST_CLOCK: f64 = 0.98;
 /// Added to the end of a lease, since the timers of an agent fire a little late.
 const TIMER_SLACK: Duration = Duration::from_millis(300);
-/// Different jobs that have to fail at an agent in a row for it to be excluded. A single job may
-/// fail anywhere, again and again.
-const MAX_FAILED_JOBS: usize = 3;
-/// How long an agent is excluded the first time. The time doubles with each exclusion, up to eight
-/// times this.
-const EXCLUSION: Duration = Duration::from_secs(3);
-
 /// An agent is slow if its tasks take on average this many times their estimate. Estimates are off
 /// by a fifth, and tasks of a step differ by a third; this is beyond both.
 const SLOW_PACE: f64 = 1.7;
@@ -113,10 +106,8 @@
     pub(super) throttled_at: Now,
     /// Since when it has run nothing, if it runs nothing.
     pub(super) idle_since: Now,
-    /// The different jobs that failed here since the last success.
-    failed_jobs: Vec<JobId>,
-    /// How often in a row it was excluded.
-    exclusions: u32,
+    /// What failed here since the last success.
+    pub(super) failures: FailureStreak,
     /// The time that its tasks take, averaged and as a multiple of the estimate, and when the last
     /// one ended.
     pace: (f64, Now),
@@ -229,14 +220,13 @@
             failing_since: None,
             silent_since: None,
             host: None,
-            excluded_until: now,
+            excluded_until: Now::ZERO,
             cordoned: false,
             evicting: false,
             share: FULL_SHARE,
             throttled_at: Now::ZERO,
             idle_since: now,
-            failed_jobs: Vec::new(),
-            exclusions: 0,
+            failures: FailureStreak::default(),
             pace: (1.0, now),
             long_steps: BTreeMap::new(),
         }
@@ -461,12 +451,6 @@
         self.slots.values().any(|slot| slot.best_effort)
     }
 
-    /// Notes that a task succeeded here.
-    pub(super) fn task_succeeded(&mut self) {
-        self.failed_jobs.clear();
-        self.exclusions = 0;
-    }
-
     /// Notes that a task took `ratio` times its estimate here.
     pub(super) fn record_pace(&mut self, now: Now, ratio: f64) {
         let pace = self.pace(now);
@@ -484,22 +468,6 @@
         let age = now.saturating_sub(seen).as_secs_f64() / PACE_MEMORY.as_secs_f64();
         1.0 + (pace - 1.0) * (-age).exp()
     }
-
-    /// Notes that a task of a job failed here. Returns whether the agent is excluded because of it.
-    pub(super) fn task_failed(&mut self, now: Now, job: JobId) -> bool {
-        if !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
-        if self.failed_jobs.len() < MAX_FAILED_JOBS {
-            return false;
-        }
-        let jobs = std::mem::take(&mut self.failed_jobs);
-        let span = EXCLUSION * 2_u32.pow(self.exclusions.min(3));
-        log::info!(agent:% = self.record.id, jobs:?, span:?, before = self.exclusions; "different jobs failed in a row at an agent");
-        self.excluded_until = now + span;
-        self.exclusions += 1;
-        true
-    }
 }
 
 impl Slot {
--- a/src/core/workload/scheduler/answers.rs
+++ b/src/core/workload/scheduler/answers.rs
@@ -5,9 +5,9 @@
 use super::{
     About, Answer, EndBatch, IDLE_POLL_DELAY, MAX_START_TRIES, MinionId, Now, ORDER_RETRY_DELAY,
     OrderId, OrderKind, Pending, Phase, Placement, RENEWAL_GAP, RENEWAL_RETRY_DELAY, Refusal,
-    Report, ReportedEnd, Scheduler, Settings, Slot, TaskId, UNWELL_PAUSE,
+    Report, ReportedEnd, Scheduler, Settings, Slot, TaskId,
 };
-use super::{operations::Stage, throttle::UNKNOWN_SHARE};
+use super::{exclusions::Cause, operations::Stage, throttle::UNKNOWN_SHARE};
 use crate::core::workload::command::Ending;
 
 /// The progress that a long-running task reports when it does all its work, in percent.
@@ -140,6 +140,13 @@
         if matches!(answer, Answer::Silent) {
             self.record_stray(id, sent);
         }
+        if let Answer::Refused {
+            why: Refusal::Unwell,
+            ..
+        } = answer
+        {
+            self.exclude(now, id, Cause::Unwell);
+        }
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
@@ -156,13 +163,6 @@
         {
             self.eligible.revoke(task.step, id);
         }
-        if let Answer::Refused {
-            why: Refusal::Unwell,
-            ..
-        } = answer
-        {
-            agent.excluded_until = agent.excluded_until.max(now + UNWELL_PAUSE);
-        }
         let Some(slot) = agent.slots.get_mut(&task) else {
             return;
         };
@@ -422,7 +422,6 @@
         let Some(agent) = self.agents.get_mut(id) else {
             return;
         };
-        let mut newly_excluded = false;
         for ended in &report.ended {
             if ended.number <= agent.proposed_end {
                 let slot = agent.slots.get(&ended.task);
@@ -466,13 +465,6 @@
             if ended.how != Ending::Done {
                 log::info!(agent:% = id, task:% = ended.task, attempt = ended.attempt, how:? = ended.how; "an attempt ended");
             }
-            match ended.how {
-                Ending::Done => agent.task_succeeded(),
-                Ending::Failed if agent.task_failed(now, ended.task.step.job) => {
-                    newly_excluded = true;
-                }
-                _ => {}
-            }
             let ends = self.ends.entry(id.clone()).or_insert_with(|| EndBatch {
                 agent: id.clone(),
                 through: 0,
@@ -486,22 +478,6 @@
                 checkpoint: ended.checkpoint.clone(),
             });
         }
-        if newly_excluded {
-            self.log_exclusion(now, id);
-        }
-    }
-
-    fn log_exclusion(&self, now: Now, id: &MinionId) {
-        let Some(agent) = self.agents.get(id) else {
-            return;
-        };
-        let pool = &agent.record.pool;
-        let agents = self
-            .agents
-            .values()
-            .filter(|other| other.record.pool == *pool);
-        let excluded = agents.filter(|other| other.excluded_until > now).count();
-        log::info!(agent:% = id, excluded, agents = self.agents.pool_size(pool); "an agent is excluded, as several jobs failed there");
     }
 
     /// Learns the agent's clock from an answer. Returns whether the agent is still there.
--- a/src/core/workload/scheduler/jobs.rs
+++ b/src/core/workload/scheduler/jobs.rs
@@ -172,6 +172,7 @@
         self.ready.forget(id);
         self.occurrences.forget(id);
         self.overruns.forget(id);
+        self.exclusions.forget_job(id);
         self.outstanding.remove(id);
         self.eligible.forget(id);
         self.suspects.forget(id);
--- a/src/core/workload/scheduler/mod.rs
+++ b/src/core/workload/scheduler/mod.rs
@@ -61,6 +61,7 @@
 mod demand;
 mod domains;
 mod eligible;
+mod exclusions;
 mod forecast;
 mod host_intents;
 mod host_orders;
@@ -119,6 +120,7 @@
     delayed::AwayTasks,
     domains::Homes,
     eligible::{Eligible, Question},
+    exclusions::Exclusions,
     host_intents::HostIntents,
     hosts::Hosts,
     learned::TaskTimes,
@@ -184,8 +186,6 @@
 const START_MARGIN: Duration = Duration::from_millis(300);
 /// How often a start is sent before the attempt is abandoned.
 const MAX_START_TRIES: u32 = 4;
-/// How long an agent gets no new work after it said that it is unwell.
-const UNWELL_PAUSE: Duration = Duration::from_millis(1500);
 /// The longest that an order without an answer may be in transit, as operators have stated for
 /// their agents.
 const MAX_ORDER_TRANSIT: Duration = Duration::from_millis(12_500);
@@ -420,6 +420,7 @@
     /// How long the tasks of each pool take.
     learned: BTreeMap<PoolId, TaskTimes>,
     overruns: Overruns,
+    exclusions: Exclusions,
     pressure: Pressure,
     suspects: Suspects,
     probes: Probes,
@@ -517,6 +518,7 @@
             eligible: Eligible::default(),
             learned: BTreeMap::new(),
             overruns: Overruns::default(),
+            exclusions: Exclusions::default(),
             pressure: Pressure::default(),
             suspects: Suspects::default(),
             probes: Probes::default(),
--- a/src/core/workload/scheduler/overruns.rs
+++ b/src/core/workload/scheduler/overruns.rs
@@ -9,15 +9,17 @@
 //!
 //! Whether an agent is the cause is told by tasks of different jobs that run too long there. A step whose tasks do
 //! so at several agents, while none was done in time, tells of its estimate and of no agent. Until it is known, an
-//! agent whose task is stopped gets no new tasks for a while either, as the stopped one might return to it; but
-//! never does that hold for more than half of a pool.
+//! agent whose task is stopped gets no new tasks for a while either, as the stopped one might return to it. How long
+//! and for how many agents that holds is decided in [`exclusions`](super::exclusions).
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use super::{Agent, JobId, MinionId, Now, Occurrence, Scheduler, Slot, StepId, TaskId};
+use super::{
+    Agent, JobId, MinionId, Now, Occurrence, Scheduler, Slot, StepId, TaskId, exclusions::Cause,
+};
 use crate::core::types::Attempt;
 
 /// By how much longer a task may run with each attempt.
@@ -30,8 +32,6 @@
 const MIN_JOBS: usize = 2;
 /// How long an overrun counts against its agent. Agents are slow for some seconds.
 const MEMORY: Duration = Duration::from_secs(8);
-/// How long an agent that is the cause of overruns gets no new tasks.
-const EXCLUSION: Duration = Duration::from_secs(2);
 
 /// What this leader has seen of steps whose tasks ran too long.
 #[derive(Clone, Debug, Default)]
@@ -142,39 +142,21 @@
             })
         });
         let overdue: Vec<_> = overdue.copied().collect();
-        let is_excluded = is_cause || self.may_be_cause(now, id, &overdue);
+        let is_excluded = is_cause || self.may_be_cause(id, &overdue);
         if let Some(agent) = self.agents.get_mut(id) {
             agent.record_overruns(now, &long);
-            if is_excluded {
-                agent.excluded_until = agent.excluded_until.max(now + EXCLUSION);
-            }
+        }
+        if is_excluded {
+            self.exclude(now, id, Cause::Overruns);
         }
         overdue
     }
 
     /// Whether an agent is kept from new tasks because of a single step. That costs the pool a host, so each step
-    /// does so at the first agent at which its tasks are stopped, and not while half of the pool is excluded.
-    fn may_be_cause(&self, now: Now, id: &MinionId, overdue: &[TaskId]) -> bool {
-        let Some(agent) = self.agents.get(id) else {
-            return false;
-        };
-        if !overdue
-            .iter()
-            .any(|task| self.overruns.is_only_at(task.step, id))
-        {
-            return false;
-        }
-        let pool = &agent.record.pool;
-        let agents = self
-            .agents
-            .values()
-            .filter(|other| other.record.pool == *pool);
-        let (mut all, mut excluded) = (0_usize, 1);
-        for other in agents {
-            all += 1;
-            excluded += usize::from(other.record.id != *id && other.excluded_until > now);
-        }
-        excluded < all && excluded <= all.div_ceil(2)
+    /// does so only at the first agent at which its tasks are stopped.
+    fn may_be_cause(&self, id: &MinionId, overdue: &[TaskId]) -> bool {
+        let mut steps = overdue.iter().map(|task| task.step);
+        steps.any(|step| self.overruns.is_only_at(step, id))
     }
 
     /// Whether tasks of different jobs run too long at an agent, other than those that do so everywhere.
--- a/src/core/workload/scheduler/place.rs
+++ b/src/core/workload/scheduler/place.rs
@@ -2,7 +2,8 @@
 //!
 //! Tasks are packed onto few agents, so that others stay empty for maintenance and moves. Agents
 //! that run long-running tasks are preferred, then agents whose tasks end no sooner than the new
-//! one, then those with the most cores in use. Best-effort and latency-sensitive tasks are kept
+//! one, then those with the most cores in use. A task whose job has just failed at an agent goes to
+//! another one, if there is one as near to its data. Best-effort and latency-sensitive tasks are kept
 //! apart where there is a choice, because the former slow the latter.
 //!
 //! Where agents are looked for in one failure domain after the other, an agent of an earlier domain
@@ -39,6 +40,9 @@
     safe: bool,
     /// It is on the rack that holds the data.
     near_data: bool,
+    /// No task of the job has failed there lately. Another agent shows whether the job or the agent
+    /// is the cause, and doesn't cost the job its attempts if it is the agent.
+    untried: bool,
     /// It runs nothing that the task would slow down or be slowed down by.
     undisturbed: bool,
     /// The position of its failure domain among those that are searched.
@@ -81,7 +85,7 @@
 impl Fit {
     /// Whether no agent of a later failure domain can suit better.
     fn is_settled(&self) -> bool {
-        self.on_pace && self.safe && self.near_data && self.undisturbed
+        self.on_pace && self.safe && self.near_data && self.untried && self.undisturbed
     }
 }
 
@@ -101,7 +105,7 @@
     seats
 }
 
-fn fit(now: Now, agent: &Agent, spec: &StepSpec, domain: usize) -> Fit {
+fn fit(now: Now, agent: &Agent, spec: &StepSpec, step: StepId, domain: usize) -> Fit {
     let near = spec
         .data_rack
         .as_ref()
@@ -117,6 +121,7 @@
         on_pace: !agent.is_slow(now) && !agent.has_overruns(now),
         safe: !agent.slots.values().any(|slot| slot.has_evidence),
         near_data: near,
+        untried: !agent.failures.contains(now, step.job),
         undisturbed: !disturbs && !disturbed,
         domain: Reverse(domain),
         beside_alike: spec.long_running && agent.slots.values().any(|slot| slot.long_running),
@@ -175,7 +180,8 @@
         // Idle agents beyond as many as there are tasks would never be chosen.
         for agent in idle.filter(|agent| may_run(agent, spec, step)) {
             let fit = self.add(now, agent, spec, step);
-            left = left.saturating_sub(usize::from(fit.on_pace && fit.near_data));
+            let suits = fit.on_pace && fit.near_data && fit.untried;
+            left = left.saturating_sub(usize::from(suits));
             if left == 0 {
                 break;
             }
@@ -189,7 +195,7 @@
     }
 
     fn add(&mut self, now: Now, agent: &Agent, spec: &StepSpec, step: StepId) -> Fit {
-        let fit = fit(now, agent, spec, self.domains);
+        let fit = fit(now, agent, spec, step, self.domains);
         if fit.is_settled() && !self.is_settled() {
             self.seats += seats(agent, spec, step, self.tasks - self.seats);
         }
@@ -208,7 +214,8 @@
     pub(super) fn put_back(&mut self, now: Now, agent: &Agent, spec: &StepSpec, step: StepId) {
         if may_run(agent, spec, step) {
             let id = agent.record.id.clone();
-            self.agents.push((fit(now, agent, spec, self.taken), id));
+            self.agents
+                .push((fit(now, agent, spec, step, self.taken), id));
         }
     }
 }
@@ -223,7 +230,7 @@
 ) -> Vec<MinionId> {
     let able = agents.filter(|agent| may_run(agent, spec, step));
     let mut able: Vec<_> = able
-        .map(|agent| (fit(now, agent, spec, 0), agent))
+        .map(|agent| (fit(now, agent, spec, step, 0), agent))
         .collect();
     able.sort_by_key(|(fit, agent)| Reverse((*fit, &agent.record.id)));
     let best = able.into_iter().take(most);
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -40,6 +40,8 @@
     /// What one round commits: ended and abandoned attempts, and starts of ready tasks.
     pub(super) fn build_round(&mut self, now: Now, wall: Wall, ledger: &Ledger) -> Round {
         let ends: Vec<_> = std::mem::take(&mut self.ends).into_values().collect();
+        self.end_exclusions(now);
+        self.judge_ends(now, ledger, &ends);
         let failed = self.failed_jobs(ledger, &ends);
         let cleared = self.clear_suspects(now, ledger);
         self.release_probes(now);
@@ -264,15 +266,18 @@
         if room < u64::from(spec.tasks) && decided_attempts(ledger, first) == 0 {
             return;
         }
-        let unit = self.suspects.suspect_unit(first, spec.long_running);
-        let able = self.agents_accepting_work(now, &ready.pool, spec.reservation().millicores);
-        let able = able.filter(|agent| self.is_eligible(now, step, agent));
-        // The members of a gang run together, so a suspected gang has its hosts to itself.
-        let able = able.filter(|agent| unit.is_none() || agent.slots.is_empty());
-        let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
-        let Some(seats) = place::choose_gang(&able, spec, step) else {
+        let pool = ready.pool.clone();
+        let seats = self.gang_seats(now, &pool, step, spec, false).or_else(|| {
+            let is_placeable =
+                |scheduler: &Self| scheduler.gang_seats(now, &pool, step, spec, true).is_some();
+            let overrides = self.overrides_exclusions(now, &pool, step, is_placeable);
+            overrides.then(|| self.gang_seats(now, &pool, step, spec, true))?
+        });
+        let Some(seats) = seats else {
             return;
         };
+        self.exclusions.forget_gang(step);
+        let unit = self.suspects.suspect_unit(first, spec.long_running);
         let tasks = (0..spec.tasks).map(|task| TaskId { step, task });
         let last = tasks
             .clone()
@@ -292,6 +297,34 @@
         }
     }
 
+    /// The agents for all members of a gang, excluded ones among them if `with_excluded` is set; `None` if they have
+    /// no room.
+    fn gang_seats(
+        &self,
+        now: Now,
+        pool: &PoolId,
+        step: StepId,
+        spec: &StepSpec,
+        with_excluded: bool,
+    ) -> Option<Vec<MinionId>> {
+        let first = TaskId { step, task: 0 };
+        let suspected = self
+            .suspects
+            .suspect_unit(first, spec.long_running)
+            .is_some();
+        let able = self.agents.with_room(pool, spec.reservation().millicores);
+        let able = able.filter(|agent| {
+            let open = with_excluded || agent.excluded_until <= now;
+            open && self.accepts_work(now, agent)
+                && !self.probes.contains(&agent.record.id)
+                && self.is_eligible(now, step, agent)
+                // The members of a gang run together, so a suspected gang has its hosts to itself.
+                && (!suspected || agent.slots.is_empty())
+        });
+        let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
+        place::choose_gang(&able, spec, step)
+    }
+
     pub(super) fn propose(
         &mut self,
         now: Now,
@@ -346,13 +379,17 @@
 
     /// Whether an agent may get new work.
     pub(super) fn can_accept_work(&self, now: Now, agent: &Agent) -> bool {
+        agent.excluded_until <= now && self.accepts_work(now, agent)
+    }
+
+    /// Whether an agent may get new work if it isn't excluded.
+    fn accepts_work(&self, now: Now, agent: &Agent) -> bool {
         !agent.record.leaving
             && !agent.unconfirmed
             && !agent.cordoned
             && agent.failing_since.is_none()
             && !self.agents.centres().is_cut(&agent.record.data_centre)
             && !self.has_unsettled_predecessor(agent)
-            && agent.excluded_until <= now
             && now < agent.last_seen + self.settings.max_silence
     }
 
--- a/tests/workload/main.rs
+++ b/tests/workload/main.rs
@@ -13,6 +13,7 @@
 mod disturbed;
 mod domains;
 mod eligible;
+mod exclusions;
 mod extremes;
 mod faults;
 mod footprint;
