Place a gang that failed at other agents, and drop outcomes of queues that are quiet

A gang is placed by the order of ids, so each attempt went to the agents that had just failed it, though others had room. It prefers agents where its job hasn't failed lately now, as single tasks do.

The ends of tasks by queue were dropped only with the next end of that queue: queues that are removed from the catalog would have stayed in the leader's memory.

--- a/src/core/workload/scheduler/exclusions.rs
+++ b/src/core/workload/scheduler/exclusions.rs
@@ -116,6 +116,10 @@
         self.failing += usize::from(failed);
         self.last.insert(agent.clone(), (failed, now));
         self.by_time.insert((now, agent.clone()));
+        self.expire(now);
+    }
+
+    fn expire(&mut self, now: Now) {
         while let Some((_, old)) = self.by_time.first().filter(|(at, _)| now >= *at + MEMORY) {
             let old = old.clone();
             self.forget(&old);
@@ -149,6 +153,8 @@
     agents: BTreeMap<PoolId, BTreeMap<MinionId, Now>>,
     /// How tasks of each queue have ended lately.
     queues: BTreeMap<Name, QueueOutcomes>,
+    /// When outcomes that are too old were last dropped from all queues.
+    expired_at: Now,
     /// The gangs that wait only because agents are excluded, and since when.
     gangs: BTreeMap<StepId, Now>,
 }
@@ -266,8 +272,15 @@
         }
     }
 
-    /// Forgets the exclusions that have ended.
+    /// Forgets the exclusions that have ended, and ends of tasks that no longer count.
     pub(super) fn end_exclusions(&mut self, now: Now) {
+        if now >= self.exclusions.expired_at + MEMORY {
+            self.exclusions.expired_at = now;
+            self.exclusions.queues.retain(|_, outcomes| {
+                outcomes.expire(now);
+                !outcomes.last.is_empty()
+            });
+        }
         self.exclusions.agents.retain(|_, agents| {
             agents.retain(|id, until| {
                 let excluded = *until > now;
--- a/src/core/workload/scheduler/starts.rs
+++ b/src/core/workload/scheduler/starts.rs
@@ -298,7 +298,7 @@
     }
 
     /// The agents for all members of a gang, excluded ones among them if `with_excluded` is set; `None` if they have
-    /// no room.
+    /// no room. Those where its job has just failed are the last choice.
     fn gang_seats(
         &self,
         now: Now,
@@ -322,7 +322,13 @@
                 && (!suspected || agent.slots.is_empty())
         });
         let able: BTreeMap<_, _> = able.map(|a| (a.record.id.clone(), a)).collect();
-        place::choose_gang(&able, spec, step)
+        let untried = able.iter().map(|(id, agent)| (id.clone(), *agent));
+        let untried = untried.filter(|(_, agent)| !agent.failures.contains(now, step.job));
+        let untried: BTreeMap<_, _> = untried.collect();
+        let seats = place::choose_gang(&untried, spec, step);
+        // Nearly always the job hasn't failed, and there is no other choice.
+        let has_tried = untried.len() < able.len();
+        seats.or_else(|| has_tried.then(|| place::choose_gang(&able, spec, step))?)
     }
 
     pub(super) fn propose(
--- a/tests/workload/gang_attempts.rs
+++ b/tests/workload/gang_attempts.rs
@@ -6,7 +6,7 @@
     spec::JobSpec,
 };
 
-use super::world::{OTHER_POOL, World, ms, step};
+use super::world::{OTHER_POOL, World, long_running, ms, step};
 
 const JOB: u64 = 1;
 /// The number of failed attempts after which the world's jobs fail.
@@ -76,6 +76,26 @@
     }
 }
 
+/// Each attempt was placed at the same agents, which failed all of them, while others had room.
+#[test]
+fn a_gang_that_failed_is_tried_at_other_agents() {
+    let mut world = World::new(10, 5);
+    // What lasts on each host keeps all of them in the pool.
+    world.submit(2, JobSpec::new("x", vec![long_running(10, 1)]));
+    world.until("it runs", ms(5000), |world| world.runs(2).len() == 10);
+    let ids: Vec<_> = world.agents.keys().take(2).cloned().collect();
+    for id in &ids {
+        world.agents.get_mut(id).unwrap().fails_until = world.now + ms(6000);
+    }
+    let mut gang = step(6, 1, 200);
+    gang.gang = true;
+    gang.per_host = Some(1);
+    world.submit(JOB, JobSpec::new("x", vec![gang]));
+    world.until("the job is completed", ms(3000), |world| {
+        world.state(JOB) == Some(JobState::Completed)
+    });
+}
+
 /// The ends of two members were taken in by two rounds, and counted as two attempts.
 #[test]
 fn ends_of_one_attempt_in_several_rounds_count_once() {
