--- a/tests/workload/exclusions.rs
+++ b/tests/workload/exclusions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use egretpin::core::workload::{
-    catalog::JobId,
+    catalog::{Catalog, JobId},
     job::JobState,
     spec::{JobSpec, StepSpec},
 };
@@ -29,8 +29,7 @@
     queue.name = name.into();
     queue.prefix = format!("/{name}/").into();
     catalog.queues.push(queue);
-    let catalog = egretpin::core::workload::catalog::Catalog::new(2, catalog.queues, catalog.pools);
-    world.set_catalog(catalog);
+    world.set_catalog(Catalog::new(2, catalog.queues, catalog.pools));
 }
 
 /// The longest time for which none of these jobs had a task running, until each has had `span`.
--- a/tests/workload/gang_model.rs
+++ b/tests/workload/gang_model.rs
@@ -4,20 +4,17 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use ciborium::Value;
-use egretpin::core::{
-    types::Resources,
-    workload::{
-        command::{
-            AgentRecord, Command, EndBatch, Ending, Placement, ReportedEnd, Round, Submission,
-        },
-        job::{StepId, TaskId},
-        ledger::Ledger,
-        spec::{JobSpec, StepSpec},
-        step::Step,
-    },
+use egretpin::core::workload::{
+    command::{Command, EndBatch, Ending, Placement, ReportedEnd, Round, Submission},
+    job::{StepId, TaskId},
+    ledger::Ledger,
+    spec::{JobSpec, StepSpec},
+    step::Step,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
+use super::ledger::record;
+
 const JOB: u64 = 7;
 const MEMBERS: u32 = 3;
 const STEP: StepId = StepId {
@@ -104,18 +101,7 @@
     }
 
     fn register(&mut self, agent: &str) {
-        self.apply(&Command::Agent(Box::new(AgentRecord {
-            id: agent.into(),
-            name: agent.into(),
-            pool: "pool".into(),
-            address: "127.0.0.1:1".parse().unwrap(),
-            data_centre: "west".into(),
-            labels: Vec::new(),
-            capacity: Resources::default(),
-            leaving: false,
-            acked: 0,
-            sequence: 0,
-        })));
+        self.apply(&Command::Agent(Box::new(record(agent))));
     }
 
     /// Places the next attempt, as all members of the last one have ended or were given up.
--- a/tests/workload/ledger.rs
+++ b/tests/workload/ledger.rs
@@ -96,7 +96,8 @@
     }
 }
 
-fn record(agent: &str) -> AgentRecord {
+/// The record of an agent without resources.
+pub(crate) fn record(agent: &str) -> AgentRecord {
     AgentRecord {
         id: agent.into(),
         name: agent.into(),
